Whole path as separate processes

Cause: a query tier is only testable once a caller's query passes every hop. Change: entry daemon, operators' command, and stand-ins of the platform's store and of a backend server, each a process of its own. Profiles and bindings are committed by compare-and-swap and watched by the daemons.

--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/internal/httpjson"
+	"github.com/chivemill/chivemill/scatter"
+	"github.com/chivemill/chivemill/snapshot"
+)
+
+// Status is the body of the operators' status endpoint.
+type Status struct {
+	Node       string                      `json:"node"`
+	DataCentre string                      `json:"data_centre"`
+	Ready      bool                        `json:"ready"`
+	Revision   int64                       `json:"revision"`
+	Profiles   map[string]int64            `json:"profiles"`
+	Bindings   map[string]string           `json:"bindings"`
+	Snapshots  map[string]snapshot.Version `json:"snapshots"`
+}
+
+// CallerHandler serves the callers' interface.
+func (d *Daemon) CallerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+api.QueryPath, d.handleQuery)
+	mux.HandleFunc("GET /readyz", d.handleReady)
+	return mux
+}
+
+func (d *Daemon) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (d *Daemon) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	status := Status{
+		Node: d.set.Node, DataCentre: d.set.DataCentre, Ready: d.Ready(), Revision: d.config.Revision(),
+		Profiles: map[string]int64{}, Bindings: map[string]string{}, Snapshots: map[string]snapshot.Version{},
+	}
+	d.mu.Lock()
+	for name, p := range d.profiles {
+		status.Profiles[name] = p.revision
+	}
+	for service, name := range d.bindings {
+		status.Bindings[service] = name
+	}
+	for service, c := range d.catalogues {
+		if v, _, ok := c.Current(); ok {
+			status.Snapshots[service] = v
+		}
+	}
+	d.mu.Unlock()
+	httpjson.Write(w, http.StatusOK, status)
+}
+
+func (d *Daemon) handleQuery(w http.ResponseWriter, r *http.Request) {
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
+	id := uuid.NewString()
+	w.Header().Set(api.HeaderRequestID, id)
+	answer, err := d.serveQuery(r, id)
+	if err != nil {
+		d.writeError(w, id, err, answer)
+		return
+	}
+	answer.End = id
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+func (d *Daemon) writeError(w http.ResponseWriter, id string, err error, answer *api.Answer) {
+	var e *api.Error
+	if !errors.As(err, &e) {
+		e = api.Wrap(api.Internal, err, "unexpected error")
+	}
+	outcome := e.Kind.Outcome()
+	body := api.ErrorBody{
+		RequestID: id, Kind: e.Kind, Field: e.Field, Message: e.Message,
+		Run: outcome.Run, Retry: outcome.Retry, RetryAfterMS: e.RetryAfter.Milliseconds(),
+	}
+	if answer != nil {
+		body.Coverage = &answer.Coverage
+	}
+	if outcome.Retry == api.RetryLater {
+		wait := max(time.Second, e.RetryAfter)
+		w.Header().Set("Retry-After", strconv.Itoa(int((wait+time.Second-1)/time.Second)))
+	}
+	d.log.Info("request failed", zap.String("request", id), zap.String("kind", string(e.Kind)), zap.Error(err))
+	httpjson.Write(w, outcome.Status, body)
+}
+
+// readQuery decodes and checks the body of a request.
+func (d *Daemon) readQuery(r *http.Request) (api.Query, error) {
+	var q api.Query
+	err := httpjson.Read(r.Body, d.set.MaxBody, &q)
+	switch {
+	case errors.Is(err, httpjson.ErrTooLarge):
+		return q, api.Errorf(api.TooLarge, "body is longer than %d bytes", d.set.MaxBody)
+	case err != nil:
+		return q, api.FieldErrorf(api.BadRequest, "body", "%v", err)
+	case q.Service == "":
+		return q, api.FieldErrorf(api.BadRequest, "service", "is required")
+	case q.DeadlineMS < 0:
+		return q, api.FieldErrorf(api.DeadlinePast, "deadline_ms", "%d ms is already past", q.DeadlineMS)
+	}
+	return q, nil
+}
+
+func (d *Daemon) serveQuery(r *http.Request, id string) (*api.Answer, error) {
+	q, err := d.readQuery(r)
+	if err != nil {
+		return nil, err
+	}
+	p, bound, found := d.profileOf(q.Service)
+	switch {
+	case !bound:
+		return nil, api.FieldErrorf(api.UnknownService, "service", "no service %q is bound to a profile", q.Service)
+	case !found || p.retired:
+		return nil, api.Errorf(api.NoProfile, "the profile of service %q is not available", q.Service)
+	}
+	deadline := p.Deadline.D()
+	if q.DeadlineMS > 0 {
+		deadline = min(deadline, time.Duration(q.DeadlineMS)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), deadline)
+	defer cancel()
+	return d.search(ctx, id, q, p)
+}
+
+type unlimited struct{}
+
+// Take implements scatter.Budget.
+func (unlimited) Take() bool { return true }
+
+func (d *Daemon) search(ctx context.Context, id string, q api.Query, p activeProfile) (*api.Answer, error) {
+	d.mu.Lock()
+	version, shardMap, ok := d.catalogue(q.Service).Current()
+	d.mu.Unlock()
+	if !ok {
+		return nil, api.Errorf(api.NoSnapshot, "no snapshot of service %q is known yet", q.Service)
+	}
+	plan := scatter.Plan{
+		Service: q.Service, Request: id, Query: q.Query, Version: version, Map: shardMap,
+		MaxAttempts: p.Retry.MaxAttempts, Hedges: unlimited{}, Retries: unlimited{},
+	}
+	result := scatter.Run(ctx, plan, d, d)
+	answer := &api.Answer{
+		RequestID: id, Nonce: q.Nonce, Service: q.Service, Profile: p.Name, Revision: p.revision,
+		Snapshot: version, Coverage: result.Coverage, Records: result.Records,
+	}
+	if result.Coverage.Fraction < p.LeastCoverage {
+		return answer, api.Errorf(api.CoverageTooLow, "coverage %.3f is below the profile's least coverage %.3f",
+			result.Coverage.Fraction, p.LeastCoverage)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/httpjson/httpjson.go
@@ -0,0 +1,48 @@
+// Package httpjson reads and writes JSON bodies of net/http requests.
+package httpjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// Write answers with the status and the value as JSON. The Content-Length is set, so that a reader notices a
+// body that was cut off.
+func Write(w http.ResponseWriter, status int, value any) {
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(value); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(buf.Len()))
+	w.WriteHeader(status)
+	_, _ = w.Write(buf.Bytes())
+}
+
+// Read decodes a body of at most limit bytes that holds one JSON value and no unknown fields.
+func Read(r io.Reader, limit int64, value any) error {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > limit {
+		return ErrTooLarge
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(value); err != nil {
+		return err
+	}
+	if dec.More() {
+		return errors.New("unexpected data after the JSON value")
+	}
+	return nil
+}
+
+// ErrTooLarge means that a body is longer than its limit.
+var ErrTooLarge = errors.New("body too large")
--- /dev/null
+++ b/internal/strictyaml/strictyaml.go
@@ -0,0 +1,198 @@
+// Package strictyaml decodes YAML documents strictly and reports each error with file, line and field.
+package strictyaml
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Problem is one error in a document.
+type Problem struct {
+	File  string
+	Line  int
+	Field string
+	Text  string
+}
+
+// String returns "file:line: field: text".
+func (p Problem) String() string {
+	if p.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Field, p.Text)
+}
+
+// Error holds all problems of a document.
+type Error struct{ Problems []Problem }
+
+// Error implements error.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Duration is a time.Duration that is written with a unit, such as 250ms.
+type Duration time.Duration
+
+// UnmarshalYAML implements yaml.Unmarshaler.
+func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
+	v, err := time.ParseDuration(node.Value)
+	if err != nil {
+		return &yaml.TypeError{Errors: []string{
+			fmt.Sprintf("line %d: %q is not a duration with a unit, such as 250ms", node.Line, node.Value),
+		}}
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalYAML implements yaml.Marshaler.
+func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
+
+// D returns the value as time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// Document is a decoded document that knows the line of each field.
+type Document struct {
+	file     string
+	root     *yaml.Node
+	problems []Problem
+}
+
+var errorLine = regexp.MustCompile(`^line (\d+): (.*)$`)
+
+// Decode decodes data into out, which is a pointer to a struct. Unknown fields, wrong types and a second
+// document are problems. The returned Document takes further problems and reports all of them in Err.
+func Decode(file string, data []byte, out any) *Document {
+	d := &Document{file: file}
+	var root yaml.Node
+	if err := yaml.Unmarshal(data, &root); err != nil {
+		d.addYAML(err)
+		return d
+	}
+	if len(root.Content) == 0 {
+		d.add(1, "", "document is empty")
+		return d
+	}
+	d.root = root.Content[0]
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	if err := dec.Decode(out); err != nil {
+		d.addYAML(err)
+		return d
+	}
+	if err := dec.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		d.add(1, "", "file holds more than one document")
+	}
+	return d
+}
+
+func (d *Document) addYAML(err error) {
+	var typeErr *yaml.TypeError
+	if errors.As(err, &typeErr) {
+		for _, text := range typeErr.Errors {
+			d.addLine(text)
+		}
+		return
+	}
+	d.addLine(strings.TrimPrefix(err.Error(), "yaml: "))
+}
+
+func (d *Document) addLine(text string) {
+	line := 1
+	if m := errorLine.FindStringSubmatch(text); m != nil {
+		line, _ = strconv.Atoi(m[1])
+		text = m[2]
+	}
+	d.add(line, fieldAtLine(d.root, line, ""), text)
+}
+
+func (d *Document) add(line int, field, text string) {
+	d.problems = append(d.problems, Problem{File: d.file, Line: line, Field: field, Text: text})
+}
+
+// Problemf records a problem of a field given by its dotted path; list elements are written as name[2].
+func (d *Document) Problemf(field, format string, args ...any) {
+	d.add(d.line(field), field, fmt.Sprintf(format, args...))
+}
+
+// Err returns an *Error with all problems, or nil.
+func (d *Document) Err() error {
+	if len(d.problems) == 0 {
+		return nil
+	}
+	return &Error{Problems: d.problems}
+}
+
+// line returns the line of the field, or of its nearest parent that the document contains.
+func (d *Document) line(field string) int {
+	node := d.root
+	line := 1
+	if node == nil {
+		return line
+	}
+	line = node.Line
+	for _, part := range strings.FieldsFunc(field, func(r rune) bool { return r == '.' || r == '[' || r == ']' }) {
+		next, at := child(node, part)
+		if next == nil {
+			return line
+		}
+		node, line = next, at
+	}
+	return line
+}
+
+func child(node *yaml.Node, part string) (*yaml.Node, int) {
+	if node.Kind == yaml.SequenceNode {
+		i, err := strconv.Atoi(part)
+		if err != nil || i >= len(node.Content) {
+			return nil, 0
+		}
+		return node.Content[i], node.Content[i].Line
+	}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		if node.Content[i].Value == part {
+			return node.Content[i+1], node.Content[i].Line
+		}
+	}
+	return nil, 0
+}
+
+// fieldAtLine returns the dotted path of the mapping key at the line.
+func fieldAtLine(node *yaml.Node, line int, path string) string {
+	if node == nil {
+		return ""
+	}
+	found := ""
+	for i, c := range node.Content {
+		switch node.Kind {
+		case yaml.SequenceNode:
+			if f := fieldAtLine(c, line, fmt.Sprintf("%s[%d]", path, i)); f != "" {
+				found = f
+			}
+		case yaml.MappingNode:
+			if i%2 == 1 {
+				continue
+			}
+			name := strings.TrimPrefix(path+"."+c.Value, ".")
+			if c.Line == line {
+				return name
+			}
+			if f := fieldAtLine(node.Content[i+1], line, name); f != "" {
+				found = f
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/kv/kvtest/memory.go
@@ -0,0 +1,336 @@
+// Package kvtest provides an in-memory kv.Store with fault injection. The stand-in of the platform's store
+// serves the same implementation over HTTP.
+package kvtest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/chivemill/chivemill/kv"
+)
+
+// watchProgressInterval is the longest silence of a live watch.
+const watchProgressInterval = time.Second
+
+// Faults describes injected faults. The zero value injects none.
+type Faults struct {
+	// Down makes every call fail without effect and ends watches.
+	Down bool
+	// Delay is added before each call.
+	Delay time.Duration
+	// LoseAnswers is the number of next writes that take effect but whose answer is lost.
+	LoseAnswers int
+}
+
+// Counters counts calls by type. A waiting watch counts as one call.
+type Counters struct {
+	Reads, Writes, Watches int64
+}
+
+type lease struct {
+	expires time.Time
+	ttl     time.Duration
+	keys    map[string]bool
+}
+
+// Memory is an in-memory kv.Store. It is safe for concurrent use.
+type Memory struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	revision int64
+	items    map[string]kv.Item
+	leases   map[kv.LeaseID]*lease
+	nextID   kv.LeaseID
+	history  []kv.Event
+	oldest   int64
+	changed  chan struct{}
+	faults   Faults
+	counters Counters
+}
+
+// historyLimit bounds the events kept for watches that resume.
+const historyLimit = 100_000
+
+// NewMemory returns an empty store that reads the time from now; nil means time.Now.
+func NewMemory(now func() time.Time) *Memory {
+	if now == nil {
+		now = time.Now
+	}
+	return &Memory{
+		now:      now,
+		revision: 1,
+		items:    make(map[string]kv.Item),
+		leases:   make(map[kv.LeaseID]*lease),
+		changed:  make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the injected faults.
+func (m *Memory) SetFaults(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = f
+	m.wake()
+}
+
+// Faults returns the faults in force.
+func (m *Memory) Faults() Faults {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faults
+}
+
+// Counters returns the calls so far.
+func (m *Memory) Counters() Counters {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counters
+}
+
+// Compact drops the watch history, so that a watch from an older revision fails with kv.ErrCompacted.
+func (m *Memory) Compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history = nil
+	m.oldest = m.revision + 1
+}
+
+func (m *Memory) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// begin applies delay and outage. The caller holds no lock before and the lock after a nil return.
+func (m *Memory) begin(ctx context.Context) error {
+	m.mu.Lock()
+	delay := m.faults.Delay
+	if delay > 0 {
+		m.mu.Unlock()
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return errors.Join(kv.ErrUnavailable, ctx.Err())
+		}
+		m.mu.Lock()
+	}
+	if m.faults.Down {
+		m.mu.Unlock()
+		return kv.ErrUnavailable
+	}
+	if err := ctx.Err(); err != nil {
+		m.mu.Unlock()
+		return errors.Join(kv.ErrUnavailable, err)
+	}
+	m.expire()
+	return nil
+}
+
+func (m *Memory) answerLost() bool {
+	if m.faults.LoseAnswers <= 0 {
+		return false
+	}
+	m.faults.LoseAnswers--
+	return true
+}
+
+func (m *Memory) expire() {
+	now := m.now()
+	for id, l := range m.leases {
+		if l.expires.After(now) {
+			continue
+		}
+		delete(m.leases, id)
+		if len(l.keys) == 0 {
+			continue
+		}
+		m.revision++
+		for key := range l.keys {
+			m.remove(key)
+		}
+		m.wake()
+	}
+}
+
+func (m *Memory) remove(key string) {
+	if _, ok := m.items[key]; !ok {
+		return
+	}
+	delete(m.items, key)
+	m.record(kv.Event{Item: kv.Item{Key: key, ModRevision: m.revision}, Deleted: true})
+}
+
+func (m *Memory) record(e kv.Event) {
+	m.history = append(m.history, e)
+	if len(m.history) > historyLimit {
+		m.history = m.history[len(m.history)-historyLimit/2:]
+		m.oldest = m.history[0].Item.ModRevision + 1
+	}
+}
+
+// Get implements kv.Store.
+func (m *Memory) Get(ctx context.Context, key string) (kv.Item, bool, error) {
+	if err := m.begin(ctx); err != nil {
+		return kv.Item{}, false, err
+	}
+	defer m.mu.Unlock()
+	m.counters.Reads++
+	item, ok := m.items[key]
+	item.Value = bytes.Clone(item.Value)
+	return item, ok, nil
+}
+
+// List implements kv.Store.
+func (m *Memory) List(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	if err := m.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	defer m.mu.Unlock()
+	m.counters.Reads++
+	var items []kv.Item
+	for key, item := range m.items {
+		if strings.HasPrefix(key, prefix) {
+			item.Value = bytes.Clone(item.Value)
+			items = append(items, item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	return items, m.revision, nil
+}
+
+// Txn implements kv.Store.
+func (m *Memory) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	if err := m.begin(ctx); err != nil {
+		return kv.TxnResult{}, err
+	}
+	defer m.mu.Unlock()
+	m.counters.Writes++
+	for _, p := range txn.Puts {
+		if len(p.Value) > kv.MaxValueBytes {
+			return kv.TxnResult{}, errors.Join(kv.ErrUnavailable, errors.New("value larger than 1 MiB"))
+		}
+		if _, ok := m.leases[p.Lease]; p.Lease != 0 && !ok {
+			return kv.TxnResult{}, errors.Join(kv.ErrUnavailable, errors.New("requested lease not found"))
+		}
+	}
+	for _, c := range txn.If {
+		if m.items[c.Key].ModRevision != c.ModRevision {
+			return m.failTxn(txn), nil
+		}
+	}
+	m.applyTxn(txn)
+	if m.answerLost() {
+		return kv.TxnResult{}, kv.ErrUncertain
+	}
+	return kv.TxnResult{Succeeded: true, Revision: m.revision}, nil
+}
+
+func (m *Memory) failTxn(txn kv.Txn) kv.TxnResult {
+	result := kv.TxnResult{Revision: m.revision}
+	for _, key := range txn.Otherwise {
+		if item, ok := m.items[key]; ok {
+			item.Value = bytes.Clone(item.Value)
+			result.Items = append(result.Items, item)
+		}
+	}
+	return result
+}
+
+func (m *Memory) applyTxn(txn kv.Txn) {
+	if len(txn.Puts)+len(txn.Deletes) == 0 {
+		return
+	}
+	m.revision++
+	for _, p := range txn.Puts {
+		item := kv.Item{Key: p.Key, Value: bytes.Clone(p.Value), CreateRevision: m.revision, ModRevision: m.revision}
+		if old, ok := m.items[p.Key]; ok {
+			item.CreateRevision = old.CreateRevision
+		}
+		m.items[p.Key] = item
+		for _, l := range m.leases {
+			delete(l.keys, p.Key)
+		}
+		if l := m.leases[p.Lease]; l != nil {
+			l.keys[p.Key] = true
+		}
+		m.record(kv.Event{Item: item})
+	}
+	for _, key := range txn.Deletes {
+		m.remove(key)
+	}
+	m.wake()
+}
+
+// Grant implements kv.Store.
+func (m *Memory) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if err := m.begin(ctx); err != nil {
+		return 0, err
+	}
+	defer m.mu.Unlock()
+	m.counters.Writes++
+	m.nextID++
+	m.leases[m.nextID] = &lease{expires: m.now().Add(ttl), ttl: ttl, keys: make(map[string]bool)}
+	if m.answerLost() {
+		return 0, kv.ErrUncertain
+	}
+	return m.nextID, nil
+}
+
+// KeepAlive implements kv.Store.
+func (m *Memory) KeepAlive(ctx context.Context, id kv.LeaseID) (bool, error) {
+	if err := m.begin(ctx); err != nil {
+		return false, err
+	}
+	defer m.mu.Unlock()
+	m.counters.Writes++
+	l, ok := m.leases[id]
+	if !ok {
+		return false, nil
+	}
+	l.expires = m.now().Add(l.ttl)
+	return true, nil
+}
+
+// Watch implements kv.Store.
+func (m *Memory) Watch(ctx context.Context, prefix string, from int64, fn func(kv.WatchBatch)) error {
+	if err := m.begin(ctx); err != nil {
+		return err
+	}
+	m.counters.Watches++
+	m.mu.Unlock()
+	next := from
+	for {
+		m.mu.Lock()
+		if m.faults.Down {
+			m.mu.Unlock()
+			return kv.ErrUnavailable
+		}
+		m.expire()
+		if next < m.oldest {
+			m.mu.Unlock()
+			return kv.ErrCompacted
+		}
+		batch := kv.WatchBatch{Revision: m.revision}
+		start := sort.Search(len(m.history), func(i int) bool { return m.history[i].Item.ModRevision >= next })
+		for _, e := range m.history[start:] {
+			if strings.HasPrefix(e.Item.Key, prefix) {
+				batch.Events = append(batch.Events, e)
+			}
+		}
+		next = m.revision + 1
+		changed := m.changed
+		m.mu.Unlock()
+		fn(batch)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(watchProgressInterval):
+		}
+	}
+}
--- /dev/null
+++ b/profile/profile.go
@@ -0,0 +1,164 @@
+// Package profile holds the named profiles that state how queries are answered.
+package profile
+
+import (
+	"regexp"
+	"time"
+
+	"github.com/chivemill/chivemill/internal/strictyaml"
+)
+
+// PartialPolicy states what to do with an answer that lacks shards.
+type PartialPolicy string
+
+// Values of PartialPolicy.
+const (
+	// PartialReturn returns a partial answer if it reaches the least coverage.
+	PartialReturn PartialPolicy = "return"
+	// PartialWait uses the whole deadline to complete the answer before it returns a partial one.
+	PartialWait PartialPolicy = "wait"
+	// PartialRefuse answers an error unless every shard is included.
+	PartialRefuse PartialPolicy = "refuse"
+)
+
+// SnapshotRule states which snapshot a query is bound to.
+type SnapshotRule string
+
+// Values of SnapshotRule.
+const (
+	// SnapshotNewestComplete takes the newest snapshot that every shard can serve.
+	SnapshotNewestComplete SnapshotRule = "newest_complete"
+	// SnapshotRequireComplete refuses a query while no complete snapshot exists.
+	SnapshotRequireComplete SnapshotRule = "require_complete"
+)
+
+// Hedge controls the second attempt for a slow sub-request.
+type Hedge struct {
+	Enabled bool `yaml:"enabled" json:"enabled"`
+	// Quantile of the service's latency after which a hedge is sent, in (0, 1).
+	Quantile float64 `yaml:"quantile" json:"quantile"`
+	// MinDelay is the least hedge delay.
+	MinDelay strictyaml.Duration `yaml:"min_delay" json:"min_delay"`
+	// Budget is the number of hedges allowed per sub-request, from 0 to 0.5.
+	Budget float64 `yaml:"budget" json:"budget"`
+}
+
+// Retry controls attempts after a failed one.
+type Retry struct {
+	// MaxAttempts for one sub-request, hedges included.
+	MaxAttempts int `yaml:"max_attempts" json:"max_attempts"`
+	// Budget is the number of retries allowed per sub-request, from 0 to 0.5.
+	Budget float64 `yaml:"budget" json:"budget"`
+}
+
+// Profile states how the queries of a service are answered.
+type Profile struct {
+	Name string `yaml:"name" json:"name"`
+	// Deadline of a query that states none, and the longest that a query may state.
+	Deadline strictyaml.Duration `yaml:"deadline" json:"deadline"`
+	Partial  PartialPolicy       `yaml:"partial" json:"partial"`
+	// LeastCoverage is the least fraction of the key space in an answer, from 0 to 1.
+	LeastCoverage float64 `yaml:"least_coverage" json:"least_coverage"`
+	Hedge         Hedge   `yaml:"hedge" json:"hedge"`
+	Retry         Retry   `yaml:"retry" json:"retry"`
+	// Share is the weight of the profile in admission, from 1 to 1000.
+	Share    int          `yaml:"share" json:"share"`
+	Snapshot SnapshotRule `yaml:"snapshot" json:"snapshot"`
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const (
+	minDeadline    = 5 * time.Millisecond
+	maxDeadline    = 60 * time.Second
+	maxBudget      = 0.5
+	maxAttempts    = 5
+	maxShare       = 1000
+	maxDocumentLen = 64 << 10
+)
+
+// ValidName reports whether s is a profile or service name: lower-case letters, digits and inner hyphens, at
+// most 63 characters.
+func ValidName(s string) bool { return namePattern.MatchString(s) }
+
+// Default returns the profile whose values apply where a document states none.
+func Default() Profile {
+	return Profile{
+		Deadline:      strictyaml.Duration(time.Second),
+		Partial:       PartialReturn,
+		LeastCoverage: 0.5,
+		Hedge:         Hedge{Enabled: true, Quantile: 0.95, MinDelay: strictyaml.Duration(time.Millisecond), Budget: 0.03},
+		Retry:         Retry{MaxAttempts: 3, Budget: 0.1},
+		Share:         100,
+		Snapshot:      SnapshotNewestComplete,
+	}
+}
+
+// Decode decodes and checks a profile document. file is used in messages only. The error is a
+// *strictyaml.Error that holds every problem found.
+func Decode(file string, data []byte) (Profile, error) {
+	p := Default()
+	if len(data) > maxDocumentLen {
+		return p, &strictyaml.Error{Problems: []strictyaml.Problem{{File: file, Line: 1, Text: "document is larger than 64 KiB"}}}
+	}
+	doc := strictyaml.Decode(file, data, &p)
+	if err := doc.Err(); err != nil {
+		return p, err
+	}
+	check(doc, p)
+	return p, doc.Err()
+}
+
+func check(doc *strictyaml.Document, p Profile) {
+	if !ValidName(p.Name) {
+		doc.Problemf("name", "%q is not a name of lower-case letters, digits and hyphens", p.Name)
+	}
+	if d := p.Deadline.D(); d < minDeadline || d > maxDeadline {
+		doc.Problemf("deadline", "%s is outside %s to %s", d, minDeadline, maxDeadline)
+	}
+	checkRange(doc, "least_coverage", p.LeastCoverage, 0, 1)
+	checkRange(doc, "hedge.budget", p.Hedge.Budget, 0, maxBudget)
+	checkRange(doc, "retry.budget", p.Retry.Budget, 0, maxBudget)
+	if p.Hedge.Enabled && !(p.Hedge.Quantile > 0 && p.Hedge.Quantile < 1) {
+		doc.Problemf("hedge.quantile", "%g is outside (0, 1)", p.Hedge.Quantile)
+	}
+	if p.Hedge.MinDelay < 0 || p.Hedge.MinDelay >= p.Deadline {
+		doc.Problemf("hedge.min_delay", "%s is not between 0s and the deadline of %s", p.Hedge.MinDelay.D(), p.Deadline.D())
+	}
+	if p.Retry.MaxAttempts < 1 || p.Retry.MaxAttempts > maxAttempts {
+		doc.Problemf("retry.max_attempts", "%d is outside 1 to %d", p.Retry.MaxAttempts, maxAttempts)
+	}
+	if p.Share < 1 || p.Share > maxShare {
+		doc.Problemf("share", "%d is outside 1 to %d", p.Share, maxShare)
+	}
+	checkEnums(doc, p)
+	checkContradictions(doc, p)
+}
+
+func checkRange(doc *strictyaml.Document, field string, v, low, high float64) {
+	if !(v >= low && v <= high) {
+		doc.Problemf(field, "%g is outside %g to %g", v, low, high)
+	}
+}
+
+func checkEnums(doc *strictyaml.Document, p Profile) {
+	switch p.Partial {
+	case PartialReturn, PartialWait, PartialRefuse:
+	default:
+		doc.Problemf("partial", "%q is not one of return, wait, refuse", p.Partial)
+	}
+	switch p.Snapshot {
+	case SnapshotNewestComplete, SnapshotRequireComplete:
+	default:
+		doc.Problemf("snapshot", "%q is not one of newest_complete, require_complete", p.Snapshot)
+	}
+}
+
+func checkContradictions(doc *strictyaml.Document, p Profile) {
+	if p.Partial == PartialRefuse && p.LeastCoverage != 1 {
+		doc.Problemf("least_coverage", "%g contradicts partial: refuse, which needs 1", p.LeastCoverage)
+	}
+	if p.Hedge.Enabled && p.Hedge.Budget > 0 && p.Retry.MaxAttempts < 2 {
+		doc.Problemf("retry.max_attempts", "1 contradicts hedge.enabled, because a hedge is a second attempt")
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,138 @@
+// Package settings loads the YAML settings of each process.
+package settings
+
+import (
+	"net"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/chivemill/chivemill/internal/strictyaml"
+)
+
+// Checker is implemented by settings types that check their values.
+type Checker interface {
+	Check(doc *strictyaml.Document)
+}
+
+// Load reads a settings file into out, which holds the defaults. Every problem is reported with file, line and
+// field.
+func Load(file string, out Checker) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(err, "settings")
+	}
+	return Decode(file, data, out)
+}
+
+// Decode is Load on the bytes of a file.
+func Decode(file string, data []byte, out Checker) error {
+	doc := strictyaml.Decode(file, data, out)
+	if doc.Err() == nil {
+		out.Check(doc)
+	}
+	return doc.Err()
+}
+
+// Format returns the settings as YAML, defaults included.
+func Format(s Checker) ([]byte, error) { return yaml.Marshal(s) }
+
+// Store names the platform's service.
+type Store struct {
+	// Endpoints of the etcd v3 JSON gateway, such as http://10.0.0.1:2379.
+	Endpoints []string `yaml:"endpoints"`
+	// VMList is the base URL of the platform's VM list.
+	VMList string `yaml:"vm_list"`
+}
+
+// Entry is the settings of chivemill-entry.
+type Entry struct {
+	// Node is the name of this daemon, unique in the fleet.
+	Node       string `yaml:"node"`
+	DataCentre string `yaml:"data_centre"`
+	Region     string `yaml:"region"`
+	// Listen is the callers' HTTP address.
+	Listen string `yaml:"listen"`
+	// Operator is the HTTP address for operators and metrics.
+	Operator string `yaml:"operator"`
+	// Peer is the address for other entry daemons, TCP and UDP.
+	Peer  string `yaml:"peer"`
+	Store Store  `yaml:"store"`
+	// Poll is the interval of the VM list and of load endpoints.
+	Poll strictyaml.Duration `yaml:"poll"`
+	// BalancerLag is how long the balancer may send new connections after the daemon turned not ready.
+	BalancerLag strictyaml.Duration `yaml:"balancer_lag"`
+	// MaxBody is the largest accepted request body in bytes.
+	MaxBody int64 `yaml:"max_body"`
+	// MaxInFlight is the largest number of requests in flight.
+	MaxInFlight int `yaml:"max_in_flight"`
+	// ConnectionsPerReplica is used while a replica has not reported its own limit.
+	ConnectionsPerReplica int `yaml:"connections_per_replica"`
+}
+
+// DefaultEntry returns the settings that apply where a file states none.
+func DefaultEntry() Entry {
+	return Entry{
+		Poll:                  strictyaml.Duration(500 * time.Millisecond),
+		BalancerLag:           strictyaml.Duration(2 * time.Second),
+		MaxBody:               64 << 10,
+		MaxInFlight:           512,
+		ConnectionsPerReplica: 4,
+	}
+}
+
+// Check implements Checker.
+func (e *Entry) Check(doc *strictyaml.Document) {
+	Required(doc, "node", e.Node)
+	Required(doc, "data_centre", e.DataCentre)
+	Required(doc, "region", e.Region)
+	Address(doc, "listen", e.Listen)
+	Address(doc, "operator", e.Operator)
+	Address(doc, "peer", e.Peer)
+	if len(e.Store.Endpoints) == 0 {
+		doc.Problemf("store.endpoints", "at least one endpoint is required")
+	}
+	for i, s := range e.Store.Endpoints {
+		URL(doc, "store.endpoints["+strconv.Itoa(i)+"]", s)
+	}
+	URL(doc, "store.vm_list", e.Store.VMList)
+	Range(doc, "poll", e.Poll.D(), 50*time.Millisecond, 10*time.Second)
+	Range(doc, "balancer_lag", e.BalancerLag.D(), 0, time.Minute)
+	Range(doc, "max_body", e.MaxBody, 1, 1<<20)
+	Range(doc, "max_in_flight", e.MaxInFlight, 1, 100_000)
+	Range(doc, "connections_per_replica", e.ConnectionsPerReplica, 1, 1000)
+}
+
+// Required records a problem if the value is empty.
+func Required(doc *strictyaml.Document, field, value string) {
+	if value == "" {
+		doc.Problemf(field, "is required")
+	}
+}
+
+// Address records a problem unless the value is an IP address with a port.
+func Address(doc *strictyaml.Document, field, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		doc.Problemf(field, "%q is not an IP address with a port", value)
+	}
+}
+
+// URL records a problem unless the value is an http URL with a host.
+func URL(doc *strictyaml.Document, field, value string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		doc.Problemf(field, "%q is not an http URL", value)
+	}
+}
+
+// Range records a problem unless low <= value <= high.
+func Range[T int | int64 | float64 | time.Duration](doc *strictyaml.Document, field string, value, low, high T) {
+	if value < low || value > high {
+		doc.Problemf(field, "%v is outside %v to %v", value, low, high)
+	}
+}
--- /dev/null
+++ b/vmlist/vmlist.go
@@ -0,0 +1,81 @@
+// Package vmlist reads the platform's list of live and leaving VMs. The list lags.
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Path is the HTTP path of the list.
+const Path = "/platform/vms"
+
+const (
+	fetchTimeout = 2 * time.Second
+	maxBytes     = 16 << 20
+)
+
+// Role is what runs on a VM.
+type Role string
+
+// Values of Role.
+const (
+	RoleEntry   Role = "entry"
+	RoleBackend Role = "backend"
+)
+
+// State is the platform's view of a VM.
+type State string
+
+// Values of State.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// VM is one entry of the list.
+type VM struct {
+	ID         string `json:"id"`
+	Role       Role   `json:"role"`
+	Service    string `json:"service,omitempty"`
+	DataCentre string `json:"data_centre"`
+	// Address is the HTTP address of a backend server or the peer address of an entry daemon, as host:port.
+	Address string `json:"address"`
+	State   State  `json:"state"`
+}
+
+// Source returns the current list.
+type Source interface {
+	Fetch(ctx context.Context) ([]VM, error)
+}
+
+// HTTPSource fetches the list over HTTP. It is safe for concurrent use.
+type HTTPSource struct {
+	URL    string
+	Client *http.Client
+}
+
+// Fetch implements Source.
+func (s *HTTPSource) Fetch(ctx context.Context) ([]VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL+Path, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "vm list")
+	}
+	resp, err := s.Client.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "vm list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("vm list answered %d", resp.StatusCode)
+	}
+	var vms []VM
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(&vms)
+	return vms, eris.Wrap(err, "vm list")
+}
