Metrics of the entry daemon through OpenTelemetry

Cause: neither operators nor the burn report can see latency, coverage or extra load of a daemon. Change: a metrics struct with histograms of latency and coverage, counters of requests and sub-requests by cause, and gauges read at collection. Service labels come from the bindings, so callers cannot create time series.

--- a/cmd/chivemill-entry/main.go
+++ b/cmd/chivemill-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/chivemill/chivemill/entry"
 	"github.com/chivemill/chivemill/internal/daemon"
 	"github.com/chivemill/chivemill/kv/etcdjson"
+	"github.com/chivemill/chivemill/metrics"
 	"github.com/chivemill/chivemill/settings"
 	"github.com/chivemill/chivemill/vmlist"
 )
@@ -30,13 +31,20 @@
 		return err
 	}
 	list := &vmlist.HTTPSource{URL: set.Store.VMList, Client: &http.Client{}}
-	d := entry.NewDaemon(set, log.With(zap.String("node", set.Node)), store, list)
+	provider, err := metrics.NewProvider()
+	if err != nil {
+		return err
+	}
+	d, err := entry.NewDaemon(set, log.With(zap.String("node", set.Node)), store, list, provider.Meter())
+	if err != nil {
+		return err
+	}
 	failed := make(chan error, 2)
 	callers, err := daemon.Serve(set.Listen, d.CallerHandler(), failed)
 	if err != nil {
 		return err
 	}
-	operators, err := daemon.Serve(set.Operator, d.OperatorHandler(), failed)
+	operators, err := daemon.Serve(set.Operator, d.OperatorHandler(provider.Handler()), failed)
 	if err != nil {
 		return err
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -11,12 +11,14 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/confstore"
 	"github.com/chivemill/chivemill/confsync"
 	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/metrics"
 	"github.com/chivemill/chivemill/profile"
 	"github.com/chivemill/chivemill/replica"
 	"github.com/chivemill/chivemill/scatter"
@@ -39,6 +41,7 @@
 	store    kv.Store
 	list     vmlist.Source
 	registry *replica.Registry
+	metrics  *Metrics
 	config   *confsync.Replica
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -58,7 +61,7 @@
 }
 
 // NewDaemon returns a daemon that Run starts.
-func NewDaemon(set settings.Entry, log *zap.Logger, store kv.Store, list vmlist.Source) *Daemon {
+func NewDaemon(set settings.Entry, log *zap.Logger, store kv.Store, list vmlist.Source, meter metric.Meter) (*Daemon, error) {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(set.Node))
 	d := &Daemon{
@@ -70,7 +73,9 @@
 		bindings:   make(map[string]string),
 	}
 	d.config = confsync.NewReplica(d.configChanged)
-	return d
+	var err error
+	d.metrics, err = NewMetrics(meter, d)
+	return d, eris.Wrap(err, "metrics")
 }
 
 // Run keeps the configuration and the replicas up to date until ctx ends.
@@ -282,11 +287,12 @@
 	return answer, err
 }
 
-// OperatorHandler serves health, readiness and status.
-func (d *Daemon) OperatorHandler() http.Handler {
+// OperatorHandler serves health, readiness, status and the given metrics.
+func (d *Daemon) OperatorHandler(collected http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.handleReady)
 	mux.HandleFunc("GET /v1/status", d.handleStatus)
+	mux.Handle("GET "+metrics.Path, collected)
 	return mux
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -69,7 +69,9 @@
 	defer d.inFlight.Add(-1)
 	id := uuid.NewString()
 	w.Header().Set(api.HeaderRequestID, id)
-	answer, err := d.serveQuery(r, id)
+	begin := time.Now()
+	q, answer, err := d.serveQuery(r, id)
+	d.observe(q.Service, time.Since(begin), answer, err)
 	if err != nil {
 		d.writeError(w, id, err, answer)
 		return
@@ -116,11 +118,25 @@
 	return q, nil
 }
 
-func (d *Daemon) serveQuery(r *http.Request, id string) (*api.Answer, error) {
+// observe records metrics. Only the names of bound services become labels.
+func (d *Daemon) observe(service string, elapsed time.Duration, answer *api.Answer, err error) {
+	p, bound, _ := d.profileOf(service)
+	if !bound {
+		service = "unknown"
+	}
+	d.metrics.request(observed{service: service, profile: p.Name, elapsed: elapsed, answer: answer, err: err})
+}
+
+func (d *Daemon) serveQuery(r *http.Request, id string) (api.Query, *api.Answer, error) {
 	q, err := d.readQuery(r)
 	if err != nil {
-		return nil, err
+		return q, nil, err
 	}
+	answer, err := d.answer(r, id, q)
+	return q, answer, err
+}
+
+func (d *Daemon) answer(r *http.Request, id string, q api.Query) (*api.Answer, error) {
 	p, bound, found := d.profileOf(q.Service)
 	switch {
 	case !bound:
@@ -154,6 +170,7 @@
 		MaxAttempts: p.Retry.MaxAttempts, Hedges: unlimited{}, Retries: unlimited{},
 	}
 	result := scatter.Run(ctx, plan, d, d)
+	d.metrics.attempts(q.Service, result)
 	answer := &api.Answer{
 		RequestID: id, Nonce: q.Nonce, Service: q.Service, Profile: p.Name, Revision: p.revision,
 		Snapshot: version, Coverage: result.Coverage, Records: result.Records,
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/scatter"
+)
+
+// latencyBounds are the histogram bounds in seconds. They are dense between 5 ms and 1 s, where the objectives
+// of the profiles lie.
+var latencyBounds = []float64{
+	.001, .0025, .005, .01, .02, .03, .05, .075, .1, .15, .2, .25, .3, .35, .4, .5, .75, 1, 2.5, 5, 10, 60,
+}
+
+// coverageBounds are the histogram bounds of the covered fraction. An answer above 0.9999 is complete.
+var coverageBounds = []float64{0, .25, .5, .7, .8, .9, .95, .99, .999, .9999, 1}
+
+// Metrics are the instruments of the entry daemon.
+type Metrics struct {
+	duration    metric.Float64Histogram
+	coverage    metric.Float64Histogram
+	requests    metric.Int64Counter
+	subRequests metric.Int64Counter
+}
+
+// NewMetrics creates the instruments. Gauges read the daemon's state when they are collected.
+func NewMetrics(meter metric.Meter, d *Daemon) (*Metrics, error) {
+	var errs []error
+	keep := func(err error) { errs = append(errs, err) }
+	m := &Metrics{}
+	var err error
+	m.duration, err = meter.Float64Histogram("chivemill_request_duration",
+		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBounds...),
+		metric.WithDescription("Time from receipt of a request to its answer, by service, profile and result."))
+	keep(err)
+	m.coverage, err = meter.Float64Histogram("chivemill_coverage_ratio",
+		metric.WithExplicitBucketBoundaries(coverageBounds...),
+		metric.WithDescription("Fraction of the key space in the answer to a query, by service and profile; answers below the least coverage included."))
+	keep(err)
+	m.requests, err = meter.Int64Counter("chivemill_requests",
+		metric.WithDescription("Requests by service, profile and result: ok, partial, or an error kind."))
+	keep(err)
+	m.subRequests, err = meter.Int64Counter("chivemill_sub_requests",
+		metric.WithDescription("Sub-requests to backend servers by service and cause: first, hedge or retry."))
+	keep(err)
+	keep(registerGauges(meter, d))
+	return m, errors.Join(errs...)
+}
+
+func registerGauges(meter metric.Meter, d *Daemon) error {
+	var errs []error
+	gauge := func(name, help string, read func(o metric.Int64Observer)) {
+		_, err := meter.Int64ObservableGauge(name, metric.WithDescription(help),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				read(o)
+				return nil
+			}))
+		errs = append(errs, err)
+	}
+	gauge("chivemill_in_flight", "Callers' requests in flight.", func(o metric.Int64Observer) { o.Observe(d.InFlight()) })
+	gauge("chivemill_ready", "1 while the daemon reports that it is ready.", func(o metric.Int64Observer) { o.Observe(bit(d.Ready())) })
+	gauge("chivemill_config_revision", "Highest configuration revision in force.", func(o metric.Int64Observer) {
+		o.Observe(d.config.Revision())
+	})
+	gauge("chivemill_profile_revision", "Revision in force of each profile.", d.observeProfiles)
+	gauge("chivemill_backend_connections", "Open connections to backend servers, by service.", d.observeConnections)
+	gauge("chivemill_backend_replicas", "Known replicas, by service and whether they accept work.", d.observeReplicas)
+	return errors.Join(errs...)
+}
+
+func bit(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (d *Daemon) observeProfiles(o metric.Int64Observer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, p := range d.profiles {
+		o.Observe(p.revision, metric.WithAttributes(attribute.String("profile", name)))
+	}
+}
+
+func (d *Daemon) observeConnections(o metric.Int64Observer) {
+	open := make(map[string]int64)
+	for _, r := range d.registry.All() {
+		open[r.Service] += int64(d.client(r).OpenConnections())
+	}
+	for service, n := range open {
+		o.Observe(n, metric.WithAttributes(attribute.String("service", service)))
+	}
+}
+
+func (d *Daemon) observeReplicas(o metric.Int64Observer) {
+	type group struct {
+		service string
+		accepts bool
+	}
+	counts := make(map[group]int64)
+	for _, r := range d.registry.All() {
+		counts[group{r.Service, r.Accepts()}]++
+	}
+	for g, n := range counts {
+		o.Observe(n, metric.WithAttributes(attribute.String("service", g.service), attribute.Bool("accepts", g.accepts)))
+	}
+}
+
+// observed is what the metrics need to know of one answered request.
+type observed struct {
+	service, profile string
+	elapsed          time.Duration
+	answer           *api.Answer
+	err              error
+}
+
+// request records one answered request. Names that no profile or binding knows are recorded as unknown, so that
+// callers cannot create time series.
+func (m *Metrics) request(o observed) {
+	result := "ok"
+	switch {
+	case o.err != nil:
+		result = string(api.KindOf(o.err))
+	case o.answer != nil && !o.answer.Coverage.Complete && o.answer.Output == "":
+		result = "partial"
+	}
+	names := attribute.NewSet(attribute.String("service", o.service), attribute.String("profile", o.profile))
+	results := metric.WithAttributes(attribute.String("result", result))
+	ctx := context.Background()
+	m.requests.Add(ctx, 1, metric.WithAttributeSet(names), results)
+	m.duration.Record(ctx, o.elapsed.Seconds(), metric.WithAttributeSet(names), results)
+	if o.answer != nil && len(o.answer.Coverage.Included)+len(o.answer.Coverage.Missing) > 0 {
+		m.coverage.Record(ctx, o.answer.Coverage.Fraction, metric.WithAttributeSet(names))
+	}
+}
+
+// attempts records the sub-requests of one query.
+func (m *Metrics) attempts(service string, r scatter.Result) {
+	add := func(cause string, n int) {
+		m.subRequests.Add(context.Background(), int64(n),
+			metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
+	}
+	add("first", r.Attempts-r.Hedges-r.Retries)
+	add("hedge", r.Hedges)
+	add("retry", r.Retries)
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -31,8 +31,8 @@
 	Failures int
 }
 
-// accepts reports whether new work may be sent.
-func (r *Replica) accepts() bool {
+// Accepts reports whether new work may be sent.
+func (r *Replica) Accepts() bool {
 	return r.Load.Incarnation > r.Leaving && r.Load.State == backend.StateReady
 }
 
@@ -125,7 +125,7 @@
 	defer g.mu.Unlock()
 	var holdings []snapshot.Holding
 	for _, r := range g.replicas {
-		if r.Service == service && r.accepts() {
+		if r.Service == service && r.Accepts() {
 			holdings = append(holdings, r.Load.Holdings...)
 		}
 	}
@@ -140,7 +140,7 @@
 	var candidates []*Replica
 	want := snapshot.Holding{Version: version, Shard: shard}
 	for _, r := range g.replicas {
-		if r.Service != service || !r.accepts() || slices.Contains(exclude, r.ID) {
+		if r.Service != service || !r.Accepts() || slices.Contains(exclude, r.ID) {
 			continue
 		}
 		if shard == "" || slices.Contains(r.Load.Holdings, want) {
