Open-loop load client

Cause: a closed-loop client hides slow answers, and answers must be checked for their end mark and nonce. Conclusion: the client can be used by the demo and by measurements of the running daemons.

--- /dev/null
+++ b/loadgen/loadgen_test.go
@@ -0,0 +1,87 @@
+package loadgen
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/api"
+)
+
+func testPlan(target string) Plan {
+	return Plan{Targets: []string{target}, Service: "loja-web", Queries: []string{"q"}, Rate: 400, Duration: 200 * time.Millisecond, Seed: 1}
+}
+
+// Guards against arrivals that depend on answers: they must be fixed by the seed, ordered and near the rate.
+func TestArrivalsAreFixedBySeed(t *testing.T) {
+	plan := Plan{Rate: 1000, Duration: 10 * time.Second, Seed: 7}
+	first := plan.Arrivals()
+	must.Eq(t, first, plan.Arrivals())
+	must.Between(t, 9500, len(first), 10500)
+	for i := 1; i < len(first); i++ {
+		must.GreaterEq(t, first[i-1], first[i])
+	}
+}
+
+// Guards against counting a cut, swapped or malformed answer as good.
+func TestClassify(t *testing.T) {
+	good := api.Answer{RequestID: "r", End: "r", Nonce: "n", Coverage: api.Coverage{Complete: true, Fraction: 1}}
+	encode := func(change func(*api.Answer)) []byte {
+		a := good
+		change(&a)
+		data, err := json.Marshal(a)
+		must.NoError(t, err)
+		return data
+	}
+	whole := encode(func(*api.Answer) {})
+	must.Eq(t, ResultOK, classify(200, whole, "n").result)
+	must.Eq(t, ResultBroken, classify(200, whole, "other").result)
+	must.Eq(t, ResultBroken, classify(200, whole[:len(whole)-2], "n").result)
+	must.Eq(t, ResultBroken, classify(200, encode(func(a *api.Answer) { a.End = "" }), "n").result)
+	must.Eq(t, ResultBroken, classify(503, []byte("busy"), "n").result)
+	must.Eq(t, "overloaded", classify(503, []byte(`{"kind":"overloaded"}`), "n").result)
+}
+
+// Guards against a client that waits for an answer before it sends the next request: while the first answers
+// are held back, all planned requests must still arrive.
+func TestRunIsOpenLoop(t *testing.T) {
+	plan := testPlan("")
+	planned := len(plan.Arrivals())
+	arrived := make(chan struct{}, planned)
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var q api.Query
+		if json.NewDecoder(r.Body).Decode(&q) != nil {
+			return
+		}
+		arrived <- struct{}{}
+		<-release
+		_ = json.NewEncoder(w).Encode(api.Answer{RequestID: "r", End: "r", Nonce: q.Nonce})
+	}))
+	defer server.Close()
+	plan.Targets[0] = server.URL
+	go func() {
+		for range planned {
+			<-arrived
+		}
+		close(release)
+	}()
+	result, err := Run(t.Context(), plan)
+	must.NoError(t, err)
+	must.Eq(t, int64(planned), result.Results[ResultOK])
+
+	file := filepath.Join(t.TempDir(), "result.json")
+	f, err := os.Create(file)
+	must.NoError(t, err)
+	must.NoError(t, result.Write(f))
+	must.NoError(t, f.Close())
+	read, err := ReadResult(file)
+	must.NoError(t, err)
+	must.Eq(t, result.Latency, read.Latency)
+}
--- /dev/null
+++ b/loadgen/result.go
@@ -0,0 +1,178 @@
+package loadgen
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// Latencies are recorded in microseconds from 1 us to 2 minutes with three significant digits.
+	maxLatency        = 2 * time.Minute
+	significantDigits = 3
+)
+
+// Latency summarises latencies in milliseconds.
+type Latency struct {
+	P50  float64 `json:"p50_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+	Mean float64 `json:"mean_ms"`
+}
+
+// Result is the result of a run, as it is written to a file.
+type Result struct {
+	Plan     Plan          `json:"plan"`
+	Elapsed  time.Duration `json:"elapsed_ns"`
+	Requests int64         `json:"requests"`
+	// Results counts requests by result: ok, an error kind, broken_answer or transport_error.
+	Results map[string]int64 `json:"results"`
+	Latency Latency          `json:"latency"`
+	// MeanCoverage is the mean covered fraction of answers that state a coverage.
+	MeanCoverage float64 `json:"mean_coverage"`
+	// Complete is the fraction of them that is complete.
+	Complete float64 `json:"complete"`
+	// Snapshots counts answers by snapshot.
+	Snapshots map[string]int64 `json:"snapshots"`
+	// Histogram is the HDR histogram of latencies in microseconds, in the compressed V2 encoding.
+	Histogram string `json:"histogram"`
+}
+
+type recorder struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+	results   map[string]int64
+	snapshots map[string]int64
+	covered   float64
+	complete  int64
+	stated    int64
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		histogram: hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits),
+		results:   make(map[string]int64),
+		snapshots: make(map[string]int64),
+	}
+}
+
+func (r *recorder) add(o outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.histogram.RecordValue(min(max(1, o.latency.Microseconds()), maxLatency.Microseconds()))
+	r.results[o.result]++
+	if o.version != "" {
+		r.snapshots[o.version]++
+	}
+	if o.coverage == nil {
+		return
+	}
+	r.stated++
+	r.covered += o.coverage.Fraction
+	if o.coverage.Complete {
+		r.complete++
+	}
+}
+
+func (r *recorder) result(plan Plan, elapsed time.Duration) (*Result, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	encoded, err := r.histogram.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err != nil {
+		return nil, eris.Wrap(err, "histogram")
+	}
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	result := &Result{
+		Plan: plan, Elapsed: elapsed, Requests: r.histogram.TotalCount(), Results: r.results, Snapshots: r.snapshots,
+		Latency: Latency{
+			P50: ms(r.histogram.ValueAtQuantile(50)), P99: ms(r.histogram.ValueAtQuantile(99)),
+			P999: ms(r.histogram.ValueAtQuantile(99.9)), Max: ms(r.histogram.Max()), Mean: r.histogram.Mean() / 1000,
+		},
+		Histogram: string(encoded),
+	}
+	if r.stated > 0 {
+		result.MeanCoverage = r.covered / float64(r.stated)
+		result.Complete = float64(r.complete) / float64(r.stated)
+	}
+	return result, nil
+}
+
+// Broken returns the number of answers that broke a promise.
+func (r *Result) Broken() int64 { return r.Results[ResultBroken] }
+
+// ReadResult reads a result file.
+func ReadResult(file string) (*Result, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "result")
+	}
+	var r Result
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, eris.Wrapf(err, "result %s", file)
+	}
+	if r.Requests == 0 {
+		return nil, eris.Errorf("result %s holds no requests", file)
+	}
+	return &r, nil
+}
+
+// Write writes the result as indented JSON.
+func (r *Result) Write(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+// Summary writes the result as text.
+func (r *Result) Summary(w io.Writer) {
+	fmt.Fprintf(w, "requests  %d in %s\n", r.Requests, r.Elapsed.Round(time.Millisecond))
+	fmt.Fprintf(w, "latency   p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms, max %.2f ms\n",
+		r.Latency.P50, r.Latency.P99, r.Latency.P999, r.Latency.Max)
+	fmt.Fprintf(w, "coverage  mean %.4f, complete %.4f\n", r.MeanCoverage, r.Complete)
+	for _, name := range sortedKeys(r.Results) {
+		fmt.Fprintf(w, "result    %s %d\n", name, r.Results[name])
+	}
+	for _, name := range sortedKeys(r.Snapshots) {
+		fmt.Fprintf(w, "snapshot  %s %d\n", name, r.Snapshots[name])
+	}
+}
+
+// Compare writes the figures of two results and the ratio of the second to the first.
+func Compare(w io.Writer, before, after *Result) {
+	fmt.Fprintf(w, "%-14s %12s %12s %8s\n", "measure", "before", "after", "ratio")
+	row := func(name string, a, b float64) {
+		ratio := "-"
+		if a != 0 {
+			ratio = fmt.Sprintf("%.3f", b/a)
+		}
+		fmt.Fprintf(w, "%-14s %12.4f %12.4f %8s\n", name, a, b, ratio)
+	}
+	row("p50 ms", before.Latency.P50, after.Latency.P50)
+	row("p99 ms", before.Latency.P99, after.Latency.P99)
+	row("p99.9 ms", before.Latency.P999, after.Latency.P999)
+	row("mean coverage", before.MeanCoverage, after.MeanCoverage)
+	row("complete", before.Complete, after.Complete)
+	row("ok share", share(before, ResultOK), share(after, ResultOK))
+	row("broken", float64(before.Broken()), float64(after.Broken()))
+}
+
+func share(r *Result, name string) float64 {
+	return float64(r.Results[name]) / float64(max(1, r.Requests))
+}
+
+func sortedKeys(m map[string]int64) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
