Service-level burn report

Cause: operators need to see how fast latency and coverage objectives use up their budgets. Measured: unit tests give 90 of 110 good for a 250 ms objective between the bounds 100 and 300 ms, and a burn of 9.52 for 10 bad of 105 at a target of 0.99. Conclusion: a threshold between two bounds is read at the stricter one, so the report never flatters.

--- /dev/null
+++ b/burn/burn_test.go
@@ -0,0 +1,90 @@
+package burn
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/internal/strictyaml"
+)
+
+const scraped = `# TYPE chivemill_request_duration_seconds histogram
+chivemill_request_duration_seconds_bucket{service="loja-web",result="ok",le="0.1"} 90
+chivemill_request_duration_seconds_bucket{service="loja-web",result="ok",le="0.3"} 98
+chivemill_request_duration_seconds_bucket{service="loja-web",result="ok",le="+Inf"} 100
+chivemill_request_duration_seconds_sum{service="loja-web",result="ok"} 9
+chivemill_request_duration_seconds_count{service="loja-web",result="ok"} 100
+chivemill_request_duration_seconds_bucket{service="loja-web",result="overloaded",le="+Inf"} 10
+chivemill_request_duration_seconds_sum{service="loja-web",result="overloaded"} 0
+chivemill_request_duration_seconds_count{service="loja-web",result="overloaded"} 10
+chivemill_request_duration_seconds_bucket{service="loja-web",result="bad_request",le="+Inf"} 50
+chivemill_request_duration_seconds_sum{service="loja-web",result="bad_request"} 0
+chivemill_request_duration_seconds_count{service="loja-web",result="bad_request"} 50
+# TYPE chivemill_coverage_ratio histogram
+chivemill_coverage_ratio_bucket{service="loja-web",le="0.9999"} 5
+chivemill_coverage_ratio_bucket{service="loja-web",le="1"} 100
+chivemill_coverage_ratio_bucket{service="loja-web",le="+Inf"} 100
+chivemill_coverage_ratio_sum{service="loja-web"} 99
+chivemill_coverage_ratio_count{service="loja-web"} 100
+`
+
+var (
+	latencyObjective = Objective{
+		Service: "loja-web", Measure: MeasureLatency, Within: strictyaml.Duration(250 * time.Millisecond), Target: 0.9,
+	}
+	coverageObjective = Objective{Service: "loja-web", Measure: MeasureCoverage, Above: 0.9999, Target: 0.99}
+)
+
+// Guards against a report that looks better than the truth: a threshold between two bounds is read at the
+// stricter one, failures that are not the caller's count as bad, the caller's own faults count not at all.
+func TestEvaluateScrapedMetrics(t *testing.T) {
+	services, err := parse(strings.NewReader(scraped))
+	must.NoError(t, err)
+	sample := Sample{Services: services}
+	must.Eq(t, counts{90, 110}, latencyObjective.evaluate(sample))
+	must.Eq(t, counts{95, 100}, coverageObjective.evaluate(sample))
+}
+
+func sampleAt(target string, seconds int, good, total uint64) Sample {
+	return Sample{
+		Time: time.Unix(int64(seconds), 0), Target: target,
+		Services: map[string]ServiceCounts{"loja-web": {Coverage: Histogram{
+			Buckets: []Bucket{{0.9999, total - good}, {1, total}}, Total: total,
+		}}},
+	}
+}
+
+// Guards against negative or lost growth when a daemon restarts between two samples, and against counting the
+// requests from before the first sample.
+func TestComputeAcrossRestart(t *testing.T) {
+	samples := []Sample{
+		sampleAt("a", 0, 1000, 1000), sampleAt("b", 0, 10, 10),
+		sampleAt("a", 60, 1090, 1100), sampleAt("b", 60, 5, 5),
+	}
+	config := Config{
+		Objectives: []Objective{coverageObjective},
+		Windows:    []Window{{strictyaml.Duration(time.Minute), 5}, {strictyaml.Duration(time.Hour), 50}},
+	}
+	rows := Compute(config, samples)
+	must.Len(t, 2, rows)
+	must.Eq(t, uint64(95), rows[0].Good)
+	must.Eq(t, uint64(105), rows[0].Total)
+	must.InDelta(t, 10.0/105/0.01, rows[0].Burn, 1e-9)
+	must.True(t, rows[0].Alert)
+	must.False(t, rows[1].Alert)
+	must.Eq(t, time.Minute, rows[1].Covered)
+
+	var svg bytes.Buffer
+	must.NoError(t, WriteSVG(&svg, config, samples, 10*time.Second))
+	must.StrContains(t, svg.String(), "coverage &gt; 0.9999")
+}
+
+// Guards against objectives that silently measure nothing.
+func TestDecodeConfigNamesLineAndField(t *testing.T) {
+	_, err := DecodeConfig("slo.yaml", []byte("objectives:\n- service: a\n  measure: latency\n  target: 1\n"))
+	must.EqError(t, err, "slo.yaml:4: objectives[0].target: 1 is outside (0, 1)\n"+
+		"slo.yaml:2: objectives[0].within: is required for latency and must be above 0s")
+}
--- /dev/null
+++ b/burn/objective.go
@@ -0,0 +1,121 @@
+// Package burn computes how fast services use up their error budgets, for latency and coverage over several
+// windows, from the metrics of the entry daemons.
+package burn
+
+import (
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivemill/chivemill/internal/strictyaml"
+)
+
+// Measure is what an objective is about.
+type Measure string
+
+// Values of Measure.
+const (
+	MeasureLatency  Measure = "latency"
+	MeasureCoverage Measure = "coverage"
+)
+
+// Objective is a service-level objective: Target is the fraction of requests that must be good.
+type Objective struct {
+	Service string  `yaml:"service" json:"service"`
+	Measure Measure `yaml:"measure" json:"measure"`
+	// Within is the longest good latency; for latency only.
+	Within strictyaml.Duration `yaml:"within" json:"within,omitempty"`
+	// Above is the coverage that a good answer exceeds; for coverage only.
+	Above float64 `yaml:"above" json:"above,omitempty"`
+	// Target is in (0, 1).
+	Target float64 `yaml:"target" json:"target"`
+}
+
+// Window is a span over which burn is computed. A burn above Alert is an alert.
+type Window struct {
+	Length strictyaml.Duration `yaml:"length" json:"length"`
+	Alert  float64             `yaml:"alert" json:"alert"`
+}
+
+// Config holds objectives and windows.
+type Config struct {
+	Objectives []Objective `yaml:"objectives"`
+	Windows    []Window    `yaml:"windows"`
+}
+
+// defaultWindows are the usual pairs of window and burn rate for a budget of 30 days: 2% of the budget in 1 h,
+// 5% in 6 h, 10% in 3 days, and a short window that shows whether the burn goes on.
+func defaultWindows() []Window {
+	return []Window{
+		{strictyaml.Duration(5 * time.Minute), 14.4},
+		{strictyaml.Duration(time.Hour), 14.4},
+		{strictyaml.Duration(6 * time.Hour), 6},
+		{strictyaml.Duration(72 * time.Hour), 1},
+	}
+}
+
+// LoadConfig reads and checks a configuration file. Every problem is reported with file, line and field.
+func LoadConfig(file string) (Config, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Config{}, eris.Wrap(err, "objectives")
+	}
+	return DecodeConfig(file, data)
+}
+
+// DecodeConfig is LoadConfig on the bytes of a file.
+func DecodeConfig(file string, data []byte) (Config, error) {
+	var c Config
+	doc := strictyaml.Decode(file, data, &c)
+	if err := doc.Err(); err != nil {
+		return c, err
+	}
+	if len(c.Windows) == 0 {
+		c.Windows = defaultWindows()
+	}
+	if len(c.Objectives) == 0 {
+		doc.Problemf("objectives", "at least one objective is required")
+	}
+	for i, o := range c.Objectives {
+		o.check(doc, "objectives["+strconv.Itoa(i)+"]")
+	}
+	for i, w := range c.Windows {
+		field := "windows[" + strconv.Itoa(i) + "]"
+		if w.Length <= 0 {
+			doc.Problemf(field+".length", "must be above 0s")
+		}
+		if !(w.Alert > 0) {
+			doc.Problemf(field+".alert", "must be above 0")
+		}
+	}
+	return c, doc.Err()
+}
+
+func (o Objective) check(doc *strictyaml.Document, field string) {
+	if o.Service == "" {
+		doc.Problemf(field+".service", "is required")
+	}
+	if !(o.Target > 0 && o.Target < 1) {
+		doc.Problemf(field+".target", "%g is outside (0, 1)", o.Target)
+	}
+	switch o.Measure {
+	case MeasureLatency:
+		if o.Within <= 0 {
+			doc.Problemf(field+".within", "is required for latency and must be above 0s")
+		}
+		if o.Above != 0 {
+			doc.Problemf(field+".above", "contradicts measure: latency")
+		}
+	case MeasureCoverage:
+		if !(o.Above >= 0 && o.Above < 1) {
+			doc.Problemf(field+".above", "%g is outside [0, 1)", o.Above)
+		}
+		if o.Within != 0 {
+			doc.Problemf(field+".within", "contradicts measure: coverage")
+		}
+	default:
+		doc.Problemf(field+".measure", "%q is not one of latency, coverage", o.Measure)
+	}
+}
