make demo: the whole path under a kill, a drain and a profile change

Cause: a new user needs one command that shows the system at work and fails when a promise breaks. Change: a demonstration program starts the stand-ins and two entry daemons on loopback, checks end mark, nonce, coverage and records of each answer, and stops all processes with SIGTERM.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint generate
+.PHONY: build test demo lint generate
 
 build:
 	mkdir -p bin
@@ -7,6 +7,10 @@
 test:
 	go test ./... -count=1
 
+# Starts two entry daemons and the stand-ins on loopback, injects failures and checks every answer.
+demo: build
+	go run ./demo bin
+
 lint:
 	gofmt -l .
 	go vet ./...
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chivemill/chivemill/vmlist"
+)
+
+const (
+	service  = "loja-web"
+	shards   = 4
+	replicas = 3
+	entries  = 2
+	// stopTimeout bounds the wait for a process to end after SIGTERM.
+	stopTimeout = 15 * time.Second
+)
+
+// process is a started process.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	done chan error
+}
+
+// fleet is all processes of the demonstration.
+type fleet struct {
+	dir, bin  string
+	processes []*process
+	backends  map[string]*process
+	entryURLs []string
+	statusURL []string
+	storeURL  string
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (f *fleet) addresses(n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		a, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		addresses[i] = a
+	}
+	return addresses, nil
+}
+
+// spawn writes the settings of a process and starts it.
+func (f *fleet) spawn(binary, name, settings string) (*process, error) {
+	file := filepath.Join(f.dir, name+".yaml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return nil, eris.Wrap(err, "settings")
+	}
+	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	if err != nil {
+		return nil, eris.Wrap(err, "log")
+	}
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(f.bin, binary), "--settings", file)
+	cmd.Stderr = log
+	cmd.Stdout = log
+	if err := cmd.Start(); err != nil {
+		return nil, eris.Wrap(err, name)
+	}
+	p := &process{name: name, cmd: cmd, done: make(chan error, 1)}
+	go func() { p.done <- cmd.Wait() }()
+	f.processes = append(f.processes, p)
+	return p, nil
+}
+
+// start starts the stand-ins and the entry daemons.
+func (f *fleet) start() error {
+	addresses, err := f.addresses(1 + shards*replicas + 3*entries)
+	if err != nil {
+		return err
+	}
+	storeAddress := addresses[0]
+	f.storeURL = "http://" + storeAddress
+	if err := f.startBackends(addresses[1:]); err != nil {
+		return err
+	}
+	settings := fmt.Sprintf("listen: %s\nvms: %s\n", storeAddress, filepath.Join(f.dir, "vms.json"))
+	if _, err := f.spawn("standin-store", "store", settings); err != nil {
+		return err
+	}
+	return f.startEntries(addresses[1+shards*replicas:])
+}
+
+func (f *fleet) startBackends(addresses []string) error {
+	f.backends = make(map[string]*process)
+	var vms []vmlist.VM
+	for s := range shards {
+		for r := range replicas {
+			name := fmt.Sprintf("%s-%d-%d", service, s, r)
+			address := addresses[s*replicas+r]
+			vms = append(vms, vmlist.VM{
+				ID: name, Role: vmlist.RoleBackend, Service: service, DataCentre: "braga-a", Address: address, State: vmlist.StateLive,
+			})
+			settings := fmt.Sprintf("replica: %s\nservice: %s\ndata_centre: braga-a\nlisten: %s\nshards: %d\nshard: %d\ndrain_for: 3s\n",
+				name, service, address, shards, s)
+			p, err := f.spawn("standin-backend", name, settings)
+			if err != nil {
+				return err
+			}
+			f.backends[name] = p
+		}
+	}
+	data, err := json.Marshal(vms)
+	if err != nil {
+		return err
+	}
+	return eris.Wrap(os.WriteFile(filepath.Join(f.dir, "vms.json"), data, 0o600), "vm list")
+}
+
+func (f *fleet) startEntries(addresses []string) error {
+	for i := range entries {
+		a := addresses[3*i : 3*i+3]
+		settings := fmt.Sprintf(`node: entry-%d
+data_centre: braga-a
+region: braga
+listen: %s
+operator: %s
+peer: %s
+store:
+  endpoints: [%s]
+  vm_list: %s
+poll: 200ms
+balancer_lag: 500ms
+`, i+1, a[0], a[1], a[2], f.storeURL, f.storeURL)
+		if _, err := f.spawn("chivemill-entry", fmt.Sprintf("entry-%d", i+1), settings); err != nil {
+			return err
+		}
+		f.entryURLs = append(f.entryURLs, "http://"+a[0])
+		f.statusURL = append(f.statusURL, "http://"+a[1])
+	}
+	return nil
+}
+
+// ctl runs the operators' command and prints its output.
+func (f *fleet) ctl(args ...string) error {
+	args = append([]string{"--store", f.storeURL, "--author", "demo"}, args...)
+	out, err := exec.Command(filepath.Join(f.bin, "chivemillctl"), args...).CombinedOutput()
+	command := "chivemillctl " + strings.Join(args[4:], " ")
+	fmt.Printf("  $ %s\n%s", command, indent(string(out)))
+	return eris.Wrap(err, command)
+}
+
+// kill ends a process at once.
+func (p *process) kill() error {
+	if err := p.cmd.Process.Kill(); err != nil {
+		return eris.Wrap(err, p.name)
+	}
+	<-p.done
+	p.done <- nil
+	return nil
+}
+
+// stop ends a process with SIGTERM and returns an error unless it exits with status 0 in time.
+func (p *process) stop() error {
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil && !eris.Is(err, os.ErrProcessDone) {
+		return eris.Wrap(err, p.name)
+	}
+	select {
+	case err := <-p.done:
+		p.done <- nil
+		return eris.Wrapf(err, "%s did not stop cleanly", p.name)
+	case <-time.After(stopTimeout):
+		return eris.Errorf("%s did not stop within %s", p.name, stopTimeout)
+	}
+}
+
+// stopAll stops the entry daemons first, so that no request loses its backend server. Each group stops at once.
+func (f *fleet) stopAll() error {
+	var running, serving []*process
+	for _, p := range f.processes {
+		if strings.HasPrefix(p.name, "entry-") {
+			serving = append(serving, p)
+		} else {
+			running = append(running, p)
+		}
+	}
+	if err := stopGroup(serving); err != nil {
+		return err
+	}
+	return stopGroup(running)
+}
+
+func stopGroup(processes []*process) error {
+	var group errgroup.Group
+	for _, p := range processes {
+		group.Go(p.stop)
+	}
+	return group.Wait()
+}
+
+// killAll ends whatever still runs; it is the last resort after an error.
+func (f *fleet) killAll() {
+	for _, p := range f.processes {
+		_ = p.cmd.Process.Kill()
+	}
+}
