Exact outcome of configuration changes when a store answer is lost

Change: one commit function judges the outcome from the ids and replaced revisions in the value, sends a pending write again with the same id and base, and reports kv.ErrUncertain when the value no longer tells. Bindings keep their last changes for the same purpose. The stand-in answers errors in the gateway's format and can lose or delay requests.

--- /dev/null
+++ b/confstore/bindings.go
@@ -0,0 +1,120 @@
+package confstore
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/profile"
+)
+
+// Bindings reads the bindings and their revision, which is 0 if there are none.
+func (c *Client) Bindings(ctx context.Context) (Bindings, int64, error) {
+	item, found, err := c.store.Get(ctx, BindingsKey)
+	if err != nil || !found {
+		return Bindings{Services: map[string]string{}}, 0, err
+	}
+	b, err := decodeBindings(item)
+	return b, item.ModRevision, err
+}
+
+func decodeBindings(item kv.Item) (Bindings, error) {
+	var b Bindings
+	err := json.Unmarshal(item.Value, &b)
+	if b.Services == nil {
+		b.Services = map[string]string{}
+	}
+	return b, eris.Wrap(err, "value of the bindings")
+}
+
+// Bind makes a service run under a profile that exists and is not retired. It returns the revision at which the
+// binding was accepted. A service that already runs under the profile is left as it is. Errors are ErrInvalid for
+// a service name that is not valid, ErrNotFound and ErrRetired for the profile.
+func (c *Client) Bind(ctx context.Context, service, profileName string) (int64, error) {
+	if !profile.ValidName(service) {
+		return 0, eris.Wrapf(ErrInvalid, "service %q is not a name of lower-case letters, digits and hyphens", service)
+	}
+	return c.changeBinding(ctx, service, profileName, func(old Bindings) ([]kv.Compare, bool, error) {
+		p, err := c.Get(ctx, profileName)
+		if err != nil {
+			return nil, false, err
+		}
+		if p.Current.Retired {
+			return nil, false, eris.Wrap(ErrRetired, profileName)
+		}
+		return []kv.Compare{{Key: ProfilePrefix + profileName, ModRevision: p.Revision}}, old.Services[service] == profileName, nil
+	})
+}
+
+// Unbind removes the binding of a service; its queries are refused from then on. The error is ErrNotBound if
+// there is none.
+func (c *Client) Unbind(ctx context.Context, service string) (int64, error) {
+	return c.changeBinding(ctx, service, "", func(old Bindings) ([]kv.Compare, bool, error) {
+		if _, ok := old.Services[service]; !ok {
+			return nil, false, eris.Wrap(ErrNotBound, service)
+		}
+		return nil, false, nil
+	})
+}
+
+// changeBinding commits one binding; an empty profile name removes it. prepare is called with the bindings that
+// the change will replace; it returns further conditions, or done if there is nothing to write. The bindings are
+// read before the profile, so a done result was true when the profile was read.
+func (c *Client) changeBinding(ctx context.Context, service, profileName string,
+	prepare func(old Bindings) (guard []kv.Compare, done bool, err error),
+) (int64, error) {
+	next := BindingChange{ID: uuid.NewString(), Author: c.author, Time: c.now().UTC(), Service: service, Profile: profileName}
+	for range changeAttempts {
+		old, based, err := c.Bindings(ctx)
+		if err != nil {
+			return 0, err
+		}
+		guard, done, err := prepare(old)
+		if err != nil {
+			return 0, err
+		}
+		if done {
+			return based, nil
+		}
+		next.Replaced = based
+		value, err := encodeBindings(old, next)
+		if err != nil {
+			return 0, err
+		}
+		revision, committed, err := c.commit(ctx, write{
+			key: BindingsKey, based: based, id: next.ID, value: value, guard: guard, refs: bindingRefs,
+		})
+		if err != nil || committed {
+			return revision, err
+		}
+	}
+	return 0, eris.Wrapf(ErrContended, "binding of service %s", service)
+}
+
+func encodeBindings(old Bindings, next BindingChange) ([]byte, error) {
+	if next.Profile == "" {
+		delete(old.Services, next.Service)
+	} else {
+		old.Services[next.Service] = next.Profile
+	}
+	old.Changes = slices.Insert(old.Changes, 0, next)
+	old.Changes = old.Changes[:min(len(old.Changes), historyLimit)]
+	data, err := json.Marshal(old)
+	return data, eris.Wrap(err, "bindings value")
+}
+
+func bindingRefs(item kv.Item) ([]changeRef, error) {
+	b, err := decodeBindings(item)
+	if err != nil {
+		return nil, err
+	}
+	refs := make([]changeRef, len(b.Changes))
+	for i, ch := range b.Changes {
+		refs[i] = changeRef{ch.ID, ch.Replaced}
+	}
+	return refs, nil
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -31,6 +31,10 @@
 	Down        bool  `json:"down"`
 	DelayMS     int64 `json:"delay_ms"`
 	LoseAnswers int   `json:"lose_answers"`
+	// LoseRequests is as in kvtest.Faults.
+	LoseRequests int `json:"lose_requests"`
+	// LateWrites is as in kvtest.Faults.
+	LateWrites int `json:"late_writes"`
 	// ListLagMS delays each change of the VM list, in milliseconds.
 	ListLagMS int64 `json:"list_lag_ms"`
 }
@@ -94,18 +98,26 @@
 
 func read(w http.ResponseWriter, r *http.Request, in any) bool {
 	if err := httpjson.Read(r.Body, maxRequest, in); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		answerError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, err.Error())
 		return false
 	}
 	return true
 }
 
-// fail answers a failed call. A lost answer closes the connection without a response.
+// fail answers a failed call as the gateway does. A lost answer closes the connection without a response.
 func fail(w http.ResponseWriter, err error) {
-	if errors.Is(err, kv.ErrUncertain) {
+	switch {
+	case errors.Is(err, kv.ErrUncertain):
 		panic(http.ErrAbortHandler)
+	case errors.Is(err, kvtest.ErrRejected):
+		answerError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, err.Error())
+	default:
+		answerError(w, http.StatusServiceUnavailable, etcdjson.CodeUnavailable, etcdjson.MessageNoLeader)
 	}
-	http.Error(w, err.Error(), http.StatusServiceUnavailable)
+}
+
+func answerError(w http.ResponseWriter, status, code int, message string) {
+	httpjson.Write(w, status, etcdjson.ErrorBody{Error: message, Code: code, Message: message})
 }
 
 func (s *Server) handleSetVMs(w http.ResponseWriter, r *http.Request) {
@@ -128,7 +140,7 @@
 	s.store.SetFaults(kvtest.Faults{
 		Down:        in.Down,
 		Delay:       time.Duration(in.DelayMS) * time.Millisecond,
-		LoseAnswers: in.LoseAnswers,
+		LoseAnswers: in.LoseAnswers, LoseRequests: in.LoseRequests, LateWrites: in.LateWrites,
 	})
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -171,7 +183,7 @@
 	var txn kv.Txn
 	for _, c := range in.Compare {
 		if c.Result != "EQUAL" || c.Target != "MOD" {
-			http.Error(w, "only EQUAL on MOD is supported", http.StatusBadRequest)
+			answerError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, "only EQUAL on MOD is supported")
 			return
 		}
 		txn.If = append(txn.If, kv.Compare{Key: string(c.Key), ModRevision: int64(c.ModRevision)})
@@ -182,6 +194,9 @@
 			txn.Puts = append(txn.Puts, kv.Put{Key: string(op.Put.Key), Value: op.Put.Value, Lease: kv.LeaseID(op.Put.Lease)})
 		case op.Delete != nil:
 			txn.Deletes = append(txn.Deletes, string(op.Delete.Key))
+		default:
+			answerError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, "only put and delete are supported")
+			return
 		}
 	}
 	for _, op := range in.Failure {
@@ -240,7 +255,7 @@
 		return
 	}
 	if in.Create == nil {
-		http.Error(w, "create_request is required", http.StatusBadRequest)
+		answerError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, "create_request is required")
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/kv/etcdjson/client.go
+++ b/kv/etcdjson/client.go
@@ -6,10 +6,10 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,8 +22,6 @@
 const (
 	// callTimeout bounds a call whose context has no earlier deadline.
 	callTimeout = 2 * time.Second
-	// watchSilence ends a watch on which nothing arrived for this long, so that a half-open connection is noticed.
-	watchSilence = 5 * time.Second
 	// maxBody bounds a response body in bytes: values are base64 encoded and a list holds many.
 	maxBody = 256 << 20
 )
@@ -39,6 +37,7 @@
 	http      *http.Client
 	next      atomic.Uint64
 	calls     Calls
+	silence   time.Duration
 }
 
 var _ kv.Store = (*Client)(nil)
@@ -56,7 +55,12 @@
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &Client{
 		endpoints: trimmed,
-		http:      &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8}},
+		silence:   watchSilence,
+		http: &http.Client{
+			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8},
+			// The gateway does not redirect. A followed redirect would turn the call into a GET.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 	}, nil
 }
 
@@ -66,51 +70,47 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// statusError is an HTTP error answer of the store.
-type statusError struct {
-	status int
-	body   string
-}
-
-func (e *statusError) Error() string { return fmt.Sprintf("store answered %d: %s", e.status, e.body) }
-
-// send returns the response of a POST. wrote tells whether any byte may have reached the store.
-func (c *Client) send(ctx context.Context, path string, in any) (resp *http.Response, wrote bool, err error) {
+// send returns the response of a POST. wrote tells whether any byte may have reached the store. A read may be
+// replayed by the transport on a new connection, a write is not.
+func (c *Client) send(ctx context.Context, path string, in any, read bool) (resp *http.Response, wrote bool, err error) {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, false, err
 	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	endpoint := c.endpoints[c.next.Load()%uint64(len(c.endpoints))]
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, false, err
 	}
-	// Without GetBody the transport cannot replay a write on a new connection.
-	req.GetBody = nil
+	if !read {
+		// Without GetBody the transport cannot send the request twice.
+		req.GetBody = nil
+	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err = c.http.Do(req)
 	if err != nil {
 		c.next.Add(1)
-		var op *net.OpError
-		dialFailed := errors.As(err, &op) && op.Op == "dial"
-		return nil, !dialFailed, err
+		return nil, connected.Load(), err
 	}
 	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
-		resp.Body.Close()
+		defer resp.Body.Close()
 		c.next.Add(1)
-		// The gateway answers 503 when it did not pass the call on.
-		return nil, resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusBadRequest,
-			&statusError{resp.StatusCode, strings.TrimSpace(string(text))}
+		status := readStatus(resp)
+		return nil, status.mayHaveRun(), status
 	}
 	return resp, true, nil
 }
 
-// call sends a request and decodes the response. uncertain is the error for a lost answer.
+// call sends a request and decodes the response. uncertain is the error for a lost answer: kv.ErrUnavailable for a
+// read, kv.ErrUncertain for a write.
 func (c *Client) call(ctx context.Context, path string, in, out any, uncertain error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, wrote, err := c.send(ctx, path, in)
+	resp, wrote, err := c.send(ctx, path, in, uncertain == kv.ErrUnavailable)
 	if err == nil {
 		defer resp.Body.Close()
 		err = json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(out)
@@ -143,6 +143,9 @@
 	if err := c.call(ctx, PathRange, in, &out, kv.ErrUnavailable); err != nil {
 		return nil, 0, err
 	}
+	if out.Header.Revision <= 0 {
+		return nil, 0, errors.Join(kv.ErrUnavailable, eris.Errorf("%s: answer states no revision", PathRange))
+	}
 	items := make([]kv.Item, len(out.KVs))
 	for i, k := range out.KVs {
 		items[i] = k.Item()
@@ -157,6 +160,10 @@
 	if err := c.call(ctx, PathTxn, encodeTxn(txn), &out, kv.ErrUncertain); err != nil {
 		return kv.TxnResult{}, err
 	}
+	if out.Header.Revision <= 0 {
+		// Not an answer of the gateway, so it does not show whether the conditions held.
+		return kv.TxnResult{}, errors.Join(kv.ErrUncertain, eris.Errorf("%s: answer states no revision", PathTxn))
+	}
 	result := kv.TxnResult{Succeeded: out.Succeeded, Revision: int64(out.Header.Revision)}
 	for _, r := range out.Responses {
 		if out.Succeeded || r.Range == nil {
@@ -204,47 +211,3 @@
 	err := c.call(ctx, PathKeepAlive, KeepAliveRequest{ID: Int64(id)}, &out, kv.ErrUncertain)
 	return out.Result.TTL > 0, err
 }
-
-// Watch implements kv.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64, fn func(kv.WatchBatch)) error {
-	c.calls.Watches.Add(1)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
-	defer silence.Stop()
-	create := WatchCreate{
-		Key: []byte(prefix), RangeEnd: PrefixEnd(prefix), StartRevision: Int64(from), ProgressNotify: true,
-	}
-	resp, _, err := c.send(ctx, PathWatch, WatchRequest{Create: &create})
-	if err != nil {
-		return errors.Join(kv.ErrUnavailable, err)
-	}
-	defer resp.Body.Close()
-	dec := json.NewDecoder(resp.Body)
-	for {
-		var msg WatchResponse
-		if err := dec.Decode(&msg); err != nil {
-			return errors.Join(kv.ErrUnavailable, eris.Wrap(err, "watch ended"))
-		}
-		silence.Reset(watchSilence)
-		if msg.Result.CompactRevision > 0 {
-			return kv.ErrCompacted
-		}
-		if msg.Result.Canceled {
-			return errors.Join(kv.ErrUnavailable, eris.New("watch cancelled by the store"))
-		}
-		if msg.Result.Created && len(msg.Result.Events) == 0 {
-			// The header of this message is newer than the events that are still to come.
-			continue
-		}
-		fn(decodeBatch(msg))
-	}
-}
-
-func decodeBatch(msg WatchResponse) kv.WatchBatch {
-	batch := kv.WatchBatch{Revision: int64(msg.Result.Header.Revision)}
-	for _, e := range msg.Result.Events {
-		batch.Events = append(batch.Events, kv.Event{Item: e.KV.Item(), Deleted: e.Type == "DELETE"})
-	}
-	return batch
-}
--- a/kv/etcdjson/wire.go
+++ b/kv/etcdjson/wire.go
@@ -23,14 +23,20 @@
 	return []byte(strconv.Quote(strconv.FormatInt(int64(i), 10))), nil
 }
 
-// UnmarshalJSON implements json.Unmarshaler. It accepts a string or a number.
+// UnmarshalJSON implements json.Unmarshaler. It accepts a string or a number; null leaves the value as it is.
 func (i *Int64) UnmarshalJSON(data []byte) error {
+	if string(data) == "null" {
+		return nil
+	}
 	if len(data) > 1 && data[0] == '"' {
 		data = data[1 : len(data)-1]
 	}
 	n, err := strconv.ParseInt(string(data), 10, 64)
+	if err != nil {
+		return err
+	}
 	*i = Int64(n)
-	return err
+	return nil
 }
 
 // KeyValue is mvccpb.KeyValue.
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -85,7 +85,7 @@
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease; alive is false if it has lapsed.
 	KeepAlive(ctx context.Context, id LeaseID) (alive bool, err error)
-	// Watch calls fn for changes of keys with the prefix from the revision on, in order, and with an empty
+	// Watch calls fn for changes of keys with the prefix from the revision on, 0 for those after the call, in order, and with an empty
 	// batch at least every few seconds while the watch is live. It returns when ctx ends, the connection
 	// breaks, or the revision was compacted.
 	Watch(ctx context.Context, prefix string, from int64, fn func(WatchBatch)) error
--- a/kv/kvtest/memory.go
+++ b/kv/kvtest/memory.go
@@ -25,8 +25,16 @@
 	Delay time.Duration
 	// LoseAnswers is the number of next writes that take effect but whose answer is lost.
 	LoseAnswers int
+	// LoseRequests is the number of next transactions that are lost before they take effect, which the caller
+	// cannot tell from a lost answer.
+	LoseRequests int
+	// LateWrites is the number of next transactions whose answer is lost and which run only after the next read.
+	LateWrites int
 }
 
+// ErrRejected means that the store does not accept a call, whatever its state. The call had no effect.
+var ErrRejected = errors.New("call rejected")
+
 // Counters counts calls by type. A waiting watch counts as one call.
 type Counters struct {
 	Reads, Writes, Watches int64
@@ -51,6 +59,7 @@
 	oldest   int64
 	changed  chan struct{}
 	faults   Faults
+	late     []kv.Txn
 	counters Counters
 }
 
@@ -131,11 +140,12 @@
 	return nil
 }
 
-func (m *Memory) answerLost() bool {
-	if m.faults.LoseAnswers <= 0 {
+// take uses up one of the remaining faults of a type.
+func take(remaining *int) bool {
+	if *remaining <= 0 {
 		return false
 	}
-	m.faults.LoseAnswers--
+	*remaining--
 	return true
 }
 
@@ -179,6 +189,7 @@
 		return kv.Item{}, false, err
 	}
 	defer m.mu.Unlock()
+	defer m.runLate()
 	m.counters.Reads++
 	item, ok := m.items[key]
 	item.Value = bytes.Clone(item.Value)
@@ -191,6 +202,7 @@
 		return nil, 0, err
 	}
 	defer m.mu.Unlock()
+	defer m.runLate()
 	m.counters.Reads++
 	var items []kv.Item
 	for key, item := range m.items {
@@ -212,22 +224,46 @@
 	m.counters.Writes++
 	for _, p := range txn.Puts {
 		if len(p.Value) > kv.MaxValueBytes {
-			return kv.TxnResult{}, errors.Join(kv.ErrUnavailable, errors.New("value larger than 1 MiB"))
+			return kv.TxnResult{}, rejected("value larger than 1 MiB")
 		}
 		if _, ok := m.leases[p.Lease]; p.Lease != 0 && !ok {
-			return kv.TxnResult{}, errors.Join(kv.ErrUnavailable, errors.New("requested lease not found"))
+			return kv.TxnResult{}, rejected("requested lease not found")
 		}
 	}
+	switch {
+	case take(&m.faults.LoseRequests):
+		return kv.TxnResult{}, kv.ErrUncertain
+	case take(&m.faults.LateWrites):
+		m.late = append(m.late, txn)
+		return kv.TxnResult{}, kv.ErrUncertain
+	}
+	result := m.runTxn(txn)
+	if take(&m.faults.LoseAnswers) {
+		return kv.TxnResult{}, kv.ErrUncertain
+	}
+	return result, nil
+}
+
+func (m *Memory) runTxn(txn kv.Txn) kv.TxnResult {
 	for _, c := range txn.If {
 		if m.items[c.Key].ModRevision != c.ModRevision {
-			return m.failTxn(txn), nil
+			return m.failTxn(txn)
 		}
 	}
 	m.applyTxn(txn)
-	if m.answerLost() {
-		return kv.TxnResult{}, kv.ErrUncertain
+	return kv.TxnResult{Succeeded: true, Revision: m.revision}
+}
+
+// runLate runs the transactions that were delayed until after a read.
+func (m *Memory) runLate() {
+	for _, txn := range m.late {
+		m.runTxn(txn)
 	}
-	return kv.TxnResult{Succeeded: true, Revision: m.revision}, nil
+	m.late = nil
+}
+
+func rejected(reason string) error {
+	return errors.Join(kv.ErrUnavailable, ErrRejected, errors.New(reason))
 }
 
 func (m *Memory) failTxn(txn kv.Txn) kv.TxnResult {
@@ -275,7 +311,7 @@
 	m.counters.Writes++
 	m.nextID++
 	m.leases[m.nextID] = &lease{expires: m.now().Add(ttl), ttl: ttl, keys: make(map[string]bool)}
-	if m.answerLost() {
+	if take(&m.faults.LoseAnswers) {
 		return 0, kv.ErrUncertain
 	}
 	return m.nextID, nil
@@ -293,6 +329,9 @@
 		return false, nil
 	}
 	l.expires = m.now().Add(l.ttl)
+	if take(&m.faults.LoseAnswers) {
+		return false, kv.ErrUncertain
+	}
 	return true, nil
 }
 
@@ -302,8 +341,11 @@
 		return err
 	}
 	m.counters.Watches++
-	m.mu.Unlock()
 	next := from
+	if next == 0 {
+		next = m.revision + 1
+	}
+	m.mu.Unlock()
 	for {
 		m.mu.Lock()
 		if m.faults.Down {
@@ -322,7 +364,7 @@
 				batch.Events = append(batch.Events, e)
 			}
 		}
-		next = m.revision + 1
+		next = max(next, m.revision+1)
 		changed := m.changed
 		m.mu.Unlock()
 		fn(batch)
