Complete operator command line, strict document messages, and checks of configuration changes

Cause: chivemillctl had two commands and no exit codes, decoder messages named Go types, a fraction in a whole-number field was truncated and a field without a value kept its default silently, and the outcome of changes was untested. Change: package internal/ctl holds all commands with text and JSON output and exit codes 0 to 7; strictyaml rewrites the decoder's messages and rejects fractions and empty fields; settings reject addresses that overlap.

--- /dev/null
+++ b/confstore/linear_test.go
@@ -0,0 +1,148 @@
+package confstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/kv/kvtest"
+)
+
+// applyCall is an apply of document next based on document base, or a read if next is empty.
+type applyCall struct{ base, next string }
+
+// applyResult is what the caller learns. value is the document that a read returned.
+type applyResult struct {
+	value               string
+	conflict, uncertain bool
+}
+
+// registerModel is a register that is written by compare-and-swap.
+var registerModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		now, call, result := state.(string), input.(applyCall), output.(applyResult)
+		switch {
+		case call.next == "" && now == result.value:
+			return []any{now}
+		case call.next == "":
+			return nil
+		case result.uncertain && now == call.base:
+			return []any{now, call.next}
+		case result.uncertain, result.conflict && now != call.base:
+			return []any{now}
+		case !result.conflict && now == call.base:
+			return []any{call.next}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// recorder collects the calls of concurrent clients.
+type recorder struct {
+	mu    sync.Mutex
+	clock atomic.Int64
+	ops   []porcupine.Operation
+}
+
+func (r *recorder) record(client int, input applyCall, call func() applyResult) {
+	start := r.clock.Add(1)
+	output := call()
+	end := r.clock.Add(1)
+	if output.uncertain {
+		// The write may still take effect at any later time.
+		end = math.MaxInt64
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, porcupine.Operation{ClientId: client, Input: input, Call: start, Output: output, Return: end})
+}
+
+func contend(r *recorder, store kv.Store, client, rounds int, mem *kvtest.Memory) error {
+	c := NewClient(store, fmt.Sprintf("operator-%d", client))
+	c.pause = func(context.Context, time.Duration) error { return nil }
+	ctx := context.Background()
+	for i := range rounds {
+		if i%3 == client%3 {
+			mem.SetFaults(kvtest.Faults{LoseAnswers: 1, LateWrites: 1, LoseRequests: client % 2})
+		}
+		var current Profile
+		var failure error
+		r.record(client, applyCall{}, func() applyResult {
+			current, failure = c.read(ctx, "a")
+			return applyResult{value: current.Current.Document}
+		})
+		if failure != nil {
+			return failure
+		}
+		next := document("a", 1) + fmt.Sprintf("# %d of %d\n", i, client)
+		r.record(client, applyCall{current.Current.Document, next}, func() applyResult {
+			_, err := c.Apply(ctx, "a", next, current.Revision)
+			var conflict *ConflictError
+			result := applyResult{conflict: errors.As(err, &conflict), uncertain: errors.Is(err, kv.ErrUncertain)}
+			if err != nil && !result.conflict && !result.uncertain {
+				failure = err
+			}
+			return result
+		})
+		if failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
+
+// Guards against concurrent applies that overwrite each other, and against conflicts reported for accepted changes.
+// Mutation: in write.txn, leave out the condition on the key.
+func TestConcurrentAppliesAreLinearizable(t *testing.T) {
+	for range 20 {
+		mem := kvtest.NewMemory(nil)
+		rec := &recorder{}
+		failures := make([]error, 4)
+		var wg sync.WaitGroup
+		for client := range failures {
+			wg.Go(func() { failures[client] = contend(rec, mem, client, 6, mem) })
+		}
+		wg.Wait()
+		must.NoError(t, errors.Join(failures...))
+		must.True(t, porcupine.CheckOperations(registerModel.ToModel(), rec.ops))
+	}
+}
+
+// Guards against two operators who both believe that their change of the same revision was accepted, or neither.
+// Mutation: in write.txn, leave out the condition on the key.
+func TestExactlyOneOfTwoConcurrentAppliesWins(t *testing.T) {
+	mem := kvtest.NewMemory(nil)
+	var base int64
+	for round := range 200 {
+		mem.SetFaults(kvtest.Faults{LoseAnswers: round % 3})
+		var wg sync.WaitGroup
+		revisions, failures := make([]int64, 2), make([]error, 2)
+		for i := range 2 {
+			wg.Go(func() {
+				c := testClient(mem, fmt.Sprintf("operator-%d", i))
+				revisions[i], failures[i] = c.Apply(context.Background(), "a", document("a", 1+round*2+i), base)
+			})
+		}
+		wg.Wait()
+		winner := 0
+		if failures[0] != nil {
+			winner = 1
+		}
+		must.NoError(t, failures[winner])
+		var conflict *ConflictError
+		must.True(t, errors.As(failures[1-winner], &conflict), must.Sprintf("%v", failures[1-winner]))
+		must.Eq(t, revisions[winner], conflict.Current.Revision)
+		base = revisions[winner]
+	}
+}
--- /dev/null
+++ b/confstore/settle_test.go
@@ -0,0 +1,190 @@
+package confstore
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/kv/kvtest"
+)
+
+// interposed is a store that runs a function before the next Get after a transaction with an unknown outcome.
+type interposed struct {
+	*kvtest.Memory
+	before func()
+	armed  bool
+}
+
+func (s *interposed) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	result, err := s.Memory.Txn(ctx, txn)
+	s.armed = err != nil
+	return result, err
+}
+
+func (s *interposed) Get(ctx context.Context, key string) (kv.Item, bool, error) {
+	if s.armed {
+		s.armed = false
+		s.before()
+	}
+	return s.Memory.Get(ctx, key)
+}
+
+// settleCase prepares profile a at its first revision and a client whose next write is lost, while others change
+// the configuration before the client reads back.
+func settleCase(t *testing.T, faults kvtest.Faults, before func(other *Client)) (*Client, *kvtest.Memory, int64) {
+	t.Helper()
+	store := kvtest.NewMemory(nil)
+	other := testClient(store, "other")
+	base, err := other.Apply(t.Context(), "a", document("a", 1), 0)
+	must.NoError(t, err)
+	client := testClient(store, "me")
+	client.store = &interposed{Memory: store, before: func() { before(other) }}
+	store.SetFaults(faults)
+	return client, store, base
+}
+
+func applyTimes(t *testing.T, c *Client, n int) {
+	for i := range n {
+		p, err := c.Get(t.Context(), "a")
+		must.NoError(t, err)
+		_, err = c.Apply(t.Context(), "a", document("a", 100+i), p.Revision)
+		must.NoError(t, err)
+	}
+}
+
+// Guards against a change whose answer was lost being reported at the revision of a later change.
+// Mutation: in judge, return current instead of revision for a committed change.
+func TestSettleReturnsOwnRevision(t *testing.T) {
+	client, _, base := settleCase(t, kvtest.Faults{LoseAnswers: 1}, func(other *Client) { applyTimes(t, other, 3) })
+	revision, err := client.Apply(t.Context(), "a", document("a", 2), base)
+	must.NoError(t, err)
+	must.Eq(t, base+1, revision)
+	p, err := client.Get(t.Context(), "a")
+	must.NoError(t, err)
+	must.Eq(t, base+4, p.Revision)
+	own := p.Changes()[3]
+	must.Eq(t, Revised{Change: Change{ID: own.ID, Author: "me", Time: own.Time, Document: document("a", 2), Replaced: base}, Revision: revision}, own)
+}
+
+// Guards against claiming an outcome when the value no longer holds the change.
+// Mutation: in judge, return outcomeLost instead of outcomeUnknown.
+func TestSettleUncertainWhenHistoryIsTooShort(t *testing.T) {
+	client, _, base := settleCase(t, kvtest.Faults{LoseAnswers: 1}, func(other *Client) { applyTimes(t, other, historyLimit+1) })
+	_, err := client.Apply(t.Context(), "a", document("a", 2), base)
+	must.ErrorIs(t, err, kv.ErrUncertain)
+}
+
+// Guards against reporting that a change was not made while its request is still on the way to the store.
+// Mutation: in judge, return outcomeLost instead of outcomePending.
+func TestSettleLateWrite(t *testing.T) {
+	client, store, base := settleCase(t, kvtest.Faults{LateWrites: 1}, func(*Client) {})
+	revision, err := client.Apply(t.Context(), "a", document("a", 2), base)
+	must.NoError(t, err)
+	p, err := client.Get(t.Context(), "a")
+	must.NoError(t, err)
+	must.Eq(t, document("a", 2), p.Current.Document)
+	must.Eq(t, revision, p.Revision)
+	must.Eq(t, 1, len(p.History))
+	must.Eq(t, 0, store.Faults().LateWrites)
+}
+
+// Guards against a definite answer during an outage that begins right after the write.
+// Mutation: in commit, return readErr instead of joining it with kv.ErrUncertain.
+func TestSettleDuringOutage(t *testing.T) {
+	var store *kvtest.Memory
+	client, store, base := settleCase(t, kvtest.Faults{LoseAnswers: 1}, func(*Client) { store.SetFaults(kvtest.Faults{Down: true}) })
+	_, err := client.Apply(t.Context(), "a", document("a", 2), base)
+	must.ErrorIs(t, err, kv.ErrUncertain)
+	store.SetFaults(kvtest.Faults{})
+	// The operator repeats the same change with the same base.
+	revision, err := client.Apply(t.Context(), "a", document("a", 2), base)
+	must.NoError(t, err)
+	must.Eq(t, base+1, revision)
+}
+
+// Guards against a bind whose answer was lost overwriting a binding that was accepted after it.
+// Mutation: in commit, return (0, false, nil) for outcomeCommitted, so that the bind starts again.
+func TestSettleBindKeepsNewerBinding(t *testing.T) {
+	client, store, _ := settleCase(t, kvtest.Faults{}, func(other *Client) {
+		_, err := other.Bind(t.Context(), "s", "b")
+		must.NoError(t, err)
+	})
+	_, err := testClient(store, "other").Apply(t.Context(), "b", document("b", 1), 0)
+	must.NoError(t, err)
+	store.SetFaults(kvtest.Faults{LoseAnswers: 1})
+	first, err := client.Bind(t.Context(), "s", "a")
+	must.NoError(t, err)
+	b, revision, err := client.Bindings(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, "b", b.Services["s"])
+	must.Eq(t, first+1, revision)
+}
+
+// Guards against retiring a profile that a service was bound to at the same moment, and against refusing a
+// retirement because of an unrelated binding.
+// Mutation: in Retire, return no guard.
+func TestRetireRacesWithBind(t *testing.T) {
+	for _, profileName := range []string{"a", "b"} {
+		client, store, base := settleCase(t, kvtest.Faults{}, nil)
+		other := testClient(store, "other")
+		_, err := other.Apply(t.Context(), "b", document("b", 1), 0)
+		must.NoError(t, err)
+		client.store = &bindBeforeTxn{Memory: store, bind: func() {
+			_, err := other.Bind(t.Context(), "s", profileName)
+			must.NoError(t, err)
+		}}
+		_, err = client.Retire(t.Context(), "a", base)
+		if profileName == "a" {
+			var inUse *InUseError
+			must.True(t, errors.As(err, &inUse))
+			must.Eq(t, []string{"s"}, inUse.Services)
+			continue
+		}
+		must.NoError(t, err)
+	}
+}
+
+// bindBeforeTxn changes the bindings right before the first transaction.
+type bindBeforeTxn struct {
+	*kvtest.Memory
+	bind func()
+}
+
+func (s *bindBeforeTxn) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	if s.bind != nil {
+		bind := s.bind
+		s.bind = nil
+		bind()
+	}
+	return s.Memory.Txn(ctx, txn)
+}
+
+// Guards against a profile that can no longer be changed because its history does not fit the store's value.
+// Mutation: in encodeProfile, return the data whatever its length.
+func TestLargeDocumentsStayChangeable(t *testing.T) {
+	store := kvtest.NewMemory(nil)
+	c := testClient(store, "me")
+	var base int64
+	for i := range historyLimit + 3 {
+		// The JSON encoder writes '<' as six bytes.
+		text := document("a", 1+i) + "#" + strings.Repeat("<", 60<<10) + "\n"
+		revision, err := c.Apply(t.Context(), "a", text, base)
+		must.NoError(t, err)
+		base = revision
+	}
+}
+
+// Guards against documents that no daemon could put in force, and against names that leave the key space.
+func TestApplyRefusesInvalid(t *testing.T) {
+	c := testClient(kvtest.NewMemory(nil), "me")
+	for name, text := range map[string]string{"a": "name: a\nshare: 0\n", "b": "name: a\n", "../x": "name: ../x\n"} {
+		_, err := c.Apply(t.Context(), name, text, 0)
+		must.ErrorIs(t, err, ErrInvalid)
+	}
+	_, err := c.Retire(t.Context(), "a", 0)
+	must.ErrorIs(t, err, ErrNotFound)
+}
--- /dev/null
+++ b/internal/ctl/command.go
@@ -0,0 +1,152 @@
+// Package ctl is the logic of chivemillctl: commands that change and show the operators' configuration and its
+// state on the entry daemons. It is not meant for concurrent use of one Env.
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chivemill/chivemill/confstore"
+	"github.com/chivemill/chivemill/entry"
+	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/kv/etcdjson"
+)
+
+// Env is what the commands use of the outside world.
+type Env struct {
+	Out, Err io.Writer
+	// Author is recorded with changes unless --author is given.
+	Author string
+	// Open connects to the store.
+	Open func(endpoints []string) (kv.Store, error)
+	// Status reads the status of the entry daemon whose operator address is the URL.
+	Status func(ctx context.Context, url string) (entry.Status, error)
+}
+
+// DefaultEnv returns the Env of a process.
+func DefaultEnv() Env {
+	return Env{
+		Out: os.Stdout, Err: os.Stderr, Author: os.Getenv("USER"),
+		Open:   func(endpoints []string) (kv.Store, error) { return etcdjson.New(endpoints) },
+		Status: httpStatus(&http.Client{Timeout: statusTimeout}),
+	}
+}
+
+// Run runs chivemillctl with the arguments, the program name first, and returns its exit code.
+func Run(ctx context.Context, args []string, env Env) int {
+	app := &app{env: env}
+	err := app.command().Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	f := classify(err)
+	app.reportFailure(f)
+	return f.code
+}
+
+type app struct {
+	env  Env
+	json bool
+}
+
+const rootHelp = `A profile is a YAML document that states how queries are answered. Each service is bound to one profile.
+A change is accepted once the store has committed it, and every entry daemon puts it in force within 11 s.
+
+Typical sequence:
+  chivemillctl profile apply tail.yaml
+  chivemillctl profile wait tail --entry http://10.0.0.1:9080 --entry http://10.0.0.2:9080
+  chivemillctl service bind loja-web tail
+
+`
+
+func (a *app) command() *cli.Command {
+	cmd := &cli.Command{
+		Name:        "chivemillctl",
+		Usage:       "change and show the operators' configuration",
+		Description: rootHelp + exitHelp,
+		Writer:      a.env.Out,
+		ErrWriter:   a.env.Err,
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "store", Usage: "store endpoint `URL`, repeatable", Sources: cli.EnvVars("CHIVEMILL_STORE")},
+			&cli.StringFlag{Name: "author", Usage: "`NAME` recorded with changes", Value: a.env.Author},
+			&cli.StringFlag{Name: "output", Usage: "`FORMAT` of the output: text or json", Value: "text", Action: a.setOutput},
+		},
+		Commands: []*cli.Command{
+			{Name: "profile", Usage: "change and show profiles", Commands: a.profileCommands()},
+			{Name: "service", Usage: "change and show which profile each service runs under", Commands: a.serviceCommands()},
+			a.statusCommand(),
+		},
+	}
+	prepare(cmd)
+	return cmd
+}
+
+// prepare makes usage errors of every command return to Run, and unknown commands an error.
+func prepare(cmd *cli.Command) {
+	cmd.HideHelpCommand = true
+	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return usagef("%w\nSee '%s --help'.", err, cmd.FullName())
+	}
+	cmd.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	if cmd.Action == nil {
+		cmd.Action = func(_ context.Context, cmd *cli.Command) error {
+			if name := cmd.Args().First(); name != "" {
+				return usagef("unknown command %q\nSee '%s --help'.", name, cmd.FullName())
+			}
+			return usagef("a command is required\nSee '%s --help'.", cmd.FullName())
+		}
+	}
+	for _, sub := range cmd.Commands {
+		prepare(sub)
+	}
+}
+
+func (a *app) setOutput(_ context.Context, _ *cli.Command, format string) error {
+	if format != "text" && format != "json" {
+		return usagef("--output %s: the format is text or json", format)
+	}
+	a.json = format == "json"
+	return nil
+}
+
+// args returns the positional arguments, which must be exactly those named.
+func args(cmd *cli.Command, names ...string) ([]string, error) {
+	if cmd.Args().Len() != len(names) {
+		return nil, usagef("%s takes %d argument(s): %s\nSee '%s --help'.", cmd.FullName(), len(names), cmd.ArgsUsage, cmd.FullName())
+	}
+	return cmd.Args().Slice(), nil
+}
+
+// client returns a client of the store. A change needs an author.
+func (a *app) client(cmd *cli.Command, change bool) (*confstore.Client, error) {
+	endpoints := cmd.StringSlice("store")
+	if len(endpoints) == 0 {
+		return nil, usagef("no store endpoint: give --store URL or set CHIVEMILL_STORE")
+	}
+	if change && cmd.String("author") == "" {
+		return nil, usagef("no author: give --author NAME, which is recorded with the change")
+	}
+	store, err := a.env.Open(endpoints)
+	if err != nil {
+		return nil, err
+	}
+	return confstore.NewClient(store, cmd.String("author")), nil
+}
+
+// timeLayout is used in text output.
+const timeLayout = time.RFC3339
+
+func formatTime(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format(timeLayout)
+}
+
+func (a *app) printf(format string, args ...any) { fmt.Fprintf(a.env.Out, format, args...) }
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,110 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivemill/chivemill/confstore"
+	"github.com/chivemill/chivemill/kv"
+)
+
+// Exit codes of chivemillctl.
+const (
+	ExitOK          = 0
+	ExitInvalid     = 1
+	ExitConflict    = 2
+	ExitNotFound    = 3
+	ExitRefused     = 4
+	ExitUnavailable = 5
+	ExitUncertain   = 6
+	ExitTimeout     = 7
+)
+
+// exitHelp is part of the help text.
+const exitHelp = `Exit codes:
+  0  done
+  1  usage error, or a document or name that is not valid; nothing was changed
+  2  conflict: another change was accepted first; nothing was changed
+  3  the profile or binding does not exist
+  4  refused: the profile is in use or retired; nothing was changed
+  5  the store or an entry daemon cannot be reached; nothing was changed
+  6  the store's answer was lost and the outcome could not be determined; check before you repeat
+  7  the wait timed out; the change is accepted but not yet in force on every daemon`
+
+// failure is an error with its exit code, what to do next, and details for --output json.
+type failure struct {
+	code int
+	kind string
+	err  error
+	// hint states what the operator can do.
+	hint     string
+	revision int64
+	services []string
+	diff     string
+	// printed is set if the JSON output already shows the failure.
+	printed bool
+}
+
+// Error implements error.
+func (f *failure) Error() string {
+	text := f.err.Error()
+	if f.hint != "" {
+		text += "\n" + f.hint
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (f *failure) Unwrap() error { return f.err }
+
+func usagef(format string, args ...any) error {
+	return &failure{code: ExitInvalid, kind: "usage", err: fmt.Errorf(format, args...)}
+}
+
+// classify gives an error of this package, confstore or kv its exit code.
+func classify(err error) *failure {
+	var known *failure
+	if errors.As(err, &known) {
+		return known
+	}
+	var conflict *confstore.ConflictError
+	var inUse *confstore.InUseError
+	switch {
+	case errors.As(err, &conflict):
+		return &failure{code: ExitConflict, kind: "conflict", err: conflict, revision: conflict.Current.Revision,
+			hint: "Nothing was changed. Read the profile with 'chivemillctl profile get', merge, and apply again."}
+	case errors.As(err, &inUse):
+		return &failure{code: ExitRefused, kind: "in_use", err: inUse, services: inUse.Services,
+			hint: "Nothing was changed. Bind these services to another profile first with 'chivemillctl service bind'."}
+	case errors.Is(err, confstore.ErrRetired):
+		return &failure{code: ExitRefused, kind: "retired", err: err,
+			hint: "Nothing was changed. 'chivemillctl profile apply' brings a retired profile back into use."}
+	case errors.Is(err, confstore.ErrNotFound), errors.Is(err, confstore.ErrNotBound):
+		return &failure{code: ExitNotFound, kind: "not_found", err: err}
+	case errors.Is(err, confstore.ErrContended):
+		return &failure{code: ExitConflict, kind: "contended", err: err, hint: "Nothing was changed. Run the command again."}
+	case errors.Is(err, kv.ErrUncertain):
+		return &failure{code: ExitUncertain, kind: "uncertain", err: errors.New("the store's answer was lost: " + oneLine(err)),
+			hint: "The change may or may not have been accepted. Check with 'profile history' or 'service list' before you repeat it."}
+	case errors.Is(err, kv.ErrUnavailable):
+		return &failure{code: ExitUnavailable, kind: "unavailable", err: errors.New("the store cannot be reached: " + oneLine(err)),
+			hint: "Nothing was changed. Check --store and the state of the store; the daemons keep their last configuration."}
+	}
+	return &failure{code: ExitInvalid, kind: "invalid", err: err}
+}
+
+// oneLine returns the cause of a store error without the sentinel that the message already states.
+func oneLine(err error) string {
+	text := err.Error()
+	for _, sentinel := range []error{kv.ErrUncertain, kv.ErrUnavailable} {
+		text = strings.ReplaceAll(text, sentinel.Error()+"\n", "")
+	}
+	return strings.ReplaceAll(text, "\n", ": ")
+}
+
+func wrapFile(err error, file string) error {
+	return &failure{code: ExitInvalid, kind: "invalid", err: eris.Wrapf(err, "cannot read %s", file)}
+}
--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"regexp"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -70,10 +70,9 @@
 	problems []Problem
 }
 
-var errorLine = regexp.MustCompile(`^line (\d+): (.*)$`)
-
-// Decode decodes data into out, which is a pointer to a struct. Unknown fields, wrong types and a second
-// document are problems. The returned Document takes further problems and reports all of them in Err.
+// Decode decodes data into out, which is a pointer to a struct. Unknown fields, duplicate keys, wrong types, fields
+// without a value and a second document are problems. The returned Document takes further problems and reports all
+// of them in Err.
 func Decode(file string, data []byte, out any) *Document {
 	d := &Document{file: file}
 	var root yaml.Node
@@ -86,37 +85,42 @@
 		return d
 	}
 	d.root = root.Content[0]
+	if d.root.Kind != yaml.MappingNode {
+		d.add(d.root.Line, "", "document is not a mapping of fields to values")
+		return d
+	}
+	d.addEmpty(d.root, "")
+	d.addFractions(d.root, reflect.TypeOf(out), "")
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
 	if err := dec.Decode(out); err != nil {
 		d.addYAML(err)
 		return d
 	}
-	if err := dec.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
-		d.add(1, "", "file holds more than one document")
+	var second yaml.Node
+	if err := dec.Decode(&second); !errors.Is(err, io.EOF) {
+		d.add(max(1, second.Line), "", "file holds more than one document")
 	}
 	return d
 }
 
-func (d *Document) addYAML(err error) {
-	var typeErr *yaml.TypeError
-	if errors.As(err, &typeErr) {
-		for _, text := range typeErr.Errors {
-			d.addLine(text)
+// addEmpty records the fields that have no value. Decoding would silently leave their defaults in place.
+func (d *Document) addEmpty(node *yaml.Node, path string) {
+	for i, c := range node.Content {
+		switch {
+		case node.Kind == yaml.SequenceNode:
+			d.addEmpty(c, fmt.Sprintf("%s[%d]", path, i))
+		case node.Kind == yaml.MappingNode && i%2 == 1:
+			name := joinPath(path, node.Content[i-1].Value)
+			if c.Tag == "!!null" {
+				d.add(node.Content[i-1].Line, name, "has no value")
+			}
+			d.addEmpty(c, name)
 		}
-		return
 	}
-	d.addLine(strings.TrimPrefix(err.Error(), "yaml: "))
 }
 
-func (d *Document) addLine(text string) {
-	line := 1
-	if m := errorLine.FindStringSubmatch(text); m != nil {
-		line, _ = strconv.Atoi(m[1])
-		text = m[2]
-	}
-	d.add(line, fieldAtLine(d.root, line, ""), text)
-}
+func joinPath(path, name string) string { return strings.TrimPrefix(path+"."+name, ".") }
 
 func (d *Document) add(line int, field, text string) {
 	d.problems = append(d.problems, Problem{File: d.file, Line: line, Field: field, Text: text})
@@ -156,7 +160,7 @@
 func child(node *yaml.Node, part string) (*yaml.Node, int) {
 	if node.Kind == yaml.SequenceNode {
 		i, err := strconv.Atoi(part)
-		if err != nil || i >= len(node.Content) {
+		if err != nil || i < 0 || i >= len(node.Content) {
 			return nil, 0
 		}
 		return node.Content[i], node.Content[i].Line
@@ -168,31 +172,3 @@
 	}
 	return nil, 0
 }
-
-// fieldAtLine returns the dotted path of the mapping key at the line.
-func fieldAtLine(node *yaml.Node, line int, path string) string {
-	if node == nil {
-		return ""
-	}
-	found := ""
-	for i, c := range node.Content {
-		switch node.Kind {
-		case yaml.SequenceNode:
-			if f := fieldAtLine(c, line, fmt.Sprintf("%s[%d]", path, i)); f != "" {
-				found = f
-			}
-		case yaml.MappingNode:
-			if i%2 == 1 {
-				continue
-			}
-			name := strings.TrimPrefix(path+"."+c.Value, ".")
-			if c.Line == line {
-				return name
-			}
-			if f := fieldAtLine(node.Content[i+1], line, name); f != "" {
-				found = f
-			}
-		}
-	}
-	return found
-}
--- a/profile/profile.go
+++ b/profile/profile.go
@@ -68,13 +68,15 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
+// MaxDocumentBytes is the largest accepted document.
+const MaxDocumentBytes = 64 << 10
+
 const (
-	minDeadline    = 5 * time.Millisecond
-	maxDeadline    = 60 * time.Second
-	maxBudget      = 0.5
-	maxAttempts    = 5
-	maxShare       = 1000
-	maxDocumentLen = 64 << 10
+	minDeadline = 5 * time.Millisecond
+	maxDeadline = 60 * time.Second
+	maxBudget   = 0.5
+	maxAttempts = 5
+	maxShare    = 1000
 )
 
 // ValidName reports whether s is a profile or service name: lower-case letters, digits and inner hyphens, at
@@ -98,7 +100,7 @@
 // *strictyaml.Error that holds every problem found.
 func Decode(file string, data []byte) (Profile, error) {
 	p := Default()
-	if len(data) > maxDocumentLen {
+	if len(data) > MaxDocumentBytes {
 		return p, &strictyaml.Error{Problems: []strictyaml.Problem{{File: file, Line: 1, Text: "document is larger than 64 KiB"}}}
 	}
 	doc := strictyaml.Decode(file, data, &p)
@@ -158,7 +160,10 @@
 	if p.Partial == PartialRefuse && p.LeastCoverage != 1 {
 		doc.Problemf("least_coverage", "%g contradicts partial: refuse, which needs 1", p.LeastCoverage)
 	}
-	if p.Hedge.Enabled && p.Hedge.Budget > 0 && p.Retry.MaxAttempts < 2 {
+	if p.Hedge.Enabled && p.Hedge.Budget > 0 && p.Retry.MaxAttempts == 1 {
 		doc.Problemf("retry.max_attempts", "1 contradicts hedge.enabled, because a hedge is a second attempt")
 	}
+	if p.Hedge.Enabled && p.Hedge.Budget == 0 {
+		doc.Problemf("hedge.budget", "0 contradicts hedge.enabled, because no hedge would ever be sent")
+	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,7 +2,7 @@
 package settings
 
 import (
-	"net"
+	"net/netip"
 	"net/url"
 	"os"
 	"strconv"
@@ -93,6 +93,7 @@
 	Address(doc, "listen", e.Listen)
 	Address(doc, "operator", e.Operator)
 	Address(doc, "peer", e.Peer)
+	Distinct(doc, NamedAddress{"listen", e.Listen}, NamedAddress{"operator", e.Operator}, NamedAddress{"peer", e.Peer})
 	if len(e.Store.Endpoints) == 0 {
 		doc.Problemf("store.endpoints", "at least one endpoint is required")
 	}
@@ -114,14 +115,39 @@
 	}
 }
 
-// Address records a problem unless the value is an IP address with a port.
+// Address records a problem unless the value is an IP address with a port from 1 to 65535.
 func Address(doc *strictyaml.Document, field, value string) {
-	host, _, err := net.SplitHostPort(value)
-	if err != nil || net.ParseIP(host) == nil {
-		doc.Problemf(field, "%q is not an IP address with a port", value)
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Port() == 0 {
+		doc.Problemf(field, "%q is not an IP address with a port, such as 10.0.0.1:8080", value)
 	}
 }
 
+// NamedAddress is an address with the field that states it.
+type NamedAddress struct{ Field, Value string }
+
+// Distinct records a problem for each address that cannot be bound together with an earlier one: the ports are
+// equal, and the IP addresses are equal or one of them is unspecified, such as 0.0.0.0.
+func Distinct(doc *strictyaml.Document, addresses ...NamedAddress) {
+	for i, a := range addresses {
+		for _, earlier := range addresses[:i] {
+			if overlap(a.Value, earlier.Value) {
+				doc.Problemf(a.Field, "%s is already taken by %s", a.Value, earlier.Field)
+				break
+			}
+		}
+	}
+}
+
+func overlap(a, b string) bool {
+	left, errLeft := netip.ParseAddrPort(a)
+	right, errRight := netip.ParseAddrPort(b)
+	if errLeft != nil || errRight != nil || left.Port() != right.Port() {
+		return false
+	}
+	return left.Addr().Unmap() == right.Addr().Unmap() || left.Addr().IsUnspecified() || right.Addr().IsUnspecified()
+}
+
 // URL records a problem unless the value is an http URL with a host.
 func URL(doc *strictyaml.Document, field, value string) {
 	u, err := url.Parse(value)
@@ -132,7 +158,7 @@
 
 // Range records a problem unless low <= value <= high.
 func Range[T int | int64 | float64 | time.Duration](doc *strictyaml.Document, field string, value, low, high T) {
-	if value < low || value > high {
+	if !(value >= low && value <= high) {
 		doc.Problemf(field, "%v is outside %v to %v", value, low, high)
 	}
 }
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/settings"
+)
+
+const valid = `node: entry-1
+data_centre: braga-a
+region: braga
+listen: 10.0.0.1:8080
+operator: 10.0.0.1:9080
+peer: 10.0.0.1:7080
+store:
+  endpoints: [http://10.0.9.1:2379]
+  vm_list: http://10.0.9.1:8000
+`
+
+// Guards against settings that start a daemon which cannot listen, and against errors without a location.
+func TestEntryMessages(t *testing.T) {
+	cases := map[string]struct{ old, new, message string }{
+		"valid":             {"", "", ""},
+		"listen = operator": {"10.0.0.1:9080", "10.0.0.1:8080", "s.yaml:5: operator: 10.0.0.1:8080 is already taken by listen"},
+		"unspecified":       {"10.0.0.1:7080", "0.0.0.0:9080", "s.yaml:6: peer: 0.0.0.0:9080 is already taken by operator"},
+		"other IP":          {"10.0.0.1:9080", "127.0.0.1:8080", ""},
+		"host name": {"listen: 10.0.0.1:8080", "listen: host:8080",
+			`s.yaml:4: listen: "host:8080" is not an IP address with a port, such as 10.0.0.1:8080`},
+		"port 0": {"10.0.0.1:7080", "10.0.0.1:0",
+			`s.yaml:6: peer: "10.0.0.1:0" is not an IP address with a port, such as 10.0.0.1:8080`},
+		"missing node":      {"node: entry-1\n", "", "s.yaml:1: node: is required"},
+		"unknown nested":    {"  vm_list:", "  vmlist:", "s.yaml:9: store.vmlist: unknown field"},
+		"not a URL":         {"[http://10.0.9.1:2379]", "[10.0.9.1:2379]", `s.yaml:8: store.endpoints[0]: "10.0.9.1:2379" is not an http URL`},
+		"no endpoints":      {"[http://10.0.9.1:2379]", "[]", "s.yaml:8: store.endpoints: at least one endpoint is required"},
+		"missing unit":      {"store:", "poll: 500\nstore:", `s.yaml:7: poll: "500" is not a duration with a unit, such as 250ms`},
+		"poll out of range": {"store:", "poll: 1ms\nstore:", "s.yaml:7: poll: 1ms is outside 50ms to 10s"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			set := settings.DefaultEntry()
+			err := settings.Decode("s.yaml", []byte(strings.Replace(valid, tc.old, tc.new, 1)), &set)
+			if tc.message == "" {
+				must.NoError(t, err)
+				return
+			}
+			must.EqError(t, err, tc.message)
+		})
+	}
+}
+
+// Guards against printed effective settings that differ from the ones in force.
+func FuzzEntry(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte(strings.Replace(valid, "store:", "poll: 1.5s\nmax_body: 9\nstore:", 1)))
+	f.Add([]byte("store: {endpoints: [a, [b]]}\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		set := settings.DefaultEntry()
+		if settings.Decode("f", data, &set) != nil {
+			return
+		}
+		text, err := settings.Format(&set)
+		must.NoError(t, err)
+		var again settings.Entry
+		must.NoError(t, settings.Decode("g", text, &again))
+		must.Eq(t, set, again)
+	})
+}
