--- a/confstore/main_test.go
+++ b/confstore/main_test.go
@@ -14,6 +14,8 @@
 // TestMain fixes the seed of rapid unless RAPID_FRESH is set.
 func TestMain(m *testing.M) {
 	flag.Parse()
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "50")
 	if os.Getenv("RAPID_FRESH") == "" {
 		_ = flag.Set("rapid.seed", "20261204")
 	}
--- /dev/null
+++ b/kv/etcdjson/client_test.go
@@ -0,0 +1,229 @@
+package etcdjson_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/internal/standin/store"
+	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/kv/etcdjson"
+	"github.com/chivemill/chivemill/kv/kvtest"
+)
+
+// connect returns a client of the handler over loopback.
+func connect(t *testing.T, handler http.Handler) *etcdjson.Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	c, err := etcdjson.New([]string{server.URL + "/"})
+	must.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func standin(t *testing.T, now func() time.Time) (*etcdjson.Client, *kvtest.Memory) {
+	t.Helper()
+	mem := kvtest.NewMemory(now)
+	return connect(t, store.NewServer(mem).Handler()), mem
+}
+
+func put(key, value string, revision int64) kv.Txn {
+	return kv.Txn{
+		If:        []kv.Compare{{Key: key, ModRevision: revision}},
+		Puts:      []kv.Put{{Key: key, Value: []byte(value)}},
+		Otherwise: []string{key, "absent"},
+	}
+}
+
+// Guards against a wire form that loses keys, values, revisions or conditions.
+func TestReadsAndTransactions(t *testing.T) {
+	c, _ := standin(t, nil)
+	ctx := t.Context()
+	_, found, err := c.Get(ctx, "a/1")
+	must.NoError(t, err)
+	must.False(t, found)
+	first, err := c.Txn(ctx, put("a/1", "x\x00\xff", 0))
+	must.NoError(t, err)
+	must.Eq(t, kv.TxnResult{Succeeded: true, Revision: 2}, first)
+	item := kv.Item{Key: "a/1", Value: []byte("x\x00\xff"), CreateRevision: 2, ModRevision: 2}
+	refused, err := c.Txn(ctx, put("a/1", "y", 0))
+	must.NoError(t, err)
+	must.Eq(t, kv.TxnResult{Revision: 2, Items: []kv.Item{item}}, refused)
+	_, err = c.Txn(ctx, put("b", "z", 0))
+	must.NoError(t, err)
+	items, revision, err := c.List(ctx, "a/")
+	must.NoError(t, err)
+	must.Eq(t, []kv.Item{item}, items)
+	must.Eq(t, 3, revision)
+	_, err = c.Txn(ctx, kv.Txn{If: []kv.Compare{{Key: "a/1", ModRevision: 2}}, Deletes: []string{"a/1"}})
+	must.NoError(t, err)
+	_, found, err = c.Get(ctx, "a/1")
+	must.NoError(t, err)
+	must.False(t, found)
+	must.Eq(t, 4, c.Calls().Writes.Load())
+	must.Eq(t, 3, c.Calls().Reads.Load())
+}
+
+// Guards against leases that do not expire, or whose expiry is reported as alive.
+func TestLeases(t *testing.T) {
+	var offset atomic.Int64
+	start := time.Now()
+	c, _ := standin(t, func() time.Time { return start.Add(time.Duration(offset.Load())) })
+	ctx := t.Context()
+	id, err := c.Grant(ctx, 1500*time.Millisecond)
+	must.NoError(t, err)
+	_, err = c.Txn(ctx, kv.Txn{Puts: []kv.Put{{Key: "k", Value: []byte("v"), Lease: id}}})
+	must.NoError(t, err)
+	offset.Store(int64(1900 * time.Millisecond))
+	alive, err := c.KeepAlive(ctx, id)
+	must.NoError(t, err)
+	must.True(t, alive)
+	offset.Store(int64(4 * time.Second))
+	_, found, err := c.Get(ctx, "k")
+	must.NoError(t, err)
+	must.False(t, found)
+	alive, err = c.KeepAlive(ctx, id)
+	must.NoError(t, err)
+	must.False(t, alive)
+	_, err = c.Txn(ctx, kv.Txn{Puts: []kv.Put{{Key: "k", Lease: id}}})
+	must.ErrorIs(t, err, kv.ErrUnavailable)
+}
+
+// calls runs every method that answers at once, reads first.
+func calls(ctx context.Context, c *etcdjson.Client) map[string]error {
+	errs := map[string]error{}
+	_, _, errs["get"] = c.Get(ctx, "k")
+	_, _, errs["list"] = c.List(ctx, "k")
+	_, errs["txn"] = c.Txn(ctx, put("k", "v", 0))
+	_, errs["grant"] = c.Grant(ctx, time.Second)
+	_, errs["keepalive"] = c.KeepAlive(ctx, 1)
+	return errs
+}
+
+// Guards against a write with an unknown outcome that is reported as not run, or as done.
+// Mutation: in statusError.mayHaveRun, return false for every status 503.
+func TestUnknownOutcome(t *testing.T) {
+	answer := func(status int, body string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", "/elsewhere")
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		})
+	}
+	cases := map[string]struct {
+		handler http.Handler
+		ran     bool
+	}{
+		"connection closed": {http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), true},
+		"request timed out": {answer(503, `{"code":14,"message":"etcdserver: request timed out"}`), true},
+		"proxy error":       {answer(502, "bad gateway"), true},
+		"redirect":          {answer(302, ""), true},
+		"cut off":           {answer(200, `{"header":{"revision":"3"},"succ`), true},
+		"cancelled":         {answer(499, `{"code":1}`), true},
+		"no leader":         {answer(503, `{"code":14,"message":"etcdserver: no leader"}`), false},
+		"rejected":          {answer(400, `{"code":3,"message":"etcdserver: duplicate key given in txn request"}`), false},
+		"too many requests": {answer(429, `{"code":8,"message":"etcdserver: too many requests"}`), false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := connect(t, tc.handler)
+			for method, err := range calls(t.Context(), c) {
+				want := kv.ErrUnavailable
+				if tc.ran && method != "get" && method != "list" {
+					want = kv.ErrUncertain
+				}
+				must.ErrorIs(t, err, want, must.Sprint(method))
+				must.True(t, want == kv.ErrUncertain || !isUncertain(err), must.Sprint(method))
+			}
+		})
+	}
+	c := connect(t, answer(200, "{}"))
+	_, err := c.Txn(t.Context(), put("k", "v", 0))
+	must.ErrorIs(t, err, kv.ErrUncertain)
+}
+
+func isUncertain(err error) bool { return errors.Is(err, kv.ErrUncertain) }
+
+// Guards against a stand-in whose lost answers do not take effect.
+func TestLostAnswerTookEffect(t *testing.T) {
+	c, mem := standin(t, nil)
+	mem.SetFaults(kvtest.Faults{LoseAnswers: 1})
+	_, err := c.Txn(t.Context(), put("k", "v", 0))
+	must.ErrorIs(t, err, kv.ErrUncertain)
+	item, found, err := c.Get(t.Context(), "k")
+	must.NoError(t, err)
+	must.True(t, found)
+	must.Eq(t, "v", string(item.Value))
+}
+
+// Guards against an outage that is reported as an unknown outcome, or not at all.
+func TestOutage(t *testing.T) {
+	c, mem := standin(t, nil)
+	mem.SetFaults(kvtest.Faults{Down: true})
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, refused.Close())
+	closed, err := etcdjson.New([]string{"http://" + refused.Addr().String()})
+	must.NoError(t, err)
+	for _, client := range []*etcdjson.Client{c, closed} {
+		errs := calls(t.Context(), client)
+		errs["watch"] = client.Watch(t.Context(), "k", 1, func(kv.WatchBatch) {})
+		for method, err := range errs {
+			must.ErrorIs(t, err, kv.ErrUnavailable, must.Sprint(method))
+			must.False(t, isUncertain(err), must.Sprint(method))
+		}
+	}
+}
+
+// Guards against a write that the HTTP transport sends again when a reused connection breaks after the request.
+// Mutation: in send, keep GetBody for writes and set the header Idempotency-Key.
+func TestWriteIsSentOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	var executed atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveThenClose(conn, &executed)
+		}
+	}()
+	c, err := etcdjson.New([]string{"http://" + listener.Addr().String()})
+	must.NoError(t, err)
+	_, _, err = c.List(t.Context(), "k")
+	must.NoError(t, err)
+	_, err = c.Txn(t.Context(), put("k", "v", 0))
+	must.ErrorIs(t, err, kv.ErrUncertain)
+	must.Eq(t, 1, executed.Load())
+}
+
+// serveThenClose answers reads on a connection, and closes it without an answer after it has read a transaction.
+func serveThenClose(conn net.Conn, executed *atomic.Int64) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == etcdjson.PathTxn {
+			executed.Add(1)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n"+`{"header":{"revision":"1"}}`)
+	}
+}
--- /dev/null
+++ b/kv/etcdjson/watch_test.go
@@ -0,0 +1,83 @@
+package etcdjson_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/kv/kvtest"
+)
+
+// Guards against a resumed watch that misses or repeats changes, or shows those of other keys.
+func TestWatchResumes(t *testing.T) {
+	c, _ := standin(t, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for i := range 3 {
+		_, err := c.Txn(ctx, put(fmt.Sprintf("a/%d", i), "v", 0))
+		must.NoError(t, err)
+	}
+	_, err := c.Txn(ctx, put("b", "v", 0))
+	must.NoError(t, err)
+	var seen []string
+	err = c.Watch(ctx, "a/", 3, func(b kv.WatchBatch) {
+		for _, e := range b.Events {
+			seen = append(seen, fmt.Sprintf("%s@%d %t", e.Item.Key, e.Item.ModRevision, e.Deleted))
+		}
+		switch len(seen) {
+		case 2:
+			_, err := c.Txn(ctx, kv.Txn{Deletes: []string{"a/0"}})
+			must.NoError(t, err)
+		case 3:
+			cancel()
+		}
+	})
+	must.ErrorIs(t, err, context.Canceled)
+	must.Eq(t, []string{"a/1@3 false", "a/2@4 false", "a/0@6 true"}, seen)
+}
+
+// Guards against a watch that silently skips compacted changes.
+func TestWatchReportsCompaction(t *testing.T) {
+	c, mem := standin(t, nil)
+	_, err := c.Txn(t.Context(), put("a", "v", 0))
+	must.NoError(t, err)
+	mem.Compact()
+	must.ErrorIs(t, c.Watch(t.Context(), "a", 2, func(kv.WatchBatch) {}), kv.ErrCompacted)
+}
+
+// Guards against a watch that hangs on a half-open connection, and against one that outlives an outage.
+func TestWatchEnds(t *testing.T) {
+	silent := connect(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	silent.SetSilence(50 * time.Millisecond)
+	err := silent.Watch(t.Context(), "a", 1, func(kv.WatchBatch) {})
+	must.ErrorIs(t, err, kv.ErrUnavailable)
+	must.StrContains(t, err.Error(), "nothing received for 50ms")
+
+	c, mem := standin(t, nil)
+	err = c.Watch(t.Context(), "a", 1, func(kv.WatchBatch) { mem.SetFaults(kvtest.Faults{Down: true}) })
+	must.ErrorIs(t, err, kv.ErrUnavailable)
+}
+
+// Guards against a resume revision that is newer than events still to come: a message with events carries the
+// store's revision, which may be ahead of its events.
+// Mutation: in decodeBatch, keep the revision of the header.
+func TestWatchBatchRevision(t *testing.T) {
+	c := connect(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, `{"result":{"header":{"revision":"9"},"created":true}}`)
+		fmt.Fprintln(w, `{"result":{"header":{"revision":"9"},"events":[{"kv":{"key":"YQ==","mod_revision":"4"}}]}}`)
+		fmt.Fprintln(w, `{"result":{"header":{"revision":"9"}}}`)
+	}))
+	var revisions []int64
+	err := c.Watch(t.Context(), "a", 1, func(b kv.WatchBatch) { revisions = append(revisions, b.Revision) })
+	must.ErrorIs(t, err, kv.ErrUnavailable)
+	must.Eq(t, []int64{4, 9}, revisions)
+}
