Examples of both deployments and a generator of stand-in fleets

Cause: the sizes of the two deployments stood only on the design page, so stand-ins and benchmarks could not be generated from them, and there were no complete example settings. Change: package deployment loads a strict services file with data centres, delays, entry daemons and services; examples hold profiles, the settings of all seven entry daemons and a services file for each deployment; standin-fleet writes the settings files and the VM list for a scale and starts no process. Scaling removes instances of search services and replicas of order services, so that each shard keeps its redundancy. The test loads all 22 example files.

--- a/cmd/standin-store/main.go
+++ b/cmd/standin-store/main.go
@@ -11,28 +11,17 @@
 
 	"github.com/chivemill/chivemill/internal/daemon"
 	"github.com/chivemill/chivemill/internal/standin/store"
-	"github.com/chivemill/chivemill/internal/strictyaml"
 	"github.com/chivemill/chivemill/kv/kvtest"
-	"github.com/chivemill/chivemill/settings"
 	"github.com/chivemill/chivemill/vmlist"
 )
 
-type storeSettings struct {
-	Listen string `yaml:"listen"`
-	// VMs is a JSON file with the first VM list.
-	VMs string `yaml:"vms"`
-}
-
-// Check implements settings.Checker.
-func (s *storeSettings) Check(doc *strictyaml.Document) { settings.Address(doc, "listen", s.Listen) }
-
 func main() {
-	set := &storeSettings{}
+	set := &store.Settings{}
 	daemon.Main(daemon.Command("standin-store", "stand-in of the platform's key-value service and VM list", set,
 		func(ctx context.Context, log *zap.Logger) error { return run(ctx, log, set) }))
 }
 
-func run(ctx context.Context, log *zap.Logger, set *storeSettings) error {
+func run(ctx context.Context, log *zap.Logger, set *store.Settings) error {
 	platform := store.NewServer(kvtest.NewMemory(nil))
 	if set.VMs != "" {
 		vms, err := readVMs(set.VMs)
