--- a/backend/client.go
+++ b/backend/client.go
@@ -57,6 +57,19 @@
 // Executed reports whether the backend server may have executed the sub-request.
 func (e *Error) Executed() bool { return e.Failure != NotSent && e.Failure != Refused }
 
+// errEndMark means that a body was decoded but does not end with its attempt.
+var errEndMark = errors.New("end mark missing")
+
+// Lost reports whether the backend server broke the connection after it may have received the sub-request, as it
+// does when it crashes.
+func Lost(err error) bool {
+	var e *Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	return e.Failure == ConnectionLost || e.Failure == Truncated && !errors.Is(e.Cause, errEndMark)
+}
+
 // FailureOf returns the failure class of err, or ServerError for an error of another type.
 func FailureOf(err error) Failure {
 	var e *Error
@@ -90,35 +103,59 @@
 // errConnectionLimit means that the replica's connection share is used up.
 var errConnectionLimit = errors.New("connection share used up")
 
+// maxIdle bounds the idle connections of a client. The connection limit may grow later, so the limit at the start
+// does not bound them.
+const maxIdle = 1024
+
+// Dial opens a connection to a replica.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client of the replica at host:port that opens at most connections connections.
 func NewClient(address string, connections int) *Client {
-	c := &Client{address: address}
-	c.SetConnections(connections)
 	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
-	c.http = &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if c.open.Add(1) > c.limit.Load() {
-				c.open.Add(-1)
-				return nil, errConnectionLimit
-			}
-			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				c.open.Add(-1)
-				return nil, err
-			}
-			return &countedConn{Conn: conn, open: &c.open}, nil
+	return NewClientDial(address, connections, dialer.DialContext)
+}
+
+// NewClientDial is NewClient with another way to open connections.
+func NewClientDial(address string, connections int, dial Dial) *Client {
+	c := &Client{address: address}
+	c.limit.Store(int64(connections))
+	c.http = &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				return c.dial(ctx, dial, network, addr)
+			},
+			MaxIdleConnsPerHost: maxIdle,
+			IdleConnTimeout:     90 * time.Second,
+			DisableCompression:  true,
 		},
-		MaxIdleConnsPerHost:   connections,
-		IdleConnTimeout:       90 * time.Second,
-		ResponseHeaderTimeout: 0,
-		DisableCompression:    true,
-	}}
+		// A followed redirect would be a second request to a backend server.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	return c
 }
 
-// SetConnections changes the connection limit. Connections above a lowered limit close when they become idle
-// for long enough or break; no new ones open meanwhile.
-func (c *Client) SetConnections(n int) { c.limit.Store(int64(n)) }
+func (c *Client) dial(ctx context.Context, dial Dial, network, addr string) (net.Conn, error) {
+	if c.open.Add(1) > c.limit.Load() {
+		c.open.Add(-1)
+		return nil, errConnectionLimit
+	}
+	conn, err := dial(ctx, network, addr)
+	if err != nil {
+		c.open.Add(-1)
+		return nil, err
+	}
+	return &countedConn{Conn: conn, open: &c.open}, nil
+}
+
+// SetConnections changes the connection limit. If more connections are open, idle ones close at once; the others
+// stay until they break or the limit is set again, and no new ones open meanwhile.
+func (c *Client) SetConnections(n int) {
+	c.limit.Store(int64(n))
+	if c.open.Load() > int64(n) {
+		c.http.CloseIdleConnections()
+	}
+}
 
 // OpenConnections returns the number of open connections.
 func (c *Client) OpenConnections() int { return int(c.open.Load()) }
@@ -202,7 +239,7 @@
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		var refusal Refusal
-		if json.Unmarshal(data, &refusal) == nil && refusal.Ran == "never" {
+		if json.Unmarshal(data, &refusal) == nil && refusal.answers(sub) {
 			return SubAnswer{}, &Error{Failure: Refused, Refusal: refusal}
 		}
 	}
@@ -218,7 +255,7 @@
 		return SubAnswer{}, &Error{Failure: Undecodable, Cause: err}
 	}
 	if answer.End != sub.Attempt {
-		return SubAnswer{}, &Error{Failure: Truncated, Cause: errors.New("end mark missing")}
+		return SubAnswer{}, &Error{Failure: Truncated, Cause: errEndMark}
 	}
 	if answer.Request != sub.Request || answer.Attempt != sub.Attempt || answer.Shard != sub.Shard {
 		return SubAnswer{}, &Error{Failure: Mismatched, Cause: errors.New("answer of another attempt")}
--- a/backend/wire.go
+++ b/backend/wire.go
@@ -88,8 +88,19 @@
 
 // Refusal is the body of a refusal with status 503. Ran is "never".
 type Refusal struct {
-	Reason      RefusalReason `json:"refused"`
-	Ran         string        `json:"ran"`
-	Replica     string        `json:"replica"`
-	Incarnation int64         `json:"incarnation"`
+	Reason RefusalReason `json:"refused"`
+	Ran    string        `json:"ran"`
+	// Attempt repeats the attempt that is refused. It is required in answers to PathExecute, so that a refusal
+	// that belongs to an earlier request on the connection cannot release a claim.
+	Attempt     string `json:"attempt,omitempty"`
+	Replica     string `json:"replica"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// answers reports whether the refusal states that the sub-request was not executed.
+func (r Refusal) answers(sub Sub) bool {
+	if r.Ran != "never" {
+		return false
+	}
+	return r.Attempt == sub.Attempt || r.Attempt == "" && sub.Key == ""
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,7 +17,9 @@
 	"github.com/chivemill/chivemill/confstore"
 	"github.com/chivemill/chivemill/confsync"
 	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/oncerun"
 	"github.com/chivemill/chivemill/profile"
+	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/replica"
 	"github.com/chivemill/chivemill/scatter"
 	"github.com/chivemill/chivemill/settings"
@@ -40,6 +42,8 @@
 	list     vmlist.Source
 	registry *replica.Registry
 	config   *confsync.Replica
+	guard    *quarantine.Guard
+	orders   *orderPath
 	inFlight atomic.Int64
 	draining atomic.Bool
 
@@ -70,6 +74,10 @@
 		bindings:   make(map[string]string),
 	}
 	d.config = confsync.NewReplica(d.configChanged)
+	d.guard = quarantine.NewGuard(quarantine.DefaultRule(), quarantine.DefaultExpiry, nil, nil)
+	d.orders = &orderPath{
+		runner: oncerun.NewRunner(store, oncerun.Options{Node: set.Node}), guard: d.guard, picker: d, sender: d,
+	}
 	return d
 }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -117,6 +117,10 @@
 }
 
 func (d *Daemon) serveQuery(r *http.Request, id string) (*api.Answer, error) {
+	mark, err := readOrderMark(r.Header)
+	if err != nil {
+		return nil, err
+	}
 	q, err := d.readQuery(r)
 	if err != nil {
 		return nil, err
@@ -134,6 +138,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline)
 	defer cancel()
+	if mark.order {
+		return d.serveOrder(ctx, id, q, p, mark.key)
+	}
 	return d.search(ctx, id, q, p)
 }
 
--- /dev/null
+++ b/internal/standin/backend/settings.go
@@ -0,0 +1,60 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/chivemill/chivemill/internal/strictyaml"
+	"github.com/chivemill/chivemill/settings"
+)
+
+// Settings of the stand-in.
+type Settings struct {
+	Replica    string `yaml:"replica"`
+	Service    string `yaml:"service"`
+	DataCentre string `yaml:"data_centre"`
+	Listen     string `yaml:"listen"`
+	// Shards is the number of shards of the service; 0 makes an order service.
+	Shards int `yaml:"shards"`
+	// Shard is the number of the shard that this replica holds.
+	Shard int `yaml:"shard"`
+	// Items is the number of records in the whole index.
+	Items        int   `yaml:"items"`
+	IndexVersion int64 `yaml:"index_version"`
+	MapVersion   int64 `yaml:"map_version"`
+	Slots        int   `yaml:"slots"`
+	// Queue is the number of waiting requests above which the replica sheds load.
+	Queue       int `yaml:"queue"`
+	Connections int `yaml:"connections"`
+	// ServiceTime is the median time of a request.
+	ServiceTime strictyaml.Duration `yaml:"service_time"`
+	// ColdFor is the time after the start in which requests take ColdFactor times as long.
+	ColdFor    strictyaml.Duration `yaml:"cold_for"`
+	ColdFactor float64             `yaml:"cold_factor"`
+	// ConnectionCost is the time that accepting a new connection takes.
+	ConnectionCost strictyaml.Duration `yaml:"connection_cost"`
+	// DrainFor is the time between the stop signal and the end of the process.
+	DrainFor strictyaml.Duration `yaml:"drain_for"`
+}
+
+// Default returns the settings that apply where a file states none.
+func Default() Settings {
+	return Settings{
+		Items: 200, IndexVersion: 1, MapVersion: 1, Slots: 5, Queue: 50, Connections: 40,
+		ServiceTime: strictyaml.Duration(2 * time.Millisecond), ColdFactor: 3,
+		DrainFor: strictyaml.Duration(time.Second),
+	}
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check(doc *strictyaml.Document) {
+	settings.Required(doc, "replica", s.Replica)
+	settings.Required(doc, "service", s.Service)
+	settings.Required(doc, "data_centre", s.DataCentre)
+	settings.Address(doc, "listen", s.Listen)
+	settings.Range(doc, "shards", s.Shards, 0, 10_000)
+	settings.Range(doc, "shard", s.Shard, 0, max(0, s.Shards-1))
+	settings.Range(doc, "slots", s.Slots, 1, 1000)
+	settings.Range(doc, "queue", s.Queue, 0, 100_000)
+	settings.Range(doc, "connections", s.Connections, 1, 10_000)
+	settings.Range(doc, "cold_factor", s.ColdFactor, 1, 100)
+}
--- a/oncerun/main_test.go
+++ b/oncerun/main_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"testing"
+	"time"
 )
 
 // TestMain fixes the seed of rapid, so that every run checks the same scenarios, unless RAPID_FRESH is set.
@@ -15,3 +16,10 @@
 	}
 	os.Exit(m.Run())
 }
+
+// sleep waits in the virtual time of a testing/synctest bubble.
+func sleep(d time.Duration) {
+	if d > 0 {
+		<-time.After(d)
+	}
+}
--- a/oncerun/oncerun_test.go
+++ b/oncerun/oncerun_test.go
@@ -123,7 +123,7 @@
 	s.next = s.next.Add(s.interval)
 	until := s.next
 	s.mu.Unlock()
-	time.Sleep(time.Until(until) + s.latency)
+	sleep(time.Until(until) + s.latency)
 }
 
 func (s *limitedStore) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
@@ -146,7 +146,7 @@
 			defer cancel()
 			_, _ = runners[i%7].Claim(ctx, oncerun.NewKey(time.Now()), "f")
 		})
-		time.Sleep(time.Second / time.Duration(offered))
+		sleep(time.Second / time.Duration(offered))
 	}
 	wg.Wait()
 	for _, r := range runners {
--- a/oncerun/stateful_test.go
+++ b/oncerun/stateful_test.go
@@ -12,7 +12,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/chivemill/chivemill/api"
-	"github.com/chivemill/chivemill/kv"
 	"github.com/chivemill/chivemill/kv/kvtest"
 	"github.com/chivemill/chivemill/oncerun"
 )
@@ -23,45 +22,6 @@
 	share     = 10 * time.Second
 )
 
-// fault changes one transaction of a daemon.
-type fault struct {
-	before, after time.Duration
-	lose, down    bool
-	// late makes the answer come back as lost at once while the write takes effect after the delay.
-	late time.Duration
-}
-
-// faultyStore applies one fault to each transaction of one daemon.
-type faultyStore struct {
-	kv.Store
-	mu     sync.Mutex
-	faults []fault
-}
-
-func (s *faultyStore) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
-	s.mu.Lock()
-	var f fault
-	if len(s.faults) > 0 {
-		f, s.faults = s.faults[0], s.faults[1:]
-	}
-	s.mu.Unlock()
-	if f.down {
-		return kv.TxnResult{}, kv.ErrUnavailable
-	}
-	if f.late > 0 {
-		time.AfterFunc(f.late, func() { _, _ = s.Store.Txn(context.Background(), txn) })
-		return kv.TxnResult{}, kv.ErrUncertain
-	}
-	// The delays model a paused process, so the deadline of the call does not end them.
-	time.Sleep(f.before)
-	result, err := s.Store.Txn(context.Background(), txn)
-	time.Sleep(f.after)
-	if err == nil && f.lose {
-		return kv.TxnResult{}, kv.ErrUncertain
-	}
-	return result, err
-}
-
 // end is what happens to a request after its claim.
 type end string
 
@@ -80,7 +40,7 @@
 	// created is the creation time of each key by the caller's clock, relative to the start. The caller's clock
 	// may be wrong by more than the margin.
 	created []time.Duration
-	faults  [][]fault
+	faults  [][]kvtest.TxnFault
 	steps   []step
 }
 
@@ -94,18 +54,18 @@
 	return rapid.Custom(func(t *rapid.T) scenario {
 		var s scenario
 		delay := rapid.SampledFrom(longDelays)
-		genFault := rapid.Custom(func(t *rapid.T) fault {
+		genFault := rapid.Custom(func(t *rapid.T) kvtest.TxnFault {
 			switch rapid.SampledFrom([]string{"none", "none", "slow", "lose", "down", "late"}).Draw(t, "fault") {
 			case "slow":
-				return fault{before: delay.Draw(t, "before"), after: delay.Draw(t, "after")}
+				return kvtest.TxnFault{Before: delay.Draw(t, "before"), After: delay.Draw(t, "after")}
 			case "lose":
-				return fault{after: delay.Draw(t, "after"), lose: true}
+				return kvtest.TxnFault{After: delay.Draw(t, "after"), Lose: true}
 			case "down":
-				return fault{down: true}
+				return kvtest.TxnFault{Down: true}
 			case "late":
-				return fault{late: time.Nanosecond + delay.Draw(t, "late")}
+				return kvtest.TxnFault{Late: time.Nanosecond + delay.Draw(t, "late")}
 			}
-			return fault{}
+			return kvtest.TxnFault{}
 		})
 		for range 3 {
 			s.skews = append(s.skews, rapid.SampledFrom([]time.Duration{0, -margin / 2, margin / 2}).Draw(t, "skew"))
@@ -155,7 +115,7 @@
 	keys := []oncerun.Key{oncerun.NewKey(start.Add(s.created[0])), oncerun.NewKey(start.Add(s.created[1]))}
 	var runners []*oncerun.Runner
 	for i, skew := range s.skews {
-		runners = append(runners, oncerun.NewRunner(&faultyStore{Store: memory, faults: s.faults[i]}, oncerun.Options{
+		runners = append(runners, oncerun.NewRunner(kvtest.NewScripted(memory, s.faults[i]), oncerun.Options{
 			Node: fmt.Sprint(i), Retention: retention, Margin: margin, LeaseShare: share,
 			Now: func() time.Time { return time.Now().Add(skew) },
 		}))
@@ -175,7 +135,7 @@
 }
 
 func runStep(st step, r *oncerun.Runner, key oncerun.Key, l *log) {
-	time.Sleep(st.at)
+	sleep(st.at)
 	ctx, cancel := context.WithTimeout(context.Background(), st.timeout)
 	defer cancel()
 	claim, err := r.Claim(ctx, key, oncerun.Fingerprint("orders", st.query))
@@ -191,10 +151,10 @@
 	switch st.end {
 	case "kill":
 	case "refuse":
-		time.Sleep(st.pause)
+		sleep(st.pause)
 		_ = claim.Release(context.Background())
 	default:
-		time.Sleep(st.pause)
+		sleep(st.pause)
 		l.execute(st.key)
 	}
 }
--- /dev/null
+++ b/quarantine/guard.go
@@ -0,0 +1,266 @@
+// Package quarantine detects requests that crash backend servers and refuses their resends.
+//
+// The signal is one request that loses the connections to several replicas within milliseconds. Its remaining
+// attempts are cancelled, its fingerprint is remembered for a time and handed to a publisher, so that the other
+// daemons refuse it as well.
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/chivemill/chivemill/api"
+)
+
+// ErrQuarantined is the cause of the cancellation of a request that was quarantined while it ran. Such a request
+// was executed, so it must not be answered with api.Quarantined, which states that it was not run.
+var ErrQuarantined = errors.New("request crashes backend servers")
+
+// Rule states when a request is quarantined.
+type Rule struct {
+	// Replicas is the number of distinct replicas whose connections the request lost; 0 never quarantines.
+	Replicas int
+	// Window is the time in which a search request loses them.
+	Window time.Duration
+	// NoAnswer requires that no replica has answered the request before, because a request that crashes each
+	// backend server that runs it gets no answer.
+	NoAnswer bool
+	// OrderReplicas and OrderWindow are the limits for non-idempotent requests. Each is sent to one replica only,
+	// so the losses of requests with equal fingerprints count together; an answer to one of them clears them.
+	OrderReplicas int
+	OrderWindow   time.Duration
+}
+
+// DefaultRule returns the rule that docs/decisions/crashing-requests.md selects.
+func DefaultRule() Rule {
+	return Rule{
+		Replicas: 3, Window: 50 * time.Millisecond, NoAnswer: true,
+		OrderReplicas: 2, OrderWindow: 10 * time.Minute,
+	}
+}
+
+const (
+	// DefaultExpiry is how long a fingerprint stays quarantined.
+	DefaultExpiry = 5 * time.Minute
+	// maxNotices bounds the remembered fingerprints; the one that expires first makes room.
+	maxNotices = 10_000
+	// maxOrders bounds the order fingerprints whose losses are remembered.
+	maxOrders = 10_000
+)
+
+// Notice is a quarantined fingerprint.
+type Notice struct {
+	Fingerprint string
+	Until       time.Time
+}
+
+// Publisher sends notices to the other daemons. Publish must not block; it is called without locks held.
+type Publisher interface {
+	Publish(Notice)
+}
+
+// Kind tells how a request is executed.
+type Kind int
+
+// Values of Kind.
+const (
+	// Search is a request that is sent to many replicas.
+	Search Kind = iota
+	// Order is a non-idempotent request that is sent to one replica.
+	Order
+)
+
+type loss struct {
+	replica string
+	at      time.Time
+}
+
+// Guard holds the quarantined fingerprints of a daemon. It is safe for concurrent use.
+type Guard struct {
+	rule      Rule
+	expiry    time.Duration
+	publisher Publisher
+	now       func() time.Time
+
+	mu      sync.Mutex
+	notices map[string]time.Time
+	running map[string]map[*Run]bool
+	orders  map[string][]loss
+}
+
+// NewGuard returns a guard. publisher may be nil; now may be nil and then is time.Now.
+func NewGuard(rule Rule, expiry time.Duration, publisher Publisher, now func() time.Time) *Guard {
+	if now == nil {
+		now = time.Now
+	}
+	return &Guard{
+		rule: rule, expiry: expiry, publisher: publisher, now: now,
+		notices: make(map[string]time.Time),
+		running: make(map[string]map[*Run]bool),
+		orders:  make(map[string][]loss),
+	}
+}
+
+// Run is one admitted request. Its methods are safe for concurrent use.
+type Run struct {
+	guard       *Guard
+	fingerprint string
+	kind        Kind
+	cancel      context.CancelCauseFunc
+	// The guard's lock protects losses and answered.
+	losses   []loss
+	answered bool
+}
+
+// Admit registers a request that is about to run. Its attempts use the returned context, which ends with the
+// cause ErrQuarantined if the fingerprint is quarantined meanwhile. The caller calls Done at the end. A
+// quarantined fingerprint is refused with an *api.Error of kind api.Quarantined.
+func (g *Guard) Admit(ctx context.Context, fingerprint string, kind Kind) (context.Context, *Run, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if until, ok := g.notices[fingerprint]; ok {
+		if g.now().Before(until) {
+			return ctx, nil, api.Errorf(api.Quarantined, "this request crashed backend servers; it is refused until %s",
+				until.UTC().Format(time.RFC3339))
+		}
+		delete(g.notices, fingerprint)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	run := &Run{guard: g, fingerprint: fingerprint, kind: kind, cancel: cancel}
+	if g.running[fingerprint] == nil {
+		g.running[fingerprint] = make(map[*Run]bool)
+	}
+	g.running[fingerprint][run] = true
+	return ctx, run, nil
+}
+
+// Done ends the request.
+func (r *Run) Done() {
+	g := r.guard
+	g.mu.Lock()
+	delete(g.running[r.fingerprint], r)
+	if len(g.running[r.fingerprint]) == 0 {
+		delete(g.running, r.fingerprint)
+	}
+	g.mu.Unlock()
+	r.cancel(nil)
+}
+
+// Answered records that a replica executed the request and answered it.
+func (r *Run) Answered() {
+	g := r.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.answered = true
+	if r.kind == Order {
+		delete(g.orders, r.fingerprint)
+	}
+}
+
+// Lost records that the connection to a replica broke while the replica may have been executing the request. It
+// quarantines the fingerprint if the rule says so.
+func (r *Run) Lost(replica string, at time.Time) {
+	g := r.guard
+	g.mu.Lock()
+	if !g.suspect(r, loss{replica, at}) {
+		g.mu.Unlock()
+		return
+	}
+	notice := Notice{Fingerprint: r.fingerprint, Until: g.now().Add(g.expiry)}
+	fresh := g.add(notice)
+	g.mu.Unlock()
+	if fresh && g.publisher != nil {
+		g.publisher.Publish(notice)
+	}
+}
+
+// suspect adds a loss and applies the rule. The caller holds the lock.
+func (g *Guard) suspect(r *Run, l loss) bool {
+	if r.kind == Order {
+		losses := addLoss(g.orders[r.fingerprint], l, g.rule.OrderWindow)
+		if _, known := g.orders[r.fingerprint]; known || len(g.orders) < maxOrders || g.forgetOrders(l.at) {
+			g.orders[r.fingerprint] = losses
+		}
+		return g.rule.OrderReplicas > 0 && len(losses) >= g.rule.OrderReplicas
+	}
+	r.losses = addLoss(r.losses, l, g.rule.Window)
+	if g.rule.NoAnswer && r.answered {
+		return false
+	}
+	return g.rule.Replicas > 0 && len(r.losses) >= g.rule.Replicas
+}
+
+// addLoss returns the losses of distinct replicas within the window before l, l included.
+func addLoss(losses []loss, l loss, window time.Duration) []loss {
+	kept := []loss{l}
+	for _, old := range losses {
+		if old.replica != l.replica && l.at.Sub(old.at) <= window {
+			kept = append(kept, old)
+		}
+	}
+	return kept
+}
+
+// forgetOrders drops order losses that are too old to count and reports whether there is room.
+func (g *Guard) forgetOrders(now time.Time) bool {
+	for fingerprint, losses := range g.orders {
+		if now.Sub(losses[0].at) > g.rule.OrderWindow {
+			delete(g.orders, fingerprint)
+		}
+	}
+	return len(g.orders) < maxOrders
+}
+
+// Learn takes a notice of another daemon. A notice that lasts longer than this daemon's own expiry is shortened,
+// so that a peer with a wrong clock cannot block a request for good.
+func (g *Guard) Learn(n Notice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if limit := g.now().Add(g.expiry); n.Until.After(limit) {
+		n.Until = limit
+	}
+	if n.Until.After(g.now()) {
+		g.add(n)
+	}
+}
+
+// add remembers a notice, cancels the running requests with its fingerprint and reports whether it is new. The
+// caller holds the lock.
+func (g *Guard) add(n Notice) bool {
+	until, known := g.notices[n.Fingerprint]
+	if !known && len(g.notices) >= maxNotices {
+		g.evict()
+	}
+	if n.Until.After(until) {
+		g.notices[n.Fingerprint] = n.Until
+	}
+	for run := range g.running[n.Fingerprint] {
+		run.cancel(ErrQuarantined)
+	}
+	return !known || !g.now().Before(until)
+}
+
+func (g *Guard) evict() {
+	var first string
+	for fingerprint, until := range g.notices {
+		if first == "" || until.Before(g.notices[first]) {
+			first = fingerprint
+		}
+	}
+	delete(g.notices, first)
+}
+
+// Notices returns the quarantined fingerprints, for status pages and for daemons that join.
+func (g *Guard) Notices() []Notice {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	notices := make([]Notice, 0, len(g.notices))
+	for fingerprint, until := range g.notices {
+		if g.now().Before(until) {
+			notices = append(notices, Notice{fingerprint, until})
+		}
+	}
+	return notices
+}
--- /dev/null
+++ b/quarantine/sender.go
@@ -0,0 +1,32 @@
+package quarantine
+
+import (
+	"context"
+
+	"github.com/chivemill/chivemill/backend"
+)
+
+// Sender sends a sub-request to a replica, as scatter.Sender does.
+type Sender interface {
+	Send(ctx context.Context, replica string, sub backend.Sub) (backend.SubAnswer, error)
+}
+
+type watchedSender struct {
+	run  *Run
+	next Sender
+}
+
+// Watch returns a sender that reports the answers and lost connections of the request to the guard.
+func (r *Run) Watch(next Sender) Sender { return &watchedSender{r, next} }
+
+// Send implements Sender.
+func (s *watchedSender) Send(ctx context.Context, replica string, sub backend.Sub) (backend.SubAnswer, error) {
+	answer, err := s.next.Send(ctx, replica, sub)
+	switch {
+	case err == nil:
+		s.run.Answered()
+	case backend.Lost(err):
+		s.run.Lost(replica, s.run.guard.now())
+	}
+	return answer, err
+}
