--- a/api/api.go
+++ b/api/api.go
@@ -2,7 +2,13 @@
 // error kinds.
 package api
 
-import "github.com/chivemill/chivemill/snapshot"
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/chivemill/chivemill/snapshot"
+)
 
 // HTTP paths and headers of the callers' interface.
 const (
@@ -76,3 +82,19 @@
 	// End repeats the request id as the last field; a body without it was cut off.
 	End string `json:"end"`
 }
+
+// ErrCut means that a body is not a whole answer.
+var ErrCut = errors.New("answer was cut off")
+
+// DecodeAnswer decodes the body of a successful answer. It returns ErrCut unless the body is one whole JSON value
+// that ends with the completeness marker, which equals the request id.
+func DecodeAnswer(data []byte) (Answer, error) {
+	var a Answer
+	if err := json.Unmarshal(data, &a); err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrCut, err)
+	}
+	if a.RequestID == "" || a.End != a.RequestID {
+		return Answer{}, fmt.Errorf("%w: completeness marker %q of request %q", ErrCut, a.End, a.RequestID)
+	}
+	return a, nil
+}
--- /dev/null
+++ b/api/api_test.go
@@ -0,0 +1,49 @@
+package api_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/snapshot"
+)
+
+// Guards against an answer that was cut off and still parses as complete: every prefix of a body must be rejected,
+// and so must a body whose marker belongs to another request.
+func TestCutAnswerNeverDecodes(t *testing.T) {
+	answer := api.Answer{
+		RequestID: "r-1", Nonce: "n", Service: "s", Profile: "p", Revision: 3, Snapshot: snapshot.Version{Index: 1, Map: 2},
+		Coverage: api.Coverage{Included: []string{"s-0"}, Missing: []api.MissingShard{}, Fraction: 1, Complete: true},
+		Records:  []api.Record{{Key: "k", Value: "}", Shard: "s-0"}}, End: "r-1",
+	}
+	data, err := json.Marshal(answer)
+	must.NoError(t, err)
+	got, err := api.DecodeAnswer(data)
+	must.NoError(t, err)
+	must.Eq(t, answer, got)
+	for n := range len(data) {
+		_, err := api.DecodeAnswer(data[:n])
+		must.ErrorIs(t, err, api.ErrCut, must.Sprintf("prefix of %d bytes", n))
+	}
+	for _, end := range []string{"", "r-2"} {
+		answer.End = end
+		data, err := json.Marshal(answer)
+		must.NoError(t, err)
+		_, err = api.DecodeAnswer(data)
+		must.ErrorIs(t, err, api.ErrCut)
+	}
+	_, err = api.DecodeAnswer([]byte(`{}`))
+	must.ErrorIs(t, err, api.ErrCut)
+}
+
+// Guards against a kind that promises run: never together with an answer that follows an execution.
+func TestKindsThatFollowDispatch(t *testing.T) {
+	for _, kind := range []api.Kind{
+		api.AlreadyDispatched, api.CoverageTooLow, api.DeadlineExceeded, api.OutcomeUnknown, api.Internal,
+	} {
+		must.NotEq(t, api.RunNever, kind.Outcome().Run)
+	}
+	must.Eq(t, api.RunMaybe, api.Kind("no such kind").Outcome().Run)
+}
--- /dev/null
+++ b/snapshot/catalogue_test.go
@@ -0,0 +1,132 @@
+package snapshot_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/chivemill/chivemill/snapshot"
+)
+
+// TestMain fixes the seed of rapid, so that every run checks the same scenarios, unless RAPID_FRESH is set.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("RAPID_FRESH") == "" {
+		_ = flag.Set("rapid.seed", "20261204")
+		_ = flag.Set("rapid.checks", "2000")
+	}
+	os.Exit(m.Run())
+}
+
+// hold returns holdings of the first n shards of the map under the index version.
+func hold(index int64, m snapshot.Map, n int) []snapshot.Holding {
+	var holdings []snapshot.Holding
+	for _, s := range m.Shards[:n] {
+		holdings = append(holdings, snapshot.Holding{Version: snapshot.Version{Index: index, Map: m.Version}, Shard: s.ID})
+	}
+	return holdings
+}
+
+func catalogue(t *testing.T, maps ...snapshot.Map) *snapshot.Catalogue {
+	t.Helper()
+	c := snapshot.NewCatalogue()
+	for _, m := range maps {
+		must.NoError(t, c.AddMap(m))
+	}
+	return c
+}
+
+func join(lists ...[]snapshot.Holding) []snapshot.Holding {
+	var all []snapshot.Holding
+	for _, l := range lists {
+		all = append(all, l...)
+	}
+	return all
+}
+
+// Guards against a map of a faulty replica: one that claims other ranges under a known version would make the
+// coverage wrong. The majority decides, whatever the order, and a tie does not become current.
+func TestConflictingMapContents(t *testing.T) {
+	good, bad := snapshot.Uniform(1, "s", 2), snapshot.Uniform(1, "s", 2)
+	bad.Shards[0].High, bad.Shards[1].Low = 10, 10
+	c := snapshot.NewCatalogue()
+	must.NoError(t, c.AddMapFrom("faulty", bad))
+	must.ErrorIs(t, c.AddMapFrom("r1", good), snapshot.ErrMapConflict)
+	must.True(t, c.Update(hold(1, good, 2)).IsZero())
+	must.ErrorIs(t, c.AddMapFrom("r2", good), snapshot.ErrMapConflict)
+	must.Eq(t, snapshot.Version{Index: 1, Map: 1}, c.Update(hold(1, good, 2)))
+	_, m, ok := c.Current()
+	must.True(t, ok)
+	must.Eq(t, good, m)
+	must.True(t, c.HasMapFrom("r2", 1))
+	must.False(t, c.HasMapFrom("r3", 1))
+	must.Error(t, c.AddMapFrom("r4", snapshot.Map{Version: 2, Shards: good.Shards[:1]}))
+}
+
+// Guards against answers that shrink to nothing during a roll in which no snapshot is complete: the wider one is
+// used.
+func TestWidestSnapshotDuringIncompleteRoll(t *testing.T) {
+	m := snapshot.Uniform(1, "s", 10)
+	c := catalogue(t, m)
+	v1, v2 := snapshot.Version{Index: 1, Map: 1}, snapshot.Version{Index: 2, Map: 1}
+	must.Eq(t, v1, c.Update(hold(1, m, 10)))
+	must.Eq(t, v1, c.Update(join(hold(1, m, 6), hold(2, m, 4))))
+	must.Eq(t, v2, c.Update(join(hold(1, m, 3), hold(2, m, 7))))
+	must.Eq(t, v2, c.Update(hold(2, m, 10)))
+}
+
+// Guards against flapping: a replica that restarts with an old index and reloads makes the newer snapshot
+// complete at every other update.
+func TestRestartsWithOldIndexDoNotFlap(t *testing.T) {
+	m := snapshot.Uniform(1, "s", 2)
+	c := catalogue(t, m)
+	v1, v2 := snapshot.Version{Index: 1, Map: 1}, snapshot.Version{Index: 2, Map: 1}
+	full := join(hold(1, m, 2), hold(2, m, 2))
+	reduced := join(hold(1, m, 2), hold(2, m, 1))
+	must.Eq(t, v2, c.Update(full))
+	for range 20 {
+		must.Eq(t, v1, c.Update(reduced))
+		must.Eq(t, v1, c.Update(full))
+	}
+	for range 4 {
+		must.Eq(t, v1, c.Update(full))
+	}
+	must.Eq(t, v2, c.Update(full))
+}
+
+// Guards against an incomplete choice while a complete snapshot exists, and against a step back from a complete
+// one, under any order of holdings and with maps that split.
+func TestUpdateChoosesComplete(t *testing.T) {
+	maps := []snapshot.Map{snapshot.Uniform(1, "a", 2), snapshot.Uniform(2, "b", 3)}
+	rapid.Check(t, func(rt *rapid.T) {
+		c := catalogue(t, maps...)
+		var before snapshot.Version
+		for range rapid.IntRange(1, 30).Draw(rt, "updates") {
+			counts := map[snapshot.Version]int{}
+			var holdings []snapshot.Holding
+			for i, m := range maps {
+				for index := int64(1); index <= 3; index++ {
+					n := rapid.IntRange(0, len(m.Shards)).Draw(rt, "held")
+					counts[snapshot.Version{Index: index, Map: m.Version}] = n * 100 / len(maps[i].Shards)
+					holdings = append(holdings, hold(index, m, n)...)
+				}
+			}
+			got := c.Update(rapid.Permutation(holdings).Draw(rt, "order"))
+			for v, percent := range counts {
+				if percent == 100 && counts[got] != 100 {
+					rt.Fatalf("chose %s with %d%% although %s is complete", got, counts[got], v)
+				}
+			}
+			if counts[before] == 100 && got.Less(before) {
+				rt.Fatalf("stepped back from the complete %s to %s", before, got)
+			}
+			if len(holdings) > 0 && counts[got] == 0 {
+				rt.Fatalf("chose %s, which nobody holds", got)
+			}
+			before = got
+		}
+	})
+}
