--- a/entry/handler.go
+++ b/entry/handler.go
@@ -128,15 +128,19 @@
 }
 
 func (d *Daemon) serveQuery(r *http.Request, id string) (api.Query, *api.Answer, error) {
+	mark, err := readOrderMark(r.Header)
+	if err != nil {
+		return api.Query{}, nil, err
+	}
 	q, err := d.readQuery(r)
 	if err != nil {
 		return q, nil, err
 	}
-	answer, err := d.answer(r, id, q)
+	answer, err := d.answer(r, id, q, mark)
 	return q, answer, err
 }
 
-func (d *Daemon) answer(r *http.Request, id string, q api.Query) (*api.Answer, error) {
+func (d *Daemon) answer(r *http.Request, id string, q api.Query, mark orderMark) (*api.Answer, error) {
 	p, bound, found := d.profileOf(q.Service)
 	switch {
 	case !bound:
@@ -150,6 +154,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline)
 	defer cancel()
+	if mark.order {
+		return d.serveOrder(ctx, id, q, p, mark.key)
+	}
 	return d.search(ctx, id, q, p)
 }
 
