Membership between entry daemons as a state machine

Cause: daemons need to know each other for connection shares, for the propagation of signals and for configuration, without a coordination service. Change: package membership holds a SWIM-style node that takes time and datagrams as inputs and returns packets, a thin UDP transport, and an in-memory network with virtual time for tests.

--- /dev/null
+++ b/membership/promises_test.go
@@ -0,0 +1,250 @@
+package membership_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/chivemill/chivemill/membership"
+	"github.com/chivemill/chivemill/membership/wire"
+	"github.com/chivemill/chivemill/vmlist"
+)
+
+// TestForgedRecordsRemoveNobody guards against a faulty peer that removes a member which answers its probes, lowers
+// its incarnation, or raises it so far that it cannot refute any more.
+func TestForgedRecordsRemoveNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), perfect)
+		f.startAll(5)
+		victim := identifier(address(0))
+		own := f.net.Node(address(0)).Incarnation()
+		for range 20 {
+			to := address(rapid.IntRange(0, 4).Draw(t, "to"))
+			f.net.Send("10.9.9.9:1", []membership.Packet{{To: to, Data: forge(t, victim)}})
+			for range rapid.IntRange(1, 30).Draw(t, "steps") {
+				f.net.Run(200 * time.Millisecond)
+				for _, a := range f.running {
+					s, known := f.net.Node(a).State(victim)
+					if !known || !s.Live() {
+						t.Fatalf("%s holds the answering victim as %s", a, s)
+					}
+				}
+			}
+			if now := f.net.Node(address(0)).Incarnation(); now < own {
+				t.Fatalf("incarnation fell from %d to %d", own, now)
+			}
+			own = f.net.Node(address(0)).Incarnation()
+		}
+		f.net.Run(20 * time.Second)
+		for _, a := range f.running {
+			s, _ := f.net.Node(a).State(victim)
+			if s != membership.Alive {
+				t.Fatalf("%s holds the victim as %s after the forgeries ended", a, s)
+			}
+		}
+	})
+}
+
+// forge returns a datagram of a peer that makes a false claim about the victim.
+func forge(t *rapid.T, victim string) []byte {
+	states := []wire.State{wire.State_STATE_ALIVE, wire.State_STATE_SUSPECT, wire.State_STATE_FAILED,
+		wire.State_STATE_LEFT}
+	incarnations := []uint64{1, 2, 5, 1 << 20, 1 << 40, 1<<40 + 5, 1 << 41, 1 << 60}
+	addresses := []string{address(0), "10.9.9.9:2"}
+	record := &wire.Record{
+		Id:          victim,
+		Address:     rapid.SampledFrom(addresses).Draw(t, "address"),
+		DataCentre:  "dc-a",
+		Region:      "north",
+		Incarnation: rapid.SampledFrom(incarnations).Draw(t, "incarnation"),
+		State:       rapid.SampledFrom(states).Draw(t, "state"),
+	}
+	d := &wire.Datagram{Kind: wire.Kind_KIND_GOSSIP, Records: []*wire.Record{record},
+		From: &wire.Record{Id: "faulty", Address: "10.9.9.9:1", Incarnation: 1, State: wire.State_STATE_ALIVE}}
+	if rapid.Bool().Draw(t, "as the victim") {
+		d.From = proto.CloneOf(record)
+	}
+	data, err := proto.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// TestInvalidDatagramsAreCounted guards against datagrams that crash the node or change the list unnoticed.
+func TestInvalidDatagramsAreCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(1, perfect)
+		node := f.start(address(0), nil)
+		data := rapid.SliceOfN(rapid.Byte(), 0, membership.MaxDatagram+10).Draw(t, "data")
+		before := len(node.Members())
+		_ = node.Receive(f.net.Now(), "10.9.9.9:1", data)
+		var invalid uint64
+		for _, c := range node.Stats().Invalid {
+			invalid += c
+		}
+		if invalid == 0 && len(node.Members()) == before {
+			t.Fatalf("datagram %x had no effect and was not counted", data)
+		}
+	})
+}
+
+// TestStateIsBounded guards against a peer that fills the memory with invented members.
+func TestStateIsBounded(t *testing.T) {
+	const limit = 20
+	cfg := membership.Config{Self: membership.Member{ID: "a", Address: address(0)},
+		Rand: rand.New(rand.NewPCG(1, 1)), MaxMembers: limit}
+	node := membership.NewNode(cfg)
+	now := time.Unix(1_700_000_000, 0)
+	for i := range 500 {
+		id := identifier(address(i))
+		d := &wire.Datagram{Kind: wire.Kind_KIND_PROBE, Sequence: 1, From: &wire.Record{Id: id,
+			Address: address(i + 1), Incarnation: 1, State: wire.State_STATE_ALIVE}}
+		data, err := proto.Marshal(d)
+		must.NoError(t, err)
+		node.Receive(now, address(i+1), data)
+		now = now.Add(membership.TickEvery)
+		node.Tick(now)
+		must.LessEq(t, limit+1, len(node.Members()))
+	}
+	must.Positive(t, node.Stats().Full)
+}
+
+// TestRestartTakesHigherIncarnation guards against a restarted process whose records lose against those of its
+// earlier life, which kept it out.
+func TestRestartTakesHigherIncarnation(t *testing.T) {
+	f := newFleet(3, perfect)
+	f.startAll(4)
+	a := address(2)
+	for life := range uint64(3) {
+		f.net.Send(a, f.net.Node(a).Leave(f.net.Now()))
+		f.net.Run(3 * time.Second)
+		f.stop(a)
+		f.net.Run(time.Second)
+		node := f.start(a, []string{address(0)})
+		f.net.Run(5 * time.Second)
+		must.Eq(t, life+2, node.Incarnation())
+		must.Eq(t, "", f.disagreement(f.running))
+	}
+}
+
+// TestLeaveIsKnownAtOnce guards against a planned leave that others only notice by failed probes: the bound is below
+// the suspicion timeout of 4 s.
+func TestLeaveIsKnownAtOnce(t *testing.T) {
+	f := newFleet(4, perfect)
+	f.startAll(7)
+	a := address(3)
+	f.net.Send(a, f.net.Node(a).Leave(f.net.Now()))
+	f.net.Run(2 * time.Second)
+	must.Eq(t, "", f.disagreement(without(f.running, a)))
+}
+
+// TestIndirectProbesPreventSuspicion guards against suspicions because of one broken path between two members.
+func TestIndirectProbesPreventSuspicion(t *testing.T) {
+	f := newFleet(5, perfect)
+	f.startAll(6)
+	f.net.Link = func(_ *rand.Rand, from, to string) []time.Duration {
+		if from == address(0) && to == address(1) || from == address(1) && to == address(0) {
+			return nil
+		}
+		return []time.Duration{oneWay}
+	}
+	f.net.Run(2 * time.Minute)
+	for _, a := range f.running {
+		must.Zero(t, f.net.Node(a).Stats().Suspicions)
+	}
+}
+
+// TestPausedNodeSuspectsNobody guards against a node that takes its own pause for the failure of others.
+func TestPausedNodeSuspectsNobody(t *testing.T) {
+	f := newFleet(6, perfect)
+	f.startAll(6)
+	a := address(1)
+	for i := range 50 {
+		f.net.Run(time.Duration(900+i*37) * time.Millisecond)
+		f.net.Pause(a)
+		f.net.Run(10 * time.Second)
+		f.net.Resume(a)
+	}
+	f.net.Run(5 * time.Second)
+	must.Zero(t, f.net.Node(a).Stats().Suspicions)
+	must.Eq(t, "", f.disagreement(f.running))
+}
+
+// TestPayloadReachesAllAndStops guards against payloads that miss a member or circulate for ever.
+func TestPayloadReachesAllAndStops(t *testing.T) {
+	// The sender knows its own payload.
+	got := map[string]int{address(0): 1}
+	f := newFleet(7, perfect)
+	f.deliver = func(addr string, p []byte) (string, bool) {
+		got[addr]++
+		return "key", got[addr] == 1
+	}
+	f.startAll(8)
+	must.True(t, f.net.Node(address(0)).Broadcast("key", []byte("news")))
+	f.net.Run(10 * time.Second)
+	must.MapLen(t, 8, got)
+	copies := -1
+	for _, c := range got {
+		copies += c
+	}
+	// 8 nodes send it at most 3 log2(8) = 9 times each.
+	must.LessEq(t, 8*9, copies)
+	must.Zero(t, f.net.Node(address(0)).QueueLen())
+	must.False(t, f.net.Node(address(0)).Broadcast("key", make([]byte, membership.MaxPayload+1)))
+}
+
+// TestByteRate guards against bursts of records above the control budget of 12 KB/s per node.
+func TestByteRate(t *testing.T) {
+	f := newFleet(8, perfect)
+	f.startAll(3)
+	node := f.net.Node(address(0))
+	before := node.Stats().SentBytes
+	for i := range 2000 {
+		node.Broadcast(string(rune(i)), make([]byte, 200))
+	}
+	f.net.Run(30 * time.Second)
+	must.LessEq(t, 30*12_000, node.Stats().SentBytes-before)
+	must.Greater(t, 30*5_000, node.Stats().SentBytes-before)
+}
+
+// listed is a fixed platform list.
+type listed []vmlist.VM
+
+func (l listed) Fetch(context.Context) ([]vmlist.VM, error) { return l, nil }
+
+// TestTransport guards against a transport that does not connect a node to its socket, or leaks goroutines.
+func TestTransport(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 2)
+	listen := func(id string, seeds listed) *membership.Transport {
+		tr, err := membership.Listen(membership.Config{Self: membership.Member{ID: id, Address: "127.0.0.1:0"},
+			Rand: rand.New(rand.NewPCG(1, 2))}, membership.VMSeeds{List: seeds}, zap.NewNop())
+		must.NoError(t, err)
+		go func() { done <- tr.Run(ctx) }()
+		return tr
+	}
+	first := listen("a", nil)
+	second := listen("b", listed{{ID: "a", Role: vmlist.RoleEntry, Address: first.Address()},
+		{ID: "x", Role: vmlist.RoleBackend, Address: net.JoinHostPort("127.0.0.1", "1")}})
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return len(first.Members()) == 2 && len(second.Members()) == 2
+	}), wait.Timeout(30*time.Second), wait.Gap(20*time.Millisecond)))
+	second.Leave()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return first.Members()[1].State == membership.Left
+	}), wait.Timeout(30*time.Second), wait.Gap(20*time.Millisecond)))
+	cancel()
+	must.NoError(t, <-done)
+	must.NoError(t, <-done)
+}
--- /dev/null
+++ b/membership/transport.go
@@ -0,0 +1,162 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// seedsEvery is the interval at which the transport reads the list of seeds.
+const seedsEvery = 10 * time.Second
+
+// Transport runs a Node over a UDP socket. All its methods are safe for concurrent use.
+type Transport struct {
+	conn  *net.UDPConn
+	seeds SeedSource
+	log   *zap.Logger
+
+	mu   sync.Mutex
+	node *Node
+}
+
+// Listen opens the node's own address and returns a transport that Run starts. Config.Deliver is called with the
+// transport's lock held and must not call the transport.
+func Listen(cfg Config, seeds SeedSource, log *zap.Logger) (*Transport, error) {
+	addr, err := net.ResolveUDPAddr("udp", cfg.Self.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "membership address")
+	}
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "membership socket")
+	}
+	// With port 0 the system chose the port.
+	cfg.Self.Address = conn.LocalAddr().String()
+	return &Transport{conn: conn, seeds: seeds, log: log, node: NewNode(cfg)}, nil
+}
+
+// Address returns the address of the socket as host:port.
+func (t *Transport) Address() string { return t.conn.LocalAddr().String() }
+
+// Run serves until the context ends, and closes the socket. It returns nil after the context ended.
+func (t *Transport) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
+	defer stop()
+	group.Go(func() error { return t.receive(ctx) })
+	group.Go(func() error { return t.tick(ctx) })
+	group.Go(func() error { return t.refreshSeeds(ctx) })
+	return group.Wait()
+}
+
+// Leave announces the planned leave. Run has to continue for some seconds, so that the announcement spreads.
+func (t *Transport) Leave() {
+	t.mu.Lock()
+	packets := t.node.Leave(time.Now())
+	t.mu.Unlock()
+	t.write(packets)
+}
+
+// Broadcast is Node.Broadcast.
+func (t *Transport) Broadcast(key string, payload []byte) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.node.Broadcast(key, payload)
+}
+
+// Members is Node.Members.
+func (t *Transport) Members() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.node.Members()
+}
+
+// Stats is Node.Stats.
+func (t *Transport) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.node.Stats()
+}
+
+func (t *Transport) receive(ctx context.Context) error {
+	// One byte more than allowed, so that the node notices a datagram that is too long.
+	buf := make([]byte, MaxDatagram+1)
+	for {
+		size, from, err := t.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) && ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return eris.Wrap(err, "membership socket")
+		}
+		if err != nil {
+			// An earlier datagram that could not be delivered is reported here; the socket stays usable.
+			t.log.Debug("membership read", zap.Error(err))
+			continue
+		}
+		// A dual-stack socket reports IPv4 peers as IPv6-mapped addresses, unlike the peers' records.
+		peer := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		t.mu.Lock()
+		packets := t.node.Receive(time.Now(), peer.String(), buf[:size])
+		t.mu.Unlock()
+		t.write(packets)
+	}
+}
+
+func (t *Transport) tick(ctx context.Context) error {
+	ticker := time.NewTicker(TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		t.mu.Lock()
+		packets := t.node.Tick(time.Now())
+		t.mu.Unlock()
+		t.write(packets)
+	}
+}
+
+func (t *Transport) refreshSeeds(ctx context.Context) error {
+	ticker := time.NewTicker(seedsEvery)
+	defer ticker.Stop()
+	for {
+		seeds, err := t.seeds.Seeds(ctx)
+		if err != nil && ctx.Err() == nil {
+			t.log.Warn("membership seeds", zap.Error(err))
+		}
+		if err == nil {
+			t.mu.Lock()
+			t.node.SetSeeds(seeds)
+			t.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// write sends datagrams. Errors are logged only: the protocol takes them as loss. Host names are not resolved,
+// because addresses come from peers.
+func (t *Transport) write(packets []Packet) {
+	for _, p := range packets {
+		addr, err := netip.ParseAddrPort(p.To)
+		if err == nil {
+			_, err = t.conn.WriteToUDPAddrPort(p.Data, addr)
+		}
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			t.log.Debug("membership write", zap.String("to", p.To), zap.Error(err))
+		}
+	}
+}
