--- /dev/null
+++ b/signal/payload.go
@@ -0,0 +1,68 @@
+package signal
+
+import (
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivemill/chivemill/internal/rendezvous"
+	"github.com/chivemill/chivemill/signal/wire"
+)
+
+// Encode returns a signal as a broadcast payload with its key. The key contains the state, so that a later and
+// lower state does not replace a leaving mark that still waits to be sent.
+func Encode(s Signal) (key string, payload []byte, err error) {
+	payload, err = proto.Marshal(&wire.Payload{Kind: &wire.Payload_Signal{Signal: &wire.Signal{
+		Replica: s.Replica, Incarnation: s.Incarnation, State: uint32(s.State), Until: s.Until}}})
+	return signalKey(s), payload, err
+}
+
+// EncodeCrash returns a fingerprint as a broadcast payload with its key.
+func EncodeCrash(c Crash) (key string, payload []byte, err error) {
+	payload, err = proto.Marshal(&wire.Payload{Kind: &wire.Payload_Crash{Crash: &wire.Crash{
+		Fingerprint: c.Fingerprint, Until: c.Until}}})
+	return crashKey(c), payload, err
+}
+
+func signalKey(s Signal) string { return strconv.Itoa(int(s.State)) + s.Replica }
+
+func crashKey(c Crash) string { return "f" + strconv.FormatUint(c.Fingerprint, 16) }
+
+// Deliver merges a broadcast payload. It returns the payload's key and whether the payload was new and has to be
+// sent on. Errors are ErrInvalid and ErrFull.
+func Deliver(now time.Time, t *Table, c *Crashes, payload []byte) (key string, fresh bool, err error) {
+	var p wire.Payload
+	if proto.Unmarshal(payload, &p) != nil {
+		return "", false, ErrInvalid
+	}
+	switch kind := p.Kind.(type) {
+	case *wire.Payload_Signal:
+		w := kind.Signal
+		if w.State > uint32(Leaving) {
+			return "", false, ErrInvalid
+		}
+		s := Signal{Replica: w.Replica, Incarnation: w.Incarnation, State: State(w.State), Until: w.Until}
+		fresh, err = t.Merge(now, s)
+		return signalKey(s), fresh, err
+	case *wire.Payload_Crash:
+		crash := Crash{Fingerprint: kind.Crash.Fingerprint, Until: kind.Crash.Until}
+		fresh, err = c.Merge(now, crash)
+		return crashKey(crash), fresh, err
+	}
+	return "", false, ErrInvalid
+}
+
+// Polling assigns replicas to the daemons that poll them. It is not changed after NewPolling.
+type Polling struct{ members *rendezvous.Set }
+
+// NewPolling prepares the members for many replicas.
+func NewPolling(members []string) Polling { return Polling{members: rendezvous.NewSet(members)} }
+
+// Pollers returns the n members that poll the replica.
+func (p Polling) Pollers(replica string, n int) []string { return p.members.Top(replica, n) }
+
+// Pollers is Polling.Pollers for one replica.
+func Pollers(replica string, members []string, n int) []string {
+	return NewPolling(members).Pollers(replica, n)
+}
