--- a/confstore/confstore.go
+++ b/confstore/confstore.go
@@ -94,14 +94,18 @@
 // Retire retires a profile that no service uses. It returns the new revision, a *ConflictError, an *InUseError,
 // ErrNotFound, or ErrRetired if it is already retired.
 func (c *Client) Retire(ctx context.Context, name string, based int64) (int64, error) {
-	old, err := c.Get(ctx, name)
+	first, err := c.Get(ctx, name)
 	if err != nil {
 		return 0, err
 	}
-	next := Change{Document: old.Current.Document, Retired: true}
+	next := Change{Document: first.Current.Document, Retired: true}
 	return c.change(ctx, name, based, next, func(old Profile) ([]kv.Compare, bool, error) {
-		if old.Current.Retired {
+		switch {
+		case old.Current.Retired:
 			return nil, false, eris.Wrap(ErrRetired, name)
+		case old.Revision != first.Revision:
+			// The profile reached the base after the first read, so the document above is an older one.
+			return nil, false, eris.Wrapf(ErrContended, "profile %s", name)
 		}
 		bindings, revision, err := c.Bindings(ctx)
 		if err != nil {
--- a/confstore/main_test.go
+++ b/confstore/main_test.go
@@ -15,9 +15,9 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "50")
 	if os.Getenv("RAPID_FRESH") == "" {
 		_ = flag.Set("rapid.seed", "20261204")
+		_ = flag.Set("rapid.checks", "50")
 	}
 	os.Exit(m.Run())
 }
--- a/confstore/model_test.go
+++ b/confstore/model_test.go
@@ -109,19 +109,24 @@
 	accepted   map[string]bool
 }
 
-// disturbed is a store that runs another operator's operation before the first write.
+// disturbed is a store that runs other operators' operations before and after the first write.
 type disturbed struct {
 	kv.Store
-	other func()
+	before, after func()
 }
 
 func (d *disturbed) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
-	if d.other != nil {
-		other := d.other
-		d.other = nil
-		other()
+	once(&d.before)
+	result, err := d.Store.Txn(ctx, txn)
+	once(&d.after)
+	return result, err
+}
+
+func once(f *func()) {
+	if run := *f; run != nil {
+		*f = nil
+		run()
 	}
-	return d.Store.Txn(ctx, txn)
 }
 
 func (h *harness) draw() operation {
@@ -139,10 +144,10 @@
 	return o
 }
 
-// run runs one operation and records its result. other, if not nil, runs before its first write.
-func (h *harness) run(o operation, other func()) operation {
+// run runs one operation and records its result. before and after, if not nil, run around its first write.
+func (h *harness) run(o operation, before, after func()) operation {
 	client := testClient(nil, o.author)
-	client.store = &disturbed{h.store, other}
+	client.store = &disturbed{h.store, before, after}
 	ctx := context.Background()
 	switch o.kind {
 	case opApply:
@@ -271,7 +276,7 @@
 				h.compareFlushed()
 				o := h.draw()
 				want := h.model.expect(o)
-				got := h.run(o, nil)
+				got := h.run(o, nil, nil)
 				must.True(t, sameKind(got.err, want), must.Sprintf("%+v: want %v", got, want))
 			},
 			"disturbed": func(t *rapid.T) {
@@ -282,8 +287,16 @@
 					LateWrites:   rapid.IntRange(0, 2).Draw(t, "late"),
 					Down:         rapid.IntRange(0, 9).Draw(t, "down") == 0,
 				})
-				first, second := h.draw(), h.draw()
-				h.run(first, func() { h.run(second, nil) })
+				first, second, third := h.draw(), h.draw(), h.draw()
+				// The third operator may base its change on the first one's, which it can only guess here.
+				if rapid.Bool().Draw(t, "follow") && third.profile == first.profile {
+					third.base = h.store.Revision() + 1
+				}
+				var before func()
+				if rapid.Bool().Draw(t, "before") {
+					before = func() { h.run(second, nil, nil) }
+				}
+				h.run(first, before, func() { h.run(third, nil, nil) })
 			},
 			"": func(t *rapid.T) { h.t = t; h.settle() },
 		})
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -79,7 +79,7 @@
 		{line: "service bind loja-web tail", code: ExitRefused, output: "brings a retired profile back"},
 		{line: "profile list", output: "tail     5         retired  ana"},
 		{line: "profile apply " + good, faults: kvtest.Faults{Down: true}, code: ExitUnavailable, output: "the store cannot be reached"},
-		{line: "profile apply " + changed, faults: kvtest.Faults{LoseRequests: 100}, code: ExitUncertain, output: "may or may not have been accepted"},
+		{line: "profile apply " + changed, faults: kvtest.Faults{LoseRequests: 100}, code: ExitUncertain, output: "To repeat it safely, use the same author and --base 5."},
 		{line: "profile frob", code: ExitInvalid, output: `unknown command "frob"`},
 		{line: "--author= profile retire tail", code: ExitInvalid, output: "no author"},
 	}
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -145,6 +145,7 @@
 
 // wait polls the daemons until the revision is in force on all of them or the timeout has passed.
 func (a *app) wait(ctx context.Context, name string, revision int64, urls []string, timeout time.Duration) error {
+	start := time.Now()
 	deadline, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for {
@@ -159,8 +160,8 @@
 			a.printWait(body)
 			return &failure{code: ExitTimeout, kind: "timeout", revision: revision, printed: a.json,
 				err: eris.Errorf("revision %d of profile %s is in force on %d of %d daemons after %s",
-					revision, name, body.InForce, body.Total, timeout),
-				hint: "The change stays accepted. Look at the daemons listed with state 'behind' or an error."}
+					revision, name, body.InForce, body.Total, time.Since(start).Round(time.Millisecond)),
+				hint: "An accepted change stays accepted. Look at the daemons listed with state 'behind' or an error."}
 		}
 	}
 }
--- a/internal/ctl/profile.go
+++ b/internal/ctl/profile.go
@@ -99,7 +99,7 @@
 	}
 	revision, err := c.Apply(ctx, name, document, based)
 	if err != nil {
-		return withDiff(err, file, document)
+		return withBase(withDiff(err, file, document), based)
 	}
 	unchanged := revision == based
 	if a.json {
@@ -115,7 +115,7 @@
 }
 
 // withDiff adds to a conflict the diff between the stored document and the operator's.
-func withDiff(err error, file, document string) error {
+func withDiff(err error, file, document string) *failure {
 	f := classify(err)
 	var conflict *confstore.ConflictError
 	if errors.As(err, &conflict) {
@@ -124,6 +124,14 @@
 	return f
 }
 
+// withBase adds to an unknown outcome how to repeat the change without overwriting another one.
+func withBase(f *failure, based int64) error {
+	if f.code == ExitUncertain {
+		f.hint += fmt.Sprintf("\nTo repeat it safely, use the same author and --base %d.", based)
+	}
+	return f
+}
+
 func storedName(p confstore.Profile) string {
 	if p.Revision == 0 {
 		return "stored (no such profile)"
@@ -273,7 +281,7 @@
 	}
 	revision, err := c.Retire(ctx, argv[0], based)
 	if err != nil {
-		return err
+		return withBase(classify(err), based)
 	}
 	if a.json {
 		a.writeJSON(changed{Profile: argv[0], Revision: revision})
--- a/kv/kvtest/memory.go
+++ b/kv/kvtest/memory.go
@@ -102,6 +102,13 @@
 	return m.counters
 }
 
+// Revision returns the store's revision.
+func (m *Memory) Revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // Compact drops the watch history, so that a watch from an older revision fails with kv.ErrCompacted.
 func (m *Memory) Compact() {
 	m.mu.Lock()
