Store calls try the other endpoints after a definite failure

Cause: a process starts at its first endpoint, so with that endpoint dead every run of chivemillctl failed with exit code 5, although the other endpoints answered. Change: a call tries each endpoint once: a read after any failure, a write only if no connection was made or the store said that it has no leader. A rejected call is not repeated and does not change the endpoint.

--- a/kv/etcdjson/client.go
+++ b/kv/etcdjson/client.go
@@ -98,32 +98,48 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		c.next.Add(1)
 		status := readStatus(resp)
+		if !isRejected(status) {
+			c.next.Add(1)
+		}
 		return nil, status.mayHaveRun(), status
 	}
 	return resp, true, nil
 }
 
 // call sends a request and decodes the response. uncertain is the error for a lost answer: kv.ErrUnavailable for a
-// read, kv.ErrUncertain for a write.
+// read, kv.ErrUncertain for a write. The other endpoints are tried after a failure, each once: for a read after any
+// failure, for a write only if it certainly has not run.
 func (c *Client) call(ctx context.Context, path string, in, out any, uncertain error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, wrote, err := c.send(ctx, path, in, uncertain == kv.ErrUnavailable)
-	if err == nil {
-		defer resp.Body.Close()
-		err = json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(out)
-	}
-	if err == nil {
-		return nil
-	}
-	if wrote {
-		return errors.Join(uncertain, eris.Wrap(err, path))
+	read := uncertain == kv.ErrUnavailable
+	var err error
+	for range c.endpoints {
+		var wrote bool
+		wrote, err = c.try(ctx, path, in, out, read)
+		switch {
+		case err == nil:
+			return nil
+		case wrote && !read:
+			return errors.Join(uncertain, eris.Wrap(err, path))
+		case isRejected(err), ctx.Err() != nil:
+			return errors.Join(kv.ErrUnavailable, eris.Wrap(err, path))
+		}
 	}
 	return errors.Join(kv.ErrUnavailable, eris.Wrap(err, path))
 }
 
+// try is one attempt of a call. wrote tells whether the store may have run it.
+func (c *Client) try(ctx context.Context, path string, in, out any, read bool) (wrote bool, err error) {
+	resp, wrote, err := c.send(ctx, path, in, read)
+	if err != nil {
+		return wrote, err
+	}
+	defer resp.Body.Close()
+	return true, json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(out)
+}
+
 // Get implements kv.Store.
 func (c *Client) Get(ctx context.Context, key string) (kv.Item, bool, error) {
 	c.calls.Reads.Add(1)
--- a/kv/etcdjson/client_test.go
+++ b/kv/etcdjson/client_test.go
@@ -185,6 +185,39 @@
 	}
 }
 
+// Guards against a dead endpoint that makes every new process fail, and against a write that is sent to a second
+// endpoint although the first may have run it.
+// Mutation: in call, leave out the case of a write that may have run.
+func TestOtherEndpoints(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	noLeader := httptest.NewServer(store.NewServer(down()).Handler())
+	defer noLeader.Close()
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cut.Close()
+	for first, ran := range map[string]bool{closed.URL: false, noLeader.URL: false, cut.URL: true} {
+		mem := kvtest.NewMemory(nil)
+		live := httptest.NewServer(store.NewServer(mem).Handler())
+		defer live.Close()
+		write, err := etcdjson.New([]string{first, live.URL})
+		must.NoError(t, err)
+		_, err = write.Txn(t.Context(), put("k", "v", 0))
+		must.Eq(t, ran, isUncertain(err))
+		must.Eq(t, !ran, mem.Counters().Writes == 1)
+		read, err := etcdjson.New([]string{first, live.URL})
+		must.NoError(t, err)
+		_, found, err := read.Get(t.Context(), "k")
+		must.NoError(t, err)
+		must.Eq(t, !ran, found)
+	}
+}
+
+func down() *kvtest.Memory {
+	mem := kvtest.NewMemory(nil)
+	mem.SetFaults(kvtest.Faults{Down: true})
+	return mem
+}
+
 // Guards against a write that the HTTP transport sends again when a reused connection breaks after the request.
 // Mutation: in send, keep GetBody for writes and set the header Idempotency-Key.
 func TestWriteIsSentOnce(t *testing.T) {
--- a/kv/etcdjson/status.go
+++ b/kv/etcdjson/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -58,10 +59,16 @@
 	switch {
 	case e.status == http.StatusRequestTimeout, e.status == statusCancelled:
 		return true
-	case e.status >= 400 && e.status < 500:
+	case isRejected(e):
 		return false
 	case e.status == http.StatusServiceUnavailable:
 		return e.message != MessageNoLeader
 	}
 	return true
 }
+
+// isRejected reports whether the store rejected the call, so that another endpoint would do the same.
+func isRejected(err error) bool {
+	var status *statusError
+	return errors.As(err, &status) && status.status >= 400 && status.status < 500
+}
