confsync: state machine that keeps the copy current

Cause: each daemon watched the store, so store calls grew with the fleet and an outage left a starting daemon without configuration. Change: Node is a state machine without I/O: chosen watchers, notices, digest comparison, start from peers, confirmation age, and checks of peers' revisions in the store. internal/confbench runs many nodes in virtual time. Found by the fleet test and corrected on the way: a start that waited forever after a failed exchange, a confirmation adopted from a peer that restarted between two calls, a late store read that revived a deleted key, and a deletion that did not spread because a list shows no deleted keys.

--- /dev/null
+++ b/confsync/digest.go
@@ -0,0 +1,57 @@
+package confsync
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of buckets of a digest. A key belongs to one bucket.
+const Buckets = 64
+
+// Digest is an order-independent hash over the (key, revision) pairs of a copy. Two copies that differ in few
+// keys differ in few buckets, so the cost of finding the difference grows with it.
+type Digest struct {
+	Total  uint64
+	Bucket [Buckets]uint64
+}
+
+func (d *Digest) add(item Item) {
+	h := entryHash(item)
+	d.Total += h
+	d.Bucket[bucketOf(item.Key)] += h
+}
+
+func (d *Digest) remove(item Item) {
+	h := entryHash(item)
+	d.Total -= h
+	d.Bucket[bucketOf(item.Key)] -= h
+}
+
+// Diff returns the mask of the buckets that differ.
+func (d Digest) Diff(other Digest) uint64 {
+	var mask uint64
+	for i := range d.Bucket {
+		if d.Bucket[i] != other.Bucket[i] {
+			mask |= 1 << i
+		}
+	}
+	return mask
+}
+
+func bucketOf(key string) uint {
+	return uint(xxhash.Sum64String(key) % Buckets)
+}
+
+func entryHash(item Item) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	var fixed [9]byte
+	binary.LittleEndian.PutUint64(fixed[:], uint64(item.Revision))
+	if item.Deleted {
+		fixed[8] = 1
+	}
+	_, _ = h.Write(fixed[:])
+	_, _ = h.WriteString(item.Key)
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/confbench/network.go
@@ -0,0 +1,320 @@
+// Package confbench runs many confsync nodes in one process over an in-memory transport and store in virtual
+// time. It serves the tests of confsync and the measurement program chivemill-confbench.
+package confbench
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivemill/chivemill/confsync"
+)
+
+// Prefix is the prefix of all keys.
+const Prefix = "/chivemill/config/"
+
+// Times of the model, apart from the faults.
+const (
+	tickInterval = 100 * time.Millisecond
+	peerTimeout  = time.Second
+	// memberLag is the time until a change of reachability shows in the member lists.
+	memberLag = 3 * time.Second
+)
+
+var errLost = eris.New("no answer from the peer")
+
+// Options describes a network.
+type Options struct {
+	Nodes, DataCentres, Regions int
+	Seed                        uint64
+	// GossipRound is the time in which the membership broadcast doubles the number of nodes that have a notice.
+	GossipRound time.Duration
+	// Size returns the size of a request or response on the wire in bytes; nil counts none.
+	Size func(message any) int
+	// OnChange is called for each item that a node applies; it may be nil.
+	OnChange func(node int, item confsync.Item)
+	// NoParentCompare is passed to the nodes.
+	NoParentCompare bool
+}
+
+// Faults of the transport. The zero value injects none.
+type Faults struct {
+	// Loss is the fraction of calls and notices that are lost, Duplicate that of notices delivered twice.
+	Loss, Duplicate float64
+	// NoticeDelay is the most by which a notice is held back, which reorders notices.
+	NoticeDelay time.Duration
+}
+
+// Traffic counts what a node sent.
+type Traffic struct{ Messages, Bytes int64 }
+
+// Host is one node of the network.
+type Host struct {
+	Index  int
+	Member confsync.Member
+	Region int
+	Node   *confsync.Node
+	Up     bool
+	// Cut tells that no other node is reached.
+	Cut        bool
+	Sent       Traffic
+	generation int
+}
+
+type event struct {
+	at  time.Time
+	seq uint64
+	run func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// Network runs nodes in virtual time. It is not safe for concurrent use.
+type Network struct {
+	opts   Options
+	rng    *rand.Rand
+	now    time.Time
+	seq    uint64
+	events queue
+	Hosts  []*Host
+	Store  *Store
+	Faults Faults
+	// Split tells that regions do not reach each other.
+	Split bool
+	// Tamper may change a response before it is delivered; nil changes none.
+	Tamper func(from int, resp confsync.Response) confsync.Response
+}
+
+// New returns a network whose nodes are up and know each other.
+func New(opts Options) *Network {
+	n := &Network{
+		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), now: time.Unix(1_700_000_000, 0),
+	}
+	n.Store = newStore(n)
+	for i := range opts.Nodes {
+		dc := i % opts.DataCentres
+		n.Hosts = append(n.Hosts, &Host{
+			Index: i, Region: dc % opts.Regions,
+			Member: confsync.Member{
+				ID: fmt.Sprintf("entry-%04d", i), Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+				DataCentre: fmt.Sprintf("dc-%d", dc),
+			},
+		})
+	}
+	for _, h := range n.Hosts {
+		n.boot(h)
+	}
+	n.UpdateMembers()
+	return n
+}
+
+// Now returns the virtual time.
+func (n *Network) Now() time.Time { return n.now }
+
+// Run lets the time pass.
+func (n *Network) Run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.events) > 0 && !n.events[0].at.After(end) {
+		e := heap.Pop(&n.events).(event)
+		n.now = e.at
+		e.run()
+	}
+	n.now = end
+}
+
+func (n *Network) after(d time.Duration, run func()) {
+	n.seq++
+	heap.Push(&n.events, event{n.now.Add(d), n.seq, run})
+}
+
+// boot starts a node with an empty copy.
+func (n *Network) boot(h *Host) {
+	h.Up = true
+	h.generation++
+	cfg := confsync.Config{
+		Self: h.Member, Prefix: Prefix, Seed: n.rng.Uint64(), NoParentCompare: n.opts.NoParentCompare,
+	}
+	if n.opts.OnChange != nil {
+		cfg.OnChange = func(item confsync.Item) { n.opts.OnChange(h.Index, item) }
+	}
+	h.Node = confsync.NewNode(cfg)
+	n.tick(h, h.generation, time.Duration(n.rng.Int64N(int64(tickInterval))))
+}
+
+func (n *Network) tick(h *Host, generation int, in time.Duration) {
+	n.after(in, func() {
+		if !h.Up || h.generation != generation {
+			return
+		}
+		h.Node.Tick(n.now)
+		n.act(h)
+		n.tick(h, generation, tickInterval)
+	})
+}
+
+// Stop ends a node without notice.
+func (n *Network) Stop(i int) {
+	n.Hosts[i].Up = false
+	n.after(memberLag, n.UpdateMembers)
+}
+
+// Start replaces a node by one with an empty copy.
+func (n *Network) Start(i int) {
+	n.boot(n.Hosts[i])
+	n.Hosts[i].Node.SetMembers(n.reachable(n.Hosts[i]))
+	n.after(memberLag, n.UpdateMembers)
+}
+
+// UpdateMembers makes each node's member list equal to the nodes that it reaches.
+func (n *Network) UpdateMembers() {
+	for _, h := range n.Hosts {
+		if h.Up {
+			h.Node.SetMembers(n.reachable(h))
+		}
+	}
+}
+
+// MembersLater updates the member lists after the time that failure detection takes.
+func (n *Network) MembersLater() { n.after(memberLag, n.UpdateMembers) }
+
+func (n *Network) reachable(h *Host) []confsync.Member {
+	var live []confsync.Member
+	for _, o := range n.Hosts {
+		if o == h || n.reaches(h, o) {
+			live = append(live, o.Member)
+		}
+	}
+	return live
+}
+
+func (n *Network) reaches(a, b *Host) bool {
+	return a.Up && b.Up && !a.Cut && !b.Cut && (!n.Split || a.Region == b.Region)
+}
+
+func (n *Network) host(id string) *Host {
+	i := slices.IndexFunc(n.Hosts, func(h *Host) bool { return h.Member.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return n.Hosts[i]
+}
+
+// act carries out a node's actions.
+func (n *Network) act(h *Host) {
+	for _, a := range h.Node.Actions() {
+		switch a := a.(type) {
+		case confsync.Call:
+			n.call(h, a)
+		case confsync.Announce:
+			n.announce(h, a.Payload)
+		default:
+			n.Store.act(h, a)
+		}
+	}
+}
+
+// input passes an event to a node that was not replaced meanwhile.
+func (n *Network) input(h *Host, generation int, event func()) {
+	if !h.Up || h.generation != generation {
+		return
+	}
+	event()
+	n.act(h)
+}
+
+func (n *Network) call(h *Host, c confsync.Call) {
+	generation := h.generation
+	answer := func(resp confsync.Response, err error) {
+		n.input(h, generation, func() { h.Node.Answer(n.now, c.ID, resp, err) })
+	}
+	n.sent(h, c.Request)
+	peer := n.host(c.Peer.ID)
+	if peer == nil || n.rng.Float64() < n.Faults.Loss {
+		n.after(peerTimeout, func() { answer(nil, errLost) })
+		return
+	}
+	n.after(n.delay(h, peer), func() {
+		if !n.reaches(h, peer) || n.rng.Float64() < n.Faults.Loss {
+			n.after(peerTimeout, func() { answer(nil, errLost) })
+			return
+		}
+		resp := peer.Node.Serve(n.now, h.Member.ID, c.Request)
+		if n.Tamper != nil {
+			resp = n.Tamper(peer.Index, resp)
+		}
+		n.sent(peer, resp)
+		n.act(peer)
+		n.after(n.delay(peer, h), func() { answer(resp, nil) })
+	})
+}
+
+// delay is the one-way delay between two nodes: 0.5 ms in a data centre, 3.5 ms between data centres, 12 ms
+// between regions.
+func (n *Network) delay(a, b *Host) time.Duration {
+	switch {
+	case a.Region != b.Region:
+		return 12 * time.Millisecond
+	case a.Member.DataCentre != b.Member.DataCentre:
+		return 3500 * time.Microsecond
+	}
+	return 500 * time.Microsecond
+}
+
+func (n *Network) sent(h *Host, message any) {
+	h.Sent.Messages++
+	if n.opts.Size != nil {
+		h.Sent.Bytes += int64(n.opts.Size(message))
+	}
+}
+
+// announce models the membership broadcast: the number of nodes that have the notice doubles each round, and
+// each node repeats it 3·log2 n times in datagrams that it sends anyway.
+func (n *Network) announce(from *Host, payload []byte) {
+	rounds := math.Log2(float64(len(n.Hosts)) + 1)
+	for _, h := range n.Hosts {
+		h.Sent.Bytes += int64(float64(len(payload)) * 3 * rounds)
+		if h == from || n.rng.Float64() < n.Faults.Loss {
+			continue
+		}
+		copies := 1
+		if n.rng.Float64() < n.Faults.Duplicate {
+			copies = 2
+		}
+		for range copies {
+			n.deliver(from, h, payload, rounds)
+		}
+	}
+}
+
+func (n *Network) deliver(from, to *Host, payload []byte, rounds float64) {
+	in := time.Duration((0.5 + 0.7*n.rng.Float64()) * rounds * float64(n.opts.GossipRound))
+	if n.Faults.NoticeDelay > 0 {
+		in += time.Duration(n.rng.Int64N(int64(n.Faults.NoticeDelay)))
+	}
+	n.after(in, func() {
+		if n.reaches(from, to) {
+			to.Node.Notice(n.now, payload)
+			n.act(to)
+		}
+	})
+}
