quarantine: suspect, hold and refuse requests that crash backend servers

One request that crashes each backend server that runs it takes down every replica when its caller resends it. The guard watches the attempts of each request: three replicas lost within 50 ms without an answer make it suspected, its further attempts are held, and without an answer within 40 ms it is cancelled, remembered for 5 minutes and published to the peers. An answer clears it. Orders count over 10 minutes, because each is sent once.

--- /dev/null
+++ b/internal/crashmodel/model.go
@@ -0,0 +1,256 @@
+// Package crashmodel compares quarantine rules in virtual time. A small discrete-event model of daemons, replicas
+// and callers runs the real quarantine.Guard against a request that crashes each replica that runs it, and against
+// mass restarts in which no request is at fault.
+package crashmodel
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/chivemill/chivemill/quarantine"
+)
+
+// Scenario names what happens to the fleet.
+type Scenario string
+
+// Values of Scenario.
+const (
+	// Crash sends one crashing request, which its caller resends through other daemons.
+	Crash Scenario = "crash"
+	// Rolling kills every replica once, at random times within 4 s.
+	Rolling Scenario = "rolling"
+	// Rack kills a third of the replicas at the same moment, three times.
+	Rack Scenario = "rack"
+	// Fleet kills all replicas at the same moment.
+	Fleet Scenario = "fleet"
+)
+
+// Config is one run of the model.
+type Config struct {
+	Scenario  Scenario
+	Rule      quarantine.Rule
+	Shards    int
+	Replicas  int
+	Daemons   int
+	Resends   int
+	Queries   int
+	PeerDelay time.Duration
+	Seed      uint64
+}
+
+// Default returns the fleet of the comparison: 10 shards of 3 replicas, 7 daemons, 5 resends, 300 good queries per
+// second for 5 s, and notices that reach the peers within 40 ms.
+func Default(scenario Scenario, rule quarantine.Rule, seed uint64) Config {
+	return Config{
+		Scenario: scenario, Rule: rule, Shards: 10, Replicas: 3, Daemons: 7, Resends: 5, Queries: 1500,
+		PeerDelay: 40 * time.Millisecond, Seed: seed,
+	}
+}
+
+// Outcome is what one run counted.
+type Outcome struct {
+	// Crashed is the number of replica crashes that the crashing request caused.
+	Crashed int
+	// Good counts the good requests, resends included; Refused those that were refused or cancelled by a
+	// quarantine; Lost those that lost at least one connection.
+	Good, Refused, Lost int
+}
+
+// Times of the model.
+const (
+	interval    = time.Second / 300
+	deadline    = 300 * time.Millisecond
+	downFor     = time.Second
+	minOneWay   = 500 * time.Microsecond
+	maxOneWay   = 12 * time.Millisecond
+	serviceTime = 3 * time.Millisecond
+	maxAttempts = 3
+	resendDelay = 50 * time.Millisecond
+	crashAt     = time.Second
+	// distinct is the number of different good queries; their popularity follows a Zipf distribution.
+	distinct = 2000
+	zipf     = 1.1
+	poison   = "crashing request"
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+type server struct {
+	id      string
+	downTil time.Duration
+	// running holds the attempts that the server executes in the order of their arrival; a crash loses all.
+	running []*attempt
+}
+
+type node struct {
+	guard  *quarantine.Guard
+	oneWay []time.Duration
+	// avoid holds the time until which a replica is not picked after a failure.
+	avoid map[*server]time.Duration
+}
+
+type model struct {
+	cfg     Config
+	rng     *rand.Rand
+	now     time.Duration
+	events  eventHeap
+	seq     int
+	servers [][]*server
+	nodes   []*node
+	out     Outcome
+}
+
+var epoch = time.Unix(0, 0)
+
+// Run runs the model once. Equal configurations give equal outcomes.
+func Run(cfg Config) Outcome {
+	m := &model{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	m.build()
+	m.schedule()
+	for len(m.events) > 0 {
+		e := heap.Pop(&m.events).(event)
+		m.now = e.at
+		e.run()
+	}
+	return m.out
+}
+
+func (m *model) after(d time.Duration, run func()) {
+	m.seq++
+	heap.Push(&m.events, event{m.now + d, m.seq, run})
+}
+
+// Now implements quarantine.Clock.
+func (m *model) Now() time.Time { return epoch.Add(m.now) }
+
+// AfterFunc implements quarantine.Clock.
+func (m *model) AfterFunc(d time.Duration, f func()) { m.after(d, f) }
+
+func (m *model) uniform(low, high time.Duration) time.Duration {
+	return low + time.Duration(m.rng.Int64N(int64(high-low)))
+}
+
+// publisher delivers the notices of one daemon to the others.
+type publisher struct {
+	m    *model
+	self int
+}
+
+// Publish implements quarantine.Publisher.
+func (p publisher) Publish(n quarantine.Notice) {
+	for i, peer := range p.m.nodes {
+		if i != p.self {
+			p.m.after(p.m.uniform(p.m.cfg.PeerDelay/4, p.m.cfg.PeerDelay), func() { peer.guard.Learn(n) })
+		}
+	}
+}
+
+func (m *model) build() {
+	for s := range m.cfg.Shards {
+		var group []*server
+		for r := range m.cfg.Replicas {
+			group = append(group, &server{id: fmt.Sprintf("%d/%d", s, r)})
+		}
+		m.servers = append(m.servers, group)
+	}
+	for i := range m.cfg.Daemons {
+		n := &node{avoid: map[*server]time.Duration{}}
+		n.guard = quarantine.NewGuard(m.cfg.Rule, quarantine.DefaultExpiry, publisher{m, i}, m)
+		for range m.cfg.Replicas {
+			n.oneWay = append(n.oneWay, m.uniform(minOneWay, maxOneWay))
+		}
+		m.nodes = append(m.nodes, n)
+	}
+}
+
+func (m *model) schedule() {
+	popularity := rand.NewZipf(m.rng, zipf, 1, distinct-1)
+	for i := range m.cfg.Queries {
+		name := fmt.Sprintf("query %d", popularity.Uint64())
+		first := m.rng.IntN(m.cfg.Daemons)
+		m.after(time.Duration(i)*interval, func() { m.start(name, first, 0) })
+	}
+	switch m.cfg.Scenario {
+	case Crash:
+		m.after(crashAt, func() { m.start(poison, 0, 0) })
+	case Rolling:
+		for _, group := range m.servers {
+			for _, s := range group {
+				m.after(m.uniform(500*time.Millisecond, 4500*time.Millisecond), func() { m.kill(s) })
+			}
+		}
+	case Fleet:
+		for _, group := range m.servers {
+			for _, s := range group {
+				m.after(crashAt, func() { m.kill(s) })
+			}
+		}
+	case Rack:
+		for r := range m.cfg.Replicas {
+			for _, group := range m.servers {
+				m.after(time.Duration(1+r)*time.Second, func() { m.kill(group[r]) })
+			}
+		}
+	}
+}
+
+func (m *model) kill(s *server) {
+	s.downTil = m.now + downFor
+	for _, a := range s.running {
+		a.lost()
+	}
+	s.running = nil
+}
+
+// start runs a request through a daemon; a failed one is resent through the next daemon.
+func (m *model) start(name string, daemon, resend int) {
+	n := m.nodes[daemon%m.cfg.Daemons]
+	if name != poison {
+		m.out.Good++
+	}
+	ctx, run, err := n.guard.Admit(context.Background(), name, quarantine.Search)
+	if err != nil {
+		if name != poison {
+			m.out.Refused++
+		}
+		m.resend(name, daemon, resend)
+		return
+	}
+	q := &request{m: m, node: n, name: name, ctx: ctx, run: run, daemon: daemon, resends: resend, open: m.cfg.Shards}
+	for shard := range m.servers {
+		q.try(shard, nil)
+	}
+	m.after(deadline, q.finish)
+}
+
+func (m *model) resend(name string, daemon, resend int) {
+	if resend < m.cfg.Resends {
+		m.after(resendDelay, func() { m.start(name, daemon+1, resend+1) })
+	}
+}
--- /dev/null
+++ b/internal/crashmodel/model_test.go
@@ -0,0 +1,79 @@
+package crashmodel_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chivemill/chivemill/internal/crashmodel"
+	"github.com/chivemill/chivemill/quarantine"
+)
+
+// seeds of the comparison in docs/decisions/crashing-requests.md.
+const seeds = 10
+
+func average(scenario crashmodel.Scenario, rule quarantine.Rule, peer time.Duration) (sum crashmodel.Outcome) {
+	for seed := range uint64(seeds) {
+		cfg := crashmodel.Default(scenario, rule, seed+1)
+		cfg.PeerDelay = peer
+		out := crashmodel.Run(cfg)
+		sum.Crashed += out.Crashed
+		sum.Good += out.Good
+		sum.Refused += out.Refused
+		sum.Lost += out.Lost
+	}
+	return sum
+}
+
+func rule(replicas int, window time.Duration, noAnswer bool) quarantine.Rule {
+	return quarantine.Rule{Replicas: replicas, Window: window, NoAnswer: noAnswer}
+}
+
+// Guards the choice of the default rule: a crashing request must stop after its first wave of attempts, and a mass
+// restart must not refuse good requests. Run with -v for the table of the decision page.
+func TestRules(t *testing.T) {
+	const ms = time.Millisecond
+	rules := []struct {
+		name string
+		rule quarantine.Rule
+	}{
+		{"none", quarantine.Rule{}},
+		{"2 in 50 ms", rule(2, 50*ms, false)},
+		{"3 in 50 ms", rule(3, 50*ms, false)},
+		{"2 in 50 ms, no answer", rule(2, 50*ms, true)},
+		{"3 in 50 ms, no answer", rule(3, 50*ms, true)},
+		{"the same with grace", quarantine.DefaultRule()},
+	}
+	byName := map[string][5]crashmodel.Outcome{}
+	for _, r := range rules {
+		var out [5]crashmodel.Outcome
+		var group errgroup.Group
+		group.SetLimit(3)
+		for i, c := range []struct {
+			scenario crashmodel.Scenario
+			peer     time.Duration
+		}{{crashmodel.Crash, 40 * ms}, {crashmodel.Rolling, 40 * ms}, {crashmodel.Rack, 40 * ms}, {crashmodel.Fleet, 40 * ms}, {crashmodel.Crash, time.Second}} {
+			group.Go(func() error {
+				out[i] = average(c.scenario, r.rule, c.peer)
+				return nil
+			})
+		}
+		must.NoError(t, group.Wait())
+		t.Logf("%-22s | crashes %4.1f, with slow peers %4.1f | refused: beside the crash %6.1f, rolling %5.1f, rack %6.1f, fleet %6.1f of %.0f",
+			r.name, per(out[0].Crashed), per(out[4].Crashed), per(out[0].Refused), per(out[1].Refused), per(out[2].Refused),
+			per(out[3].Refused), per(out[3].Good))
+		byName[r.name] = out
+	}
+	none, chosen := byName["none"], byName["the same with grace"]
+	must.Positive(t, none[2].Lost)
+	// The first wave is one attempt per shard; a few retries leave before the last of the losses is noticed.
+	must.LessEq(t, 13*seeds, chosen[0].Crashed)
+	must.Greater(t, chosen[0].Crashed, none[0].Crashed)
+	for i := range 3 {
+		must.LessEq(t, chosen[i].Good/1000, chosen[i].Refused)
+	}
+}
+
+func per(n int) float64 { return float64(n) / seeds }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -1,8 +1,10 @@
 // Package quarantine detects requests that crash backend servers and refuses their resends.
 //
-// The signal is one request that loses the connections to several replicas within milliseconds. Its remaining
-// attempts are cancelled, its fingerprint is remembered for a time and handed to a publisher, so that the other
-// daemons refuse it as well.
+// The signal is one request that loses the connections to several replicas within milliseconds and is answered by
+// none. From the last of these losses on it sends no further attempt. If no replica answers within a grace period,
+// its remaining attempts are cancelled, and its fingerprint is remembered for a time and handed to a publisher, so
+// that the other daemons refuse it as well. An answer clears it: in a mass restart, a request that does no harm is
+// answered by the replicas that still run.
 package quarantine
 
 import (
@@ -27,6 +29,8 @@
 	// NoAnswer requires that no replica has answered the request before, because a request that crashes each
 	// backend server that runs it gets no answer.
 	NoAnswer bool
+	// Grace is how long a suspected request waits for an answer that clears it; it needs NoAnswer.
+	Grace time.Duration
 	// OrderReplicas and OrderWindow are the limits for non-idempotent requests. Each is sent to one replica only,
 	// so the losses of requests with equal fingerprints count together; an answer to one of them clears them.
 	OrderReplicas int
@@ -36,7 +40,7 @@
 // DefaultRule returns the rule that docs/decisions/crashing-requests.md selects.
 func DefaultRule() Rule {
 	return Rule{
-		Replicas: 3, Window: 50 * time.Millisecond, NoAnswer: true,
+		Replicas: 3, Window: 50 * time.Millisecond, NoAnswer: true, Grace: 40 * time.Millisecond,
 		OrderReplicas: 2, OrderWindow: 10 * time.Minute,
 	}
 }
@@ -72,6 +76,21 @@
 	Order
 )
 
+// Clock is the time that a guard uses. Implementations are safe for concurrent use.
+type Clock interface {
+	Now() time.Time
+	// AfterFunc calls f after the duration.
+	AfterFunc(d time.Duration, f func())
+}
+
+type systemClock struct{}
+
+// Now implements Clock.
+func (systemClock) Now() time.Time { return time.Now() }
+
+// AfterFunc implements Clock.
+func (systemClock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
+
 type loss struct {
 	replica string
 	at      time.Time
@@ -82,7 +101,7 @@
 	rule      Rule
 	expiry    time.Duration
 	publisher Publisher
-	now       func() time.Time
+	clock     Clock
 
 	mu      sync.Mutex
 	notices map[string]time.Time
@@ -90,13 +109,13 @@
 	orders  map[string][]loss
 }
 
-// NewGuard returns a guard. publisher may be nil; now may be nil and then is time.Now.
-func NewGuard(rule Rule, expiry time.Duration, publisher Publisher, now func() time.Time) *Guard {
-	if now == nil {
-		now = time.Now
+// NewGuard returns a guard. publisher may be nil; a nil clock is the system's clock.
+func NewGuard(rule Rule, expiry time.Duration, publisher Publisher, clock Clock) *Guard {
+	if clock == nil {
+		clock = systemClock{}
 	}
 	return &Guard{
-		rule: rule, expiry: expiry, publisher: publisher, now: now,
+		rule: rule, expiry: expiry, publisher: publisher, clock: clock,
 		notices: make(map[string]time.Time),
 		running: make(map[string]map[*Run]bool),
 		orders:  make(map[string][]loss),
@@ -108,10 +127,14 @@
 	guard       *Guard
 	fingerprint string
 	kind        Kind
+	ctx         context.Context
 	cancel      context.CancelCauseFunc
-	// The guard's lock protects losses and answered.
+	// The guard's lock protects the fields below.
 	losses   []loss
 	answered bool
+	// suspected is open while the request waits for its verdict, and nil before.
+	suspected chan struct{}
+	decided   bool
 }
 
 // Admit registers a request that is about to run. Its attempts use the returned context, which ends with the
@@ -121,14 +144,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if until, ok := g.notices[fingerprint]; ok {
-		if g.now().Before(until) {
+		if g.clock.Now().Before(until) {
 			return ctx, nil, api.Errorf(api.Quarantined, "this request crashed backend servers; it is refused until %s",
 				until.UTC().Format(time.RFC3339))
 		}
 		delete(g.notices, fingerprint)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	run := &Run{guard: g, fingerprint: fingerprint, kind: kind, cancel: cancel}
+	run := &Run{guard: g, fingerprint: fingerprint, kind: kind, ctx: ctx, cancel: cancel}
 	if g.running[fingerprint] == nil {
 		g.running[fingerprint] = make(map[*Run]bool)
 	}
@@ -136,8 +159,9 @@
 	return ctx, run, nil
 }
 
-// Done ends the request.
+// Done ends the request. A suspected request that ends without an answer is quarantined.
 func (r *Run) Done() {
+	r.decide()
 	g := r.guard
 	g.mu.Lock()
 	delete(g.running[r.fingerprint], r)
@@ -157,18 +181,41 @@
 	if r.kind == Order {
 		delete(g.orders, r.fingerprint)
 	}
+	if r.suspected != nil && !r.decided && g.rule.NoAnswer {
+		r.decided = true
+		close(r.suspected)
+	}
 }
 
 // Lost records that the connection to a replica broke while the replica may have been executing the request. It
-// quarantines the fingerprint if the rule says so.
+// suspects or quarantines the fingerprint if the rule says so.
 func (r *Run) Lost(replica string, at time.Time) {
 	g := r.guard
 	g.mu.Lock()
-	if !g.suspect(r, loss{replica, at}) {
+	if !g.suspect(r, loss{replica, at}) || r.suspected != nil {
+		g.mu.Unlock()
+		return
+	}
+	r.suspected = make(chan struct{})
+	g.mu.Unlock()
+	if r.kind == Order || g.rule.Grace == 0 {
+		r.decide()
+		return
+	}
+	g.clock.AfterFunc(g.rule.Grace, r.decide)
+}
+
+// decide quarantines the request if it is suspected and was not cleared.
+func (r *Run) decide() {
+	g := r.guard
+	g.mu.Lock()
+	if r.suspected == nil || r.decided {
 		g.mu.Unlock()
 		return
 	}
-	notice := Notice{Fingerprint: r.fingerprint, Until: g.now().Add(g.expiry)}
+	r.decided = true
+	close(r.suspected)
+	notice := Notice{Fingerprint: r.fingerprint, Until: g.clock.Now().Add(g.expiry)}
 	fresh := g.add(notice)
 	g.mu.Unlock()
 	if fresh && g.publisher != nil {
@@ -176,6 +223,29 @@
 	}
 }
 
+// Held reports whether the request waits for its verdict.
+func (r *Run) Held() bool {
+	r.guard.mu.Lock()
+	defer r.guard.mu.Unlock()
+	return r.suspected != nil && !r.decided
+}
+
+// Wait returns when an attempt may be sent: at once, or after the verdict on a suspected request. The error is
+// the cause of the end of the request or of ctx.
+func (r *Run) Wait(ctx context.Context) error {
+	r.guard.mu.Lock()
+	suspected := r.suspected
+	r.guard.mu.Unlock()
+	if suspected != nil {
+		select {
+		case <-suspected:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	return context.Cause(r.ctx)
+}
+
 // suspect adds a loss and applies the rule. The caller holds the lock.
 func (g *Guard) suspect(r *Run, l loss) bool {
 	if r.kind == Order {
@@ -218,10 +288,10 @@
 func (g *Guard) Learn(n Notice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if limit := g.now().Add(g.expiry); n.Until.After(limit) {
+	if limit := g.clock.Now().Add(g.expiry); n.Until.After(limit) {
 		n.Until = limit
 	}
-	if n.Until.After(g.now()) {
+	if n.Until.After(g.clock.Now()) {
 		g.add(n)
 	}
 }
@@ -239,7 +309,7 @@
 	for run := range g.running[n.Fingerprint] {
 		run.cancel(ErrQuarantined)
 	}
-	return !known || !g.now().Before(until)
+	return !known || !g.clock.Now().Before(until)
 }
 
 func (g *Guard) evict() {
@@ -258,7 +328,7 @@
 	defer g.mu.Unlock()
 	notices := make([]Notice, 0, len(g.notices))
 	for fingerprint, until := range g.notices {
-		if g.now().Before(until) {
+		if g.clock.Now().Before(until) {
 			notices = append(notices, Notice{fingerprint, until})
 		}
 	}
--- a/quarantine/sender.go
+++ b/quarantine/sender.go
@@ -16,17 +16,21 @@
 	next Sender
 }
 
-// Watch returns a sender that reports the answers and lost connections of the request to the guard.
+// Watch returns a sender that reports the answers and lost connections of the request to the guard, and holds back
+// the attempts of a suspected request until the verdict.
 func (r *Run) Watch(next Sender) Sender { return &watchedSender{r, next} }
 
 // Send implements Sender.
 func (s *watchedSender) Send(ctx context.Context, replica string, sub backend.Sub) (backend.SubAnswer, error) {
+	if err := s.run.Wait(ctx); err != nil {
+		return backend.SubAnswer{}, &backend.Error{Failure: backend.NotSent, Cause: err}
+	}
 	answer, err := s.next.Send(ctx, replica, sub)
 	switch {
 	case err == nil:
 		s.run.Answered()
 	case backend.Lost(err):
-		s.run.Lost(replica, s.run.guard.now())
+		s.run.Lost(replica, s.run.guard.clock.Now())
 	}
 	return answer, err
 }
