--- /dev/null
+++ b/internal/proctest/fleet.go
@@ -0,0 +1,317 @@
+package proctest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/confstore"
+	standin "github.com/chivemill/chivemill/internal/standin/backend"
+	"github.com/chivemill/chivemill/internal/standin/store"
+	"github.com/chivemill/chivemill/internal/strictyaml"
+	"github.com/chivemill/chivemill/kv/etcdjson"
+	"github.com/chivemill/chivemill/settings"
+	"github.com/chivemill/chivemill/vmlist"
+)
+
+// Services of a fleet.
+const (
+	SearchService = "shop"
+	OrderService  = "orders"
+)
+
+// startTimeout bounds the start of a fleet; a busy machine starts processes slowly.
+const startTimeout = 20 * time.Second
+
+const profileDocument = `name: test
+deadline: 1s
+partial: return
+least_coverage: 0.1
+hedge: {enabled: false}
+retry: {max_attempts: 3, budget: 0.5}
+`
+
+// Options of a fleet.
+type Options struct {
+	Shards, Replicas, Orders, Entries int
+	// EntryStore replaces the store endpoint of the first entry daemon if it is not empty.
+	EntryStore func(endpoint string) string
+	DrainFor   time.Duration
+}
+
+// Member is a started process with its HTTP address.
+type Member struct {
+	*Process
+	Name, Address string
+}
+
+// Fleet is a store, backend servers and entry daemons on loopback.
+type Fleet struct {
+	Store    Member
+	Backends []Member
+	Entries  []Member
+
+	bin, dir string
+	http     *http.Client
+}
+
+// StartFleet starts a fleet from the binaries in bin and waits until every entry daemon is ready and knows every
+// replica. The caller stops it, also after an error.
+func StartFleet(bin, dir string, opt Options) (*Fleet, error) {
+	f := &Fleet{bin: bin, dir: dir, http: &http.Client{Timeout: 10 * time.Second}}
+	backends := opt.Shards*opt.Replicas + opt.Orders
+	addresses, err := FreeAddresses(1 + backends + 3*opt.Entries)
+	if err != nil {
+		return f, err
+	}
+	if err := f.startStore(addresses[0], addresses[1:1+backends], opt); err != nil {
+		return f, err
+	}
+	for i := range opt.Entries {
+		if err := f.startEntry(i, addresses[1+backends+3*i:], opt); err != nil {
+			return f, err
+		}
+	}
+	return f, f.waitReady(opt)
+}
+
+// Stop kills every process of the fleet.
+func (f *Fleet) Stop() {
+	for _, members := range [][]Member{f.Entries, f.Backends, {f.Store}} {
+		for _, m := range members {
+			if m.Process != nil {
+				m.Process.Stop()
+			}
+		}
+	}
+}
+
+func (f *Fleet) start(binary, name, address string, set any) (Member, error) {
+	p, err := Start(filepath.Join(f.bin, binary), f.dir, name, set)
+	return Member{Process: p, Name: name, Address: address}, err
+}
+
+func (f *Fleet) startStore(address string, backends []string, opt Options) error {
+	vms := []vmlist.VM{}
+	for i, a := range backends {
+		set := standin.Default()
+		set.Replica, set.Service, set.DataCentre, set.Listen = fmt.Sprintf("r%d", i), OrderService, "dc", a
+		set.DrainFor = strictyaml.Duration(max(opt.DrainFor, time.Second))
+		if i < opt.Shards*opt.Replicas {
+			set.Service, set.Shards, set.Shard = SearchService, opt.Shards, i%opt.Shards
+		}
+		m, err := f.start("standin-backend", set.Replica, a, set)
+		if err != nil {
+			return err
+		}
+		f.Backends = append(f.Backends, m)
+		vms = append(vms, vmlist.VM{
+			ID: set.Replica, Role: vmlist.RoleBackend, Service: set.Service, DataCentre: "dc", Address: a, State: vmlist.StateLive,
+		})
+	}
+	data, err := json.Marshal(vms)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(f.dir, "vms.json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return err
+	}
+	f.Store, err = f.start("standin-store", "store", address, map[string]string{"listen": address, "vms": file})
+	if err != nil {
+		return err
+	}
+	return f.configure()
+}
+
+// configure writes the profile and binds the services to it.
+func (f *Fleet) configure() error {
+	client, err := etcdjson.New([]string{"http://" + f.Store.Address})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	conf := confstore.NewClient(client, "proctest")
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	err = Until(startTimeout, func() bool {
+		_, _, err := conf.Bindings(ctx)
+		return err == nil
+	})
+	if err != nil {
+		return eris.Wrap(err, f.Store.Log())
+	}
+	if _, err := conf.Apply(ctx, "test", profileDocument, 0); err != nil {
+		return err
+	}
+	for _, service := range []string{SearchService, OrderService} {
+		if _, err := conf.Bind(ctx, service, "test"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startEntry(i int, addresses []string, opt Options) error {
+	set := settings.DefaultEntry()
+	set.Node, set.DataCentre, set.Region = fmt.Sprintf("entry%d", i), "dc", "region"
+	set.Listen, set.Operator, set.Peer = addresses[0], addresses[1], addresses[2]
+	endpoint := "http://" + f.Store.Address
+	set.Store.VMList = endpoint
+	set.Store.Endpoints = []string{endpoint}
+	if i == 0 && opt.EntryStore != nil {
+		set.Store.Endpoints = []string{opt.EntryStore(endpoint)}
+	}
+	set.Poll = strictyaml.Duration(100 * time.Millisecond)
+	set.ConnectionsPerReplica = 40
+	m, err := f.start("chivemill-entry", set.Node, set.Listen, set)
+	f.Entries = append(f.Entries, m)
+	return err
+}
+
+// waitReady waits until every entry daemon answers a complete query and an order.
+func (f *Fleet) waitReady(opt Options) error {
+	for _, e := range f.Entries {
+		err := Until(startTimeout, func() bool {
+			if opt.Shards > 0 {
+				reply, err := f.Query(e, "warm-up", "")
+				if err != nil || reply.Status != http.StatusOK || !reply.Answer.Coverage.Complete {
+					return false
+				}
+			}
+			if opt.Orders > 0 {
+				reply, err := f.Order(e, "warm-up", NewKey())
+				return err == nil && reply.Status == http.StatusOK
+			}
+			return true
+		})
+		if err != nil {
+			return eris.Wrapf(err, "%s: %s", e.Name, e.Log())
+		}
+	}
+	return nil
+}
+
+// Reply is what a caller got: an answer with status 200, or an error body.
+type Reply struct {
+	Status int
+	Answer api.Answer
+	Error  api.ErrorBody
+}
+
+// Query sends a search to an entry daemon. An error means that no whole reply arrived.
+func (f *Fleet) Query(e Member, nonce, query string) (Reply, error) {
+	return f.post(e, api.Query{Service: SearchService, Query: query, Nonce: nonce}, nil)
+}
+
+// Order sends a non-idempotent request to an entry daemon.
+func (f *Fleet) Order(e Member, query, key string) (Reply, error) {
+	h := http.Header{api.HeaderKey: {key}, api.HeaderNonIdempotent: {"true"}}
+	return f.post(e, api.Query{Service: OrderService, Query: query, Nonce: key}, h)
+}
+
+func (f *Fleet) post(e Member, q api.Query, h http.Header) (Reply, error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return Reply{}, err
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.Address+api.QueryPath, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, err
+	}
+	for name, values := range h {
+		req.Header[name] = values
+	}
+	// A caller that lets the transport replay an order would test the store instead of the daemon.
+	req.GetBody = nil
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Reply{}, err
+	}
+	reply := Reply{Status: resp.StatusCode}
+	if resp.StatusCode != http.StatusOK {
+		return reply, json.Unmarshal(data, &reply.Error)
+	}
+	reply.Answer, err = api.DecodeAnswer(data)
+	if err == nil && reply.Answer.Nonce != q.Nonce {
+		err = eris.Errorf("answer with nonce %q to the request with nonce %q", reply.Answer.Nonce, q.Nonce)
+	}
+	return reply, err
+}
+
+// Ready reports whether the entry daemon's readiness check succeeds.
+func (f *Fleet) Ready(e Member) bool {
+	resp, err := f.http.Get("http://" + e.Address + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Executions counts the executions of each key on the backend servers that still run.
+func (f *Fleet) Executions() (map[string]int, error) {
+	counts := make(map[string]int)
+	for _, b := range f.Backends {
+		if b.Exited() {
+			continue
+		}
+		var executed []standin.Execution
+		if err := f.get(b, standin.PathExecuted, &executed); err != nil {
+			return nil, err
+		}
+		for _, e := range executed {
+			counts[e.Key]++
+		}
+	}
+	return counts, nil
+}
+
+// Counters reads the counters of a stand-in backend server.
+func (f *Fleet) Counters(b Member) (c standin.Counters, err error) {
+	return c, f.get(b, standin.PathCounters, &c)
+}
+
+func (f *Fleet) get(m Member, path string, out any) error {
+	resp, err := f.http.Get("http://" + m.Address + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// SetStoreFaults injects faults into the stand-in store.
+func (f *Fleet) SetStoreFaults(faults store.FaultsBody) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+f.Store.Address+store.PathFaults, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return eris.Errorf("faults answered %d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proctest/process.go
@@ -0,0 +1,141 @@
+// Package proctest starts the real binaries on loopback for process-level tests.
+package proctest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.yaml.in/yaml/v3"
+)
+
+// Build builds the binaries of the module at root into dir.
+func Build(ctx context.Context, root, dir string) error {
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir,
+		"./cmd/chivemill-entry", "./cmd/standin-store", "./cmd/standin-backend")
+	cmd.Dir = root
+	out, err := cmd.CombinedOutput()
+	return eris.Wrapf(err, "go build: %s", out)
+}
+
+// Process is a started binary. It is safe for concurrent use.
+type Process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+
+	mu  sync.Mutex
+	log bytes.Buffer
+	err error
+}
+
+// Write implements io.Writer for the output of the process.
+func (p *Process) Write(data []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(data)
+}
+
+// Start starts a binary with the settings, which are written to a file in dir.
+func Start(binary, dir, name string, settings any) (*Process, error) {
+	data, err := yaml.Marshal(settings)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings")
+	}
+	file := filepath.Join(dir, name+".yaml")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return nil, eris.Wrap(err, "settings")
+	}
+	p := &Process{cmd: exec.Command(binary, "--settings", file), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p, p
+	if err := p.cmd.Start(); err != nil {
+		return nil, eris.Wrap(err, name)
+	}
+	go func() {
+		err := p.cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Exited reports whether the process has ended.
+func (p *Process) Exited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait waits for the end of the process and returns its exit status, or an error after the timeout.
+func (p *Process) Wait(timeout time.Duration) (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(timeout):
+		return 0, eris.Errorf("process %d did not end within %s", p.cmd.Process.Pid, timeout)
+	}
+}
+
+// Stop kills the process and waits for its end.
+func (p *Process) Stop() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Log returns the output so far.
+func (p *Process) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// FreeAddresses returns n addresses of loopback ports that are free at the time of the call.
+func FreeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "free port")
+		}
+		// All listeners stay open until the end, so that the ports differ.
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// pollInterval is the time between two checks of a condition.
+const pollInterval = 10 * time.Millisecond
+
+// ErrTimeout means that a condition did not hold in time.
+var ErrTimeout = errors.New("condition not met in time")
+
+// Until checks the condition until it holds or the timeout has passed.
+func Until(timeout time.Duration, condition func() bool) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	deadline := time.After(timeout)
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			return eris.Wrapf(ErrTimeout, "after %s", timeout)
+		}
+	}
+	return nil
+}
