proctest: measure the pause from the held claim

Cause: TestPausedBetweenClaimAndDispatch failed once in a full run on a busy machine with an answer of status 200. The pause of 1.5 s was counted from before the order was sent; when the order reached the daemon more than 0.5 s later, its deadline of 1 s had not passed at the resumption, and the dispatch was allowed. Change: the pause is counted from the moment the claim is held, by which the daemon has received the order. Conclusion: the check is as strict as before and no longer depends on the time the request takes to arrive.

--- a/internal/proctest/proctest_test.go
+++ b/internal/proctest/proctest_test.go
@@ -137,12 +137,13 @@
 	key := proctest.NewKey()
 	first := make(chan proctest.Reply, 1)
 	proxy.Arm()
-	begin := time.Now()
 	go func() {
 		r, _ := f.Order(f.Entries[0], "plate", key)
 		first <- r
 	}()
 	<-proxy.Held
+	// The daemon has received the order, so its deadline runs from an earlier time than this.
+	begin := time.Now()
 	must.NoError(t, f.Entries[0].Signal(syscall.SIGSTOP))
 	close(proxy.Release)
 	// The profile's deadline is 1 s.
