peer, relay, confbench: daemons talk over drpc, second hop, measurement program

Cause: configuration and sub-requests need a transport between entry daemons, and the cost of dissemination at the target size was not known. Change: peer carries confsync requests and batches of sub-requests over drpc with a bounded number of connections per peer and class; relay routes, batches and classifies failures; chivemill-confbench runs N nodes in virtual time. Batches are matched by an id in the batch, because the attempt of two requests may be equal.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint generate
+.PHONY: build test lint generate confbench
 
 build:
 	mkdir -p bin
@@ -18,3 +18,7 @@
 	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	cd tools && go build -o ../bin/buf github.com/bufbuild/buf/cmd/buf
 	PATH="$(CURDIR)/bin:$$PATH" bin/buf generate
+
+# Measures the dissemination of the configuration; the table goes to docs/measurements.
+confbench:
+	go run ./cmd/chivemill-confbench
--- /dev/null
+++ b/confsync/promises_test.go
@@ -0,0 +1,167 @@
+package confsync_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/confsync"
+	"github.com/chivemill/chivemill/internal/confbench"
+)
+
+func options(nodes int) confbench.Options {
+	return confbench.Options{Nodes: nodes, DataCentres: 3, Regions: 2, Seed: 11}
+}
+
+// TestStoreCallsDoNotGrow guards against a store call per node: with the same data centres, 7 and 200 nodes have the
+// same number of watches, and as many lists as watches.
+func TestStoreCallsDoNotGrow(t *testing.T) {
+	for _, nodes := range []int{7, 200} {
+		f := newFleet(t, options(nodes))
+		f.put(1)
+		f.run(30 * time.Second)
+		must.LessEq(t, 4, f.net.Store.Calls.Waiting)
+		must.GreaterEq(t, 3, f.net.Store.Calls.Waiting)
+		must.LessEq(t, 4, f.net.Store.Calls.Watches)
+		must.LessEq(t, 4, f.net.Store.Calls.Lists)
+		must.Eq(t, 0, f.net.Store.Calls.Verifies)
+		f.checkCurrent()
+	}
+}
+
+// TestStartDuringOutage guards against a node that becomes ready without configuration, or with an old one when
+// only one of its three peers has the newest.
+func TestStartDuringOutage(t *testing.T) {
+	f := newFleet(t, options(7))
+	f.put(1)
+	f.run(5 * time.Second)
+	f.net.Store.SetDown(true)
+	f.restart(3)
+	f.run(3 * time.Second)
+	s := f.net.Hosts[3].Node.Status(f.net.Now())
+	must.True(t, s.Ready)
+	must.Eq(t, f.net.Store.Revision(), s.Revision)
+	f.run(bound)
+	for _, h := range f.net.Hosts {
+		must.Eq(t, confsync.Stale, h.Node.Status(f.net.Now()).State)
+	}
+	for i := range f.net.Hosts {
+		f.net.Stop(i)
+	}
+	f.net.Start(0)
+	f.run(30 * time.Second)
+	must.False(t, f.net.Hosts[0].Node.Status(f.net.Now()).Ready)
+	must.Eq(t, confsync.Unknown, f.net.Hosts[0].Node.Status(f.net.Now()).State)
+}
+
+// TestCutNodeIsStale guards against a node that reaches neither peers nor the store and still claims to be current.
+func TestCutNodeIsStale(t *testing.T) {
+	f := newFleet(t, options(12))
+	f.run(5 * time.Second)
+	f.net.Hosts[4].Cut = true
+	f.net.Store.SetDown(true)
+	f.put(2)
+	// A batch that was on its way at the start of the outage still confirms.
+	f.run(bound + 100*time.Millisecond)
+	must.Eq(t, confsync.Stale, f.net.Hosts[4].Node.Status(f.net.Now()).State)
+	f.heal()
+	f.run(bound)
+	f.checkCurrent()
+}
+
+// tamper makes node bad claim a revision for a key that the store never had.
+func tamper(f *fleet, bad int, claim confsync.Item) {
+	f.net.Tamper = func(from int, resp confsync.Response) confsync.Response {
+		if from != bad {
+			return resp
+		}
+		switch r := resp.(type) {
+		case confsync.CompareResponse:
+			r.Same = false
+			r.Digest = confsync.Digest{}
+			return r
+		case confsync.EntriesResponse:
+			r.Entries = append([]confsync.Entry{{Key: claim.Key, Revision: claim.Revision}}, r.Entries...)
+			return r
+		case confsync.FetchResponse:
+			r.Items = append([]confsync.Item{claim}, r.Items...)
+			return r
+		}
+		return resp
+	}
+}
+
+// TestClaimedRevisionDoesNotBlock guards against a faulty peer whose invented revision keeps real ones out: 2^62 is
+// never applied, and a revision that the store could have reached is overridden while the peer still claims it.
+func TestClaimedRevisionDoesNotBlock(t *testing.T) {
+	for _, claimed := range []int64{1 << 62, 5_000} {
+		f := newFleet(t, options(12))
+		f.put(1)
+		f.run(5 * time.Second)
+		f.held = nil
+		f.net = rebuilt(f)
+		tamper(f, 5, confsync.Item{Key: key(1), Revision: claimed, Value: []byte("false")})
+		f.net.Run(20 * time.Second)
+		if claimed == 1<<62 {
+			for _, h := range f.net.Hosts {
+				must.Less(t, claimed, h.Node.Replica().Revision())
+			}
+		}
+		f.put(1)
+		f.net.Run(90 * time.Second)
+		for _, h := range f.net.Hosts {
+			got, _ := h.Node.Replica().Get(key(1))
+			must.Eq(t, f.net.Store.Revision(), got.Revision)
+		}
+	}
+}
+
+// rebuilt returns a network without the oracle, because an invented revision is meant to be taken back.
+func rebuilt(f *fleet) *confbench.Network {
+	opts := options(12)
+	opts.GossipRound = 200 * time.Millisecond
+	net := confbench.New(opts)
+	net.Store.Put(key(1), []byte("true"))
+	net.Run(5 * time.Second)
+	return net
+}
+
+// TestPeerLimits guards against a peer that exhausts a node's memory.
+func TestPeerLimits(t *testing.T) {
+	n := confsync.NewNode(confsync.Config{Limits: confsync.Limits{ItemBytes: 100, Bytes: 1_000, Items: 5, Tombstones: 2}})
+	r := n.Replica()
+	refused := func(item confsync.Item) {
+		ok, err := r.ApplyPeer(item)
+		must.Error(t, err)
+		must.False(t, ok)
+	}
+	refused(confsync.Item{Key: "a", Revision: 1, Value: make([]byte, 101)})
+	refused(confsync.Item{Key: "a", Revision: -1})
+	for i := range 5 {
+		_, err := r.ApplyPeer(confsync.Item{Key: key(i), Revision: int64(i + 1), Deleted: i < 3})
+		must.NoError(t, err)
+	}
+	_, kept := r.Lookup(key(0))
+	must.False(t, kept)
+	must.NoError(t, second(r.ApplyPeer(confsync.Item{Key: key(5), Revision: 9})))
+	refused(confsync.Item{Key: key(6), Revision: 10})
+	must.True(t, r.Apply(confsync.Item{Key: key(6), Revision: 10}))
+}
+
+func second(_ bool, err error) error { return err }
+
+// TestDigestFindsDifference guards against a digest that depends on the order or misses a difference.
+func TestDigestFindsDifference(t *testing.T) {
+	a, b := confsync.NewReplica(nil), confsync.NewReplica(nil)
+	for i := range 100 {
+		a.Apply(confsync.Item{Key: key(i), Revision: int64(i + 1)})
+		b.Apply(confsync.Item{Key: key(99 - i), Revision: int64(100 - i)})
+	}
+	must.Eq(t, a.Digest(), b.Digest())
+	a.Apply(confsync.Item{Key: key(7), Revision: 500})
+	mask := a.Digest().Diff(b.Digest())
+	must.Eq(t, 0, mask&(mask-1))
+	must.NotEq(t, 0, mask)
+	must.SliceContains(t, a.Entries(mask), confsync.Entry{Key: key(7), Revision: 500})
+}
--- /dev/null
+++ b/peer/forward.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/relay"
+	"github.com/chivemill/chivemill/snapshot"
+)
+
+// Forwarder executes sub-requests for a peer over this daemon's own connections; relay.Local implements it.
+type Forwarder interface {
+	// Forward calls done once for each sub-request, concurrently, and returns after the last call.
+	Forward(ctx context.Context, subs []relay.Sub, done func(relay.Result))
+}
+
+var _ relay.Transport = (*Client)(nil)
+
+// Forward implements relay.Transport.
+func (c *Client) Forward(ctx context.Context, to relay.Peer, subs []relay.Sub, done func(relay.Result)) (bool, error) {
+	conn, release, err := c.pool.get(ctx, poolKey{to.Address, classRelay})
+	if err != nil {
+		return false, err
+	}
+	defer release()
+	req := &RelayRequest{From: c.self}
+	for _, s := range subs {
+		req.Subs = append(req.Subs, fromSub(s))
+	}
+	stream, err := NewDRPCRelayClient(conn).Forward(ctx, req)
+	if err != nil {
+		return true, eris.Wrapf(err, "forward through %s", to.ID)
+	}
+	defer stream.Close()
+	for {
+		resp, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return true, nil
+		}
+		if err != nil {
+			return true, eris.Wrapf(err, "forward through %s", to.ID)
+		}
+		for _, s := range resp.GetSubs() {
+			done(toResult(s))
+		}
+	}
+}
+
+type relayServer struct{ forwarder Forwarder }
+
+// Forward implements DRPCRelayServer.
+func (s *relayServer) Forward(r *RelayRequest, stream DRPCRelay_ForwardStream) error {
+	subs := make([]relay.Sub, len(r.GetSubs()))
+	for i, sub := range r.GetSubs() {
+		subs[i] = toSub(sub)
+	}
+	var mu sync.Mutex
+	var sendErr error
+	s.forwarder.Forward(stream.Context(), subs, func(result relay.Result) {
+		mu.Lock()
+		defer mu.Unlock()
+		if sendErr == nil {
+			sendErr = stream.Send(&RelayResponse{Subs: []*SubResponse{fromResult(result)}})
+		}
+	})
+	return sendErr
+}
+
+func fromSub(s relay.Sub) *SubRequest {
+	return &SubRequest{
+		Replica: s.Replica, Service: s.Service, Request: s.Request, Attempt: s.Attempt, Index: s.Version.Index,
+		Map: s.Version.Map, Shard: s.Shard, Query: s.Query, Key: s.Key, Id: s.ID, RemainingUs: s.Remaining.Microseconds(),
+	}
+}
+
+func toSub(s *SubRequest) relay.Sub {
+	return relay.Sub{
+		ID:        s.GetId(),
+		Replica:   s.GetReplica(),
+		Remaining: time.Duration(s.GetRemainingUs()) * time.Microsecond,
+		Sub: backend.Sub{
+			Service: s.GetService(), Request: s.GetRequest(), Attempt: s.GetAttempt(),
+			Version: snapshot.Version{Index: s.GetIndex(), Map: s.GetMap()},
+			Shard:   s.GetShard(), Query: s.GetQuery(), Key: s.GetKey(),
+		},
+	}
+}
+
+func fromResult(r relay.Result) *SubResponse {
+	return &SubResponse{
+		Id: r.ID, Attempt: r.Attempt, Answer: r.Answer, Failure: string(r.Failure), Reason: string(r.Reason),
+	}
+}
+
+func toResult(r *SubResponse) relay.Result {
+	return relay.Result{
+		ID: r.GetId(), Attempt: r.GetAttempt(), Answer: r.GetAnswer(), Failure: backend.Failure(r.GetFailure()),
+		Reason: backend.RefusalReason(r.GetReason()),
+	}
+}
--- /dev/null
+++ b/relay/local.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+
+	"github.com/chivemill/chivemill/backend"
+)
+
+// Local executes the sub-requests of peers over this daemon's own connections. It never passes one on, so that a
+// sub-request takes at most two hops. It is safe for concurrent use.
+type Local struct {
+	owners Owners
+	direct Sender
+}
+
+// NewLocal returns the receiving side of the second hop.
+func NewLocal(owners Owners, direct Sender) *Local { return &Local{owners: owners, direct: direct} }
+
+// Forward sends the sub-requests concurrently, calls done once for each as it ends, and returns after the last one.
+// The end of ctx cancels them.
+func (l *Local) Forward(ctx context.Context, subs []Sub, done func(Result)) {
+	var wg sync.WaitGroup
+	for _, s := range subs[:min(len(subs), maxBatch)] {
+		wg.Go(func() { done(l.one(ctx, s)) })
+	}
+	wg.Wait()
+	for _, s := range subs[min(len(subs), maxBatch):] {
+		done(Result{ID: s.ID, Attempt: s.Attempt, Failure: backend.NotSent})
+	}
+}
+
+func (l *Local) one(ctx context.Context, s Sub) Result {
+	if !l.owners.Direct(s.Replica) || s.Remaining < 0 {
+		return Result{ID: s.ID, Attempt: s.Attempt, Failure: backend.NotSent}
+	}
+	if s.Remaining > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.Remaining)
+		defer cancel()
+	}
+	answer, err := l.direct.Send(ctx, s.Replica, s.Sub)
+	if err != nil {
+		return failed(s, err)
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return Result{ID: s.ID, Attempt: s.Attempt, Failure: backend.Undecodable}
+	}
+	return Result{ID: s.ID, Attempt: s.Attempt, Answer: data}
+}
+
+func failed(s Sub, err error) Result {
+	r := Result{ID: s.ID, Attempt: s.Attempt, Failure: backend.FailureOf(err)}
+	var e *backend.Error
+	if errors.As(err, &e) && e.Failure == backend.Refused {
+		r.Reason = e.Refusal.Reason
+	}
+	if errors.Is(err, context.DeadlineExceeded) && r.Failure == backend.ServerError {
+		r.Failure = backend.TimedOut
+	}
+	return r
+}
