Entry daemon joins its peers: membership, signals, shares, configuration, second hop, planned stop

Cause: each daemon watched the store itself, knew no peers, and could exceed a replica's connection limit. Change: the daemon runs the membership over UDP and the configuration over drpc; leaving marks and fingerprints of crashing requests travel as membership payloads; each replica's connections are limited to the daemon's share, and a daemon without a share sends through an owner. The main function runs the drain sequence, and it waits for the HTTP server, because responses are written out after their request left the in-flight count.

--- a/cmd/chivemill-entry/main.go
+++ b/cmd/chivemill-entry/main.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/chivemill/chivemill/drain"
 	"github.com/chivemill/chivemill/entry"
 	"github.com/chivemill/chivemill/internal/daemon"
 	"github.com/chivemill/chivemill/kv/etcdjson"
@@ -16,8 +18,12 @@
 	"github.com/chivemill/chivemill/vmlist"
 )
 
-// operatorShutdown bounds the wait for operators' requests at the end; callers' requests are not bounded by it.
-const operatorShutdown = time.Second
+const (
+	// operatorShutdown bounds the wait for operators' requests at the end; callers' requests are not bounded by it.
+	operatorShutdown = time.Second
+	// leaveTimeout bounds the announcement of the planned stop to the peers.
+	leaveTimeout = 3 * time.Second
+)
 
 func main() {
 	set := settings.DefaultEntry()
@@ -49,19 +55,49 @@
 		return err
 	}
 	runCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go d.Run(runCtx)
+	ended := make(chan struct{})
+	go func() {
+		d.Run(runCtx)
+		close(ended)
+	}()
+	err = serve(ctx, log, set, d, callers, failed)
+	cancel()
+	<-ended
+	stopCtx, stop := context.WithTimeout(context.Background(), operatorShutdown)
+	defer stop()
+	return errors.Join(err, operators.Shutdown(stopCtx))
+}
+
+// serve returns after a planned stop, or with the error of a listener.
+func serve(ctx context.Context, log *zap.Logger, set settings.Entry, d *entry.Daemon, callers *http.Server, failed <-chan error) error {
+	closed := make(chan struct{})
+	sequence := drain.NewSequence(
+		drain.Options{BalancerLag: set.BalancerLag.D(), LeaveTimeout: leaveTimeout},
+		drain.Hooks{
+			NotReady:       d.StartDraining,
+			CloseListeners: func() { go shutdown(log, callers, closed) },
+			InFlight:       d.InFlight,
+			Leave:          d.Leave,
+			Changed:        func(p drain.Phase) { log.Info("planned stop", zap.String("phase", string(p))) },
+			Ignored:        func() { log.Info("further stop signal ignored") },
+		})
+	go daemon.OnStopSignal(sequence.Signal)
+	stopped := make(chan error, 1)
+	go func() { stopped <- sequence.Run(ctx) }()
 	select {
-	case <-daemon.StopSignal(ctx, log).Done():
+	case err := <-stopped:
+		// A response is written out after its request has left the in-flight count.
+		<-closed
+		return err
 	case err := <-failed:
 		return err
 	}
-	d.StartDraining()
-	time.Sleep(set.BalancerLag.D())
+}
+
+// shutdown stops the callers' server and closes done when every response is written out.
+func shutdown(log *zap.Logger, callers *http.Server, done chan<- struct{}) {
+	defer close(done)
 	if err := callers.Shutdown(context.Background()); err != nil {
-		return err
+		log.Warn("callers' listener", zap.Error(err))
 	}
-	stopCtx, stop := context.WithTimeout(context.Background(), operatorShutdown)
-	defer stop()
-	return operators.Shutdown(stopCtx)
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -96,19 +96,26 @@
 	}
 	storeAddress := addresses[0]
 	f.storeURL = "http://" + storeAddress
-	if err := f.startBackends(addresses[1:]); err != nil {
+	entryAddresses := addresses[1+shards*replicas:]
+	if err := f.startBackends(addresses[1:], entryAddresses); err != nil {
 		return err
 	}
 	settings := fmt.Sprintf("listen: %s\nvms: %s\n", storeAddress, filepath.Join(f.dir, "vms.json"))
 	if _, err := f.spawn("standin-store", "store", settings); err != nil {
 		return err
 	}
-	return f.startEntries(addresses[1+shards*replicas:])
+	return f.startEntries(entryAddresses)
 }
 
-func (f *fleet) startBackends(addresses []string) error {
+// startBackends starts the backend servers and writes the VM list, with the peer addresses of the entry daemons.
+func (f *fleet) startBackends(addresses, entryAddresses []string) error {
 	f.backends = make(map[string]*process)
 	var vms []vmlist.VM
+	for i := range entries {
+		vms = append(vms, vmlist.VM{
+			ID: entryName(i), Role: vmlist.RoleEntry, DataCentre: "braga-a", Address: entryAddresses[3*i+2], State: vmlist.StateLive,
+		})
+	}
 	for s := range shards {
 		for r := range replicas {
 			name := fmt.Sprintf("%s-%d-%d", service, s, r)
@@ -132,10 +139,12 @@
 	return eris.Wrap(os.WriteFile(filepath.Join(f.dir, "vms.json"), data, 0o600), "vm list")
 }
 
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
 func (f *fleet) startEntries(addresses []string) error {
 	for i := range entries {
 		a := addresses[3*i : 3*i+3]
-		settings := fmt.Sprintf(`node: entry-%d
+		settings := fmt.Sprintf(`node: %s
 data_centre: braga-a
 region: braga
 listen: %s
@@ -146,8 +155,9 @@
   vm_list: %s
 poll: 200ms
 balancer_lag: 500ms
-`, i+1, a[0], a[1], a[2], f.storeURL, f.storeURL)
-		if _, err := f.spawn("chivemill-entry", fmt.Sprintf("entry-%d", i+1), settings); err != nil {
+join_delay: 1s
+`, entryName(i), a[0], a[1], a[2], f.storeURL, f.storeURL)
+		if _, err := f.spawn("chivemill-entry", entryName(i), settings); err != nil {
 			return err
 		}
 		f.entryURLs = append(f.entryURLs, "http://"+a[0])
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -12,21 +12,10 @@
 
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/internal/httpjson"
+	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/scatter"
-	"github.com/chivemill/chivemill/snapshot"
 )
 
-// Status is the body of the operators' status endpoint.
-type Status struct {
-	Node       string                      `json:"node"`
-	DataCentre string                      `json:"data_centre"`
-	Ready      bool                        `json:"ready"`
-	Revision   int64                       `json:"revision"`
-	Profiles   map[string]int64            `json:"profiles"`
-	Bindings   map[string]string           `json:"bindings"`
-	Snapshots  map[string]snapshot.Version `json:"snapshots"`
-}
-
 // CallerHandler serves the callers' interface.
 func (d *Daemon) CallerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -43,27 +32,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (d *Daemon) handleStatus(w http.ResponseWriter, _ *http.Request) {
-	status := Status{
-		Node: d.set.Node, DataCentre: d.set.DataCentre, Ready: d.Ready(), Revision: d.config.Revision(),
-		Profiles: map[string]int64{}, Bindings: map[string]string{}, Snapshots: map[string]snapshot.Version{},
-	}
-	d.mu.Lock()
-	for name, p := range d.profiles {
-		status.Profiles[name] = p.revision
-	}
-	for service, name := range d.bindings {
-		status.Bindings[service] = name
-	}
-	for service, c := range d.catalogues {
-		if v, _, ok := c.Current(); ok {
-			status.Snapshots[service] = v
-		}
-	}
-	d.mu.Unlock()
-	httpjson.Write(w, http.StatusOK, status)
-}
-
 func (d *Daemon) handleQuery(w http.ResponseWriter, r *http.Request) {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
@@ -176,7 +144,12 @@
 		Service: q.Service, Request: id, Query: q.Query, Version: version, Map: shardMap,
 		MaxAttempts: p.Retry.MaxAttempts, Hedges: unlimited{}, Retries: unlimited{},
 	}
-	result := scatter.Run(ctx, plan, d, d)
+	runCtx, run, err := d.guard.Admit(ctx, crashFingerprint(q.Service, q.Query), quarantine.Search)
+	if err != nil {
+		return nil, err
+	}
+	defer run.Done()
+	result := scatter.Run(runCtx, plan, d, run.Watch(d))
 	d.metrics.attempts(q.Service, result)
 	answer := &api.Answer{
 		RequestID: id, Nonce: q.Nonce, Service: q.Service, Profile: p.Name, Revision: p.revision,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/confsync"
 	"github.com/chivemill/chivemill/scatter"
 )
 
@@ -66,7 +67,15 @@
 	gauge("chivemill_in_flight", "Callers' requests in flight.", func(o metric.Int64Observer) { o.Observe(d.InFlight()) })
 	gauge("chivemill_ready", "1 while the daemon reports that it is ready.", func(o metric.Int64Observer) { o.Observe(bit(d.Ready())) })
 	gauge("chivemill_config_revision", "Highest configuration revision in force.", func(o metric.Int64Observer) {
-		o.Observe(d.config.Revision())
+		o.Observe(d.peers.runner.Status().Revision)
+	})
+	gauge("chivemill_config_age_milliseconds", "Time since the configuration was last confirmed by a live watch; -1 if unknown.", d.observeConfigAge)
+	gauge("chivemill_config_watching", "1 while the daemon watches the store itself.", func(o metric.Int64Observer) {
+		o.Observe(bit(d.peers.runner.Status().Watching))
+	})
+	gauge("chivemill_members", "Known entry daemons by state.", d.observeMembers)
+	gauge("chivemill_quarantined", "Requests that are refused because they crash backend servers.", func(o metric.Int64Observer) {
+		o.Observe(int64(len(d.guard.Notices())))
 	})
 	gauge("chivemill_profile_revision", "Revision in force of each profile.", d.observeProfiles)
 	gauge("chivemill_backend_connections", "Open connections to backend servers, by service.", d.observeConnections)
@@ -89,6 +98,25 @@
 	}
 }
 
+func (d *Daemon) observeConfigAge(o metric.Int64Observer) {
+	status := d.peers.runner.Status()
+	if status.State == confsync.Unknown {
+		o.Observe(-1)
+		return
+	}
+	o.Observe(status.Age.Milliseconds())
+}
+
+func (d *Daemon) observeMembers(o metric.Int64Observer) {
+	counts := make(map[string]int64)
+	for _, m := range d.peers.transport.Members() {
+		counts[m.State.String()]++
+	}
+	for state, n := range counts {
+		o.Observe(n, metric.WithAttributes(attribute.String("state", state)))
+	}
+}
+
 func (d *Daemon) observeConnections(o metric.Int64Observer) {
 	open := make(map[string]int64)
 	for _, r := range d.registry.All() {
--- a/entry/order.go
+++ b/entry/order.go
@@ -72,7 +72,7 @@
 	}
 	// The claim comes first: a resend of the order that crashed a backend server may have run, and is answered
 	// already_dispatched instead of quarantined.
-	_, watch, err := o.guard.Admit(ctx, fingerprint, quarantine.Order)
+	_, watch, err := o.guard.Admit(ctx, crashFingerprint(q.Service, q.Query), quarantine.Order)
 	if err != nil {
 		o.release(ctx, claim)
 		return "", err
--- /dev/null
+++ b/entry/replicas.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/replica"
+	"github.com/chivemill/chivemill/scatter"
+	"github.com/chivemill/chivemill/signal"
+	"github.com/chivemill/chivemill/snapshot"
+)
+
+// loadTimeout bounds one call of a load endpoint.
+const loadTimeout = time.Second
+
+// pollReplicas reads the VM list and the load endpoints until ctx ends.
+func (d *Daemon) pollReplicas(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.refreshList(ctx)
+		d.pollLoads(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(d.set.Poll.D()):
+		}
+	}
+}
+
+func (d *Daemon) refreshList(ctx context.Context) {
+	vms, err := d.list.Fetch(ctx)
+	if err != nil {
+		d.log.Warn("VM list not available", zap.Error(err))
+		return
+	}
+	d.registry.SetList(vms)
+	d.peers.setList(vms)
+}
+
+func (d *Daemon) pollLoads(ctx context.Context) {
+	var wg sync.WaitGroup
+	services := make(map[string]bool)
+	for _, r := range d.registry.All() {
+		services[r.Service] = true
+		wg.Go(func() { d.pollLoad(ctx, r) })
+	}
+	wg.Wait()
+	for service := range services {
+		d.updateCatalogue(service)
+	}
+}
+
+func (d *Daemon) pollLoad(ctx context.Context, r replica.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	client := d.client(r)
+	client.SetConnections(d.peers.connections(d.connectionLimit(r.ID), r.ID))
+	load, err := client.Load(ctx)
+	if err != nil {
+		d.registry.Unreachable(r.ID)
+		return
+	}
+	for _, h := range load.Holdings {
+		d.learnMap(ctx, client, r.Service, h.Version.Map)
+	}
+	d.registry.SetLoad(r.ID, load, time.Now())
+	if load.State == backend.StateDraining {
+		d.peers.raise(r.ID, load.Incarnation, signal.Leaving)
+	}
+}
+
+// connectionLimit returns the connections that all daemons together may hold to the replica.
+func (d *Daemon) connectionLimit(id string) int {
+	if limit := d.registry.ConnectionLimit(id); limit > 0 {
+		return limit
+	}
+	return d.set.ConnectionsPerReplica
+}
+
+func (d *Daemon) learnMap(ctx context.Context, client *backend.Client, service string, version int64) {
+	d.mu.Lock()
+	_, known := d.catalogue(service).Map(version)
+	d.mu.Unlock()
+	if known {
+		return
+	}
+	m, err := client.Map(ctx, version)
+	if err == nil {
+		d.mu.Lock()
+		err = d.catalogue(service).AddMap(m)
+		d.mu.Unlock()
+	}
+	if err != nil {
+		d.log.Warn("shard map not usable", zap.String("service", service), zap.Int64("map", version), zap.Error(err))
+	}
+}
+
+// catalogue returns the catalogue of a service. The caller holds d.mu.
+func (d *Daemon) catalogue(service string) *snapshot.Catalogue {
+	c, ok := d.catalogues[service]
+	if !ok {
+		c = snapshot.NewCatalogue()
+		d.catalogues[service] = c
+	}
+	return c
+}
+
+func (d *Daemon) updateCatalogue(service string) {
+	holdings := d.registry.Holdings(service)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.catalogue(service).Update(holdings)
+}
+
+func (d *Daemon) client(r replica.Replica) *backend.Client {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c, ok := d.clients[r.Address]
+	if !ok {
+		c = backend.NewClient(r.Address, 0)
+		d.clients[r.Address] = c
+	}
+	return c
+}
+
+// Pick implements scatter.Picker.
+func (d *Daemon) Pick(service string, version snapshot.Version, shard string, exclude []string) (scatter.Target, bool) {
+	r, ok := d.registry.Pick(service, version, shard, exclude)
+	if !ok {
+		return scatter.Target{}, false
+	}
+	return scatter.Target{ID: r.ID, Done: func(latency time.Duration, err error) {
+		d.registry.Done(r.ID, latency, err)
+	}}, true
+}
+
+// directSender sends over this daemon's own connections.
+type directSender struct{ d *Daemon }
+
+// Send implements scatter.Sender.
+func (s directSender) Send(ctx context.Context, id string, sub backend.Sub) (backend.SubAnswer, error) {
+	address, ok := s.d.registry.Address(id)
+	if !ok {
+		return backend.SubAnswer{}, &backend.Error{Failure: backend.NotSent, Cause: eris.Errorf("replica %s is gone", id)}
+	}
+	return s.d.client(replica.Replica{Address: address}).Send(ctx, sub)
+}
+
+// Send implements scatter.Sender. It goes through another daemon where this one holds no connections.
+func (d *Daemon) Send(ctx context.Context, id string, sub backend.Sub) (backend.SubAnswer, error) {
+	answer, err := d.peers.router.Send(ctx, id, sub)
+	var refused *backend.Error
+	if eris.As(err, &refused) && refused.Failure == backend.Refused && refused.Refusal.Reason == backend.RefusedDraining {
+		d.registry.MarkLeaving(id, refused.Refusal.Incarnation)
+		d.peers.raise(id, refused.Refusal.Incarnation, signal.Leaving)
+	}
+	return answer, err
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/chivemill/chivemill/internal/httpjson"
+	"github.com/chivemill/chivemill/snapshot"
+)
+
+// Status is the body of the operators' status endpoint.
+type Status struct {
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	Ready      bool   `json:"ready"`
+	// Revision is the highest configuration revision in force.
+	Revision int64 `json:"revision"`
+	// Configuration is fresh, stale or unknown: whether the daemon knows that it has the newest configuration.
+	Configuration string `json:"configuration"`
+	// ConfigurationAgeMS is the time since the configuration was last confirmed, in milliseconds.
+	ConfigurationAgeMS int64 `json:"configuration_age_ms"`
+	// Watching tells whether the daemon watches the store itself.
+	Watching  bool                        `json:"watching"`
+	Profiles  map[string]int64            `json:"profiles"`
+	Bindings  map[string]string           `json:"bindings"`
+	Snapshots map[string]snapshot.Version `json:"snapshots"`
+	// Members is the state of each known entry daemon.
+	Members map[string]string `json:"members"`
+	// Quarantined is the number of requests refused because they crash backend servers.
+	Quarantined int `json:"quarantined"`
+}
+
+func (d *Daemon) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	httpjson.Write(w, http.StatusOK, d.Status())
+}
+
+// Status describes the daemon.
+func (d *Daemon) Status() Status {
+	config := d.peers.runner.Status()
+	status := Status{
+		Node: d.set.Node, DataCentre: d.set.DataCentre, Ready: d.Ready(),
+		Revision: config.Revision, Configuration: string(config.State),
+		ConfigurationAgeMS: config.Age.Milliseconds(), Watching: config.Watching,
+		Profiles: map[string]int64{}, Bindings: map[string]string{}, Snapshots: map[string]snapshot.Version{},
+		Members: map[string]string{}, Quarantined: len(d.guard.Notices()),
+	}
+	for _, m := range d.peers.transport.Members() {
+		status.Members[m.ID] = m.State.String()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, p := range d.profiles {
+		status.Profiles[name] = p.revision
+	}
+	for service, name := range d.bindings {
+		status.Bindings[service] = name
+	}
+	for service, c := range d.catalogues {
+		if v, _, ok := c.Current(); ok {
+			status.Snapshots[service] = v
+		}
+	}
+	return status
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,17 +61,22 @@
 	}
 }
 
+// OnStopSignal calls stop for each SIGTERM and SIGINT. It does not return.
+func OnStopSignal(stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	for range signals {
+		stop()
+	}
+}
+
 // StopSignal returns a context that ends at SIGTERM or SIGINT. Further signals are logged and have no effect.
 func StopSignal(ctx context.Context, log *zap.Logger) context.Context {
 	ctx, cancel := context.WithCancel(ctx)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	go func() {
-		for s := range signals {
-			log.Info("stop signal", zap.Stringer("signal", s))
-			cancel()
-		}
-	}()
+	go OnStopSignal(func() {
+		log.Info("stop signal")
+		cancel()
+	})
 	return ctx
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -204,3 +204,13 @@
 	}
 	return r.Address, true
 }
+
+// ConnectionLimit returns the connection limit that a replica reported, or 0.
+func (g *Registry) ConnectionLimit(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r, ok := g.replicas[id]; ok {
+		return r.Load.Connections
+	}
+	return 0
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -70,8 +70,13 @@
 	MaxBody int64 `yaml:"max_body"`
 	// MaxInFlight is the largest number of requests in flight.
 	MaxInFlight int `yaml:"max_in_flight"`
-	// ConnectionsPerReplica is used while a replica has not reported its own limit.
+	// ConnectionsPerReplica is the limit of all daemons together for a replica that has not reported its own.
 	ConnectionsPerReplica int `yaml:"connections_per_replica"`
+	// JoinDelay is how long a starting daemon opens no connections to backend servers and is not ready, until the
+	// other daemons count it. It exceeds the time in which the member list or the VM list shows the daemon to all.
+	JoinDelay strictyaml.Duration `yaml:"join_delay"`
+	// ConnectionHold is how long an ended daemon still counts for the connection shares.
+	ConnectionHold strictyaml.Duration `yaml:"connection_hold"`
 }
 
 // DefaultEntry returns the settings that apply where a file states none.
@@ -81,7 +86,9 @@
 		BalancerLag:           strictyaml.Duration(2 * time.Second),
 		MaxBody:               64 << 10,
 		MaxInFlight:           512,
-		ConnectionsPerReplica: 4,
+		ConnectionsPerReplica: 30,
+		JoinDelay:             strictyaml.Duration(10 * time.Second),
+		ConnectionHold:        strictyaml.Duration(30 * time.Second),
 	}
 }
 
@@ -105,6 +112,8 @@
 	Range(doc, "balancer_lag", e.BalancerLag.D(), 0, time.Minute)
 	Range(doc, "max_body", e.MaxBody, 1, 1<<20)
 	Range(doc, "max_in_flight", e.MaxInFlight, 1, 100_000)
+	Range(doc, "join_delay", e.JoinDelay.D(), 100*time.Millisecond, 5*time.Minute)
+	Range(doc, "connection_hold", e.ConnectionHold.D(), time.Second, 10*time.Minute)
 	Range(doc, "connections_per_replica", e.ConnectionsPerReplica, 1, 1000)
 }
 
--- a/signal/payload.go
+++ b/signal/payload.go
@@ -29,28 +29,39 @@
 
 func crashKey(c Crash) string { return "f" + strconv.FormatUint(c.Fingerprint, 16) }
 
-// Deliver merges a broadcast payload. It returns the payload's key and whether the payload was new and has to be
-// sent on. Errors are ErrInvalid and ErrFull.
-func Deliver(now time.Time, t *Table, c *Crashes, payload []byte) (key string, fresh bool, err error) {
+// Decode decodes a broadcast payload; one of the results is set. The error is ErrInvalid.
+func Decode(payload []byte) (*Signal, *Crash, error) {
 	var p wire.Payload
 	if proto.Unmarshal(payload, &p) != nil {
-		return "", false, ErrInvalid
+		return nil, nil, ErrInvalid
 	}
 	switch kind := p.Kind.(type) {
 	case *wire.Payload_Signal:
 		w := kind.Signal
 		if w.State > uint32(Leaving) {
-			return "", false, ErrInvalid
+			return nil, nil, ErrInvalid
 		}
-		s := Signal{Replica: w.Replica, Incarnation: w.Incarnation, State: State(w.State), Until: w.Until}
-		fresh, err = t.Merge(now, s)
-		return signalKey(s), fresh, err
+		return &Signal{Replica: w.Replica, Incarnation: w.Incarnation, State: State(w.State), Until: w.Until}, nil, nil
 	case *wire.Payload_Crash:
-		crash := Crash{Fingerprint: kind.Crash.Fingerprint, Until: kind.Crash.Until}
-		fresh, err = c.Merge(now, crash)
-		return crashKey(crash), fresh, err
+		return nil, &Crash{Fingerprint: kind.Crash.Fingerprint, Until: kind.Crash.Until}, nil
+	}
+	return nil, nil, ErrInvalid
+}
+
+// Deliver merges a broadcast payload. It returns the payload's key and whether the payload was new and has to be
+// sent on. Errors are ErrInvalid and ErrFull.
+func Deliver(now time.Time, t *Table, c *Crashes, payload []byte) (key string, fresh bool, err error) {
+	s, crash, err := Decode(payload)
+	switch {
+	case err != nil:
+		return "", false, err
+	case s != nil:
+		fresh, err = t.Merge(now, *s)
+		return signalKey(*s), fresh, err
+	default:
+		fresh, err = c.Merge(now, *crash)
+		return crashKey(*crash), fresh, err
 	}
-	return "", false, ErrInvalid
 }
 
 // Polling assigns replicas to the daemons that poll them. It is not changed after NewPolling.
