proctest: shutdown with requests in flight; wait until a stopped process is stopped

TestPausedBetweenClaimAndDispatch failed in 2 of 4 runs on a busy machine: SIGSTOP takes effect some time after it was sent, so the daemon could still dispatch before it stopped.

TestPlannedShutdownUnderLoad did not notice a shutdown that closes connections at once, because nothing was in flight after the balancer's lag.

--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/confstore"
 	standin "github.com/chivemill/chivemill/internal/standin/backend"
 	"github.com/chivemill/chivemill/internal/standin/store"
@@ -46,6 +47,8 @@
 	// EntryStore replaces the store endpoint of the first entry daemon if it is not empty.
 	EntryStore func(endpoint string) string
 	DrainFor   time.Duration
+	// NoBalancerLag makes the entry daemons stop accepting requests at once after a stop signal.
+	NoBalancerLag bool
 }
 
 // Member is a started process with its HTTP address.
@@ -173,6 +176,9 @@
 	}
 	set.Poll = strictyaml.Duration(100 * time.Millisecond)
 	set.ConnectionsPerReplica = 40
+	if opt.NoBalancerLag {
+		set.BalancerLag = 0
+	}
 	m, err := f.start("chivemill-entry", set.Node, set.Listen, set)
 	f.Entries = append(f.Entries, m)
 	return err
@@ -286,6 +292,18 @@
 	return c, f.get(b, standin.PathCounters, &c)
 }
 
+// Control changes a stand-in backend server.
+func (f *Fleet) Control(b Member, c standin.Control) error {
+	return f.put("http://"+b.Address+standin.PathControl, c)
+}
+
+// Busy returns the number of sub-requests that a stand-in backend server is executing.
+func (f *Fleet) Busy(b Member) (int, error) {
+	var load backend.Load
+	err := f.get(b, backend.PathLoad, &load)
+	return load.Busy, err
+}
+
 func (f *Fleet) get(m Member, path string, out any) error {
 	resp, err := f.http.Get("http://" + m.Address + path)
 	if err != nil {
@@ -297,11 +315,15 @@
 
 // SetStoreFaults injects faults into the stand-in store.
 func (f *Fleet) SetStoreFaults(faults store.FaultsBody) error {
-	body, err := json.Marshal(faults)
+	return f.put("http://"+f.Store.Address+store.PathFaults, faults)
+}
+
+func (f *Fleet) put(url string, in any) error {
+	body, err := json.Marshal(in)
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+f.Store.Address+store.PathFaults, bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -311,7 +333,7 @@
 	}
 	resp.Body.Close()
 	if resp.StatusCode != http.StatusNoContent {
-		return eris.Errorf("faults answered %d", resp.StatusCode)
+		return eris.Errorf("%s answered %d", url, resp.StatusCode)
 	}
 	return nil
 }
--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -81,6 +82,26 @@
 	}
 }
 
+// Paused reports whether every thread of the process is stopped. SIGSTOP takes effect some time after it was sent.
+func (p *Process) Paused() bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return false
+		}
+		// The state follows the command name, which is in parentheses.
+		_, rest, found := bytes.Cut(data, []byte(") "))
+		if !found || rest[0] != 'T' {
+			return false
+		}
+	}
+	return true
+}
+
 // Wait waits for the end of the process and returns its exit status, or an error after the timeout.
 func (p *Process) Wait(timeout time.Duration) (int, error) {
 	select {
--- a/internal/proctest/proctest_test.go
+++ b/internal/proctest/proctest_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/internal/proctest"
+	standin "github.com/chivemill/chivemill/internal/standin/backend"
 	"github.com/chivemill/chivemill/internal/standin/store"
 )
 
@@ -144,6 +145,7 @@
 	}()
 	<-proxy.Held
 	must.NoError(t, f.Entries[0].Signal(syscall.SIGSTOP))
+	must.NoError(t, proctest.Until(waitLimit, f.Entries[0].Paused))
 	close(proxy.Release)
 	// The profile's deadline is 1 s.
 	must.NoError(t, proctest.Until(waitLimit, func() bool {
@@ -206,6 +208,34 @@
 	must.Eq(t, 0, failed.Load())
 }
 
+// Guards against a shutdown that cuts requests in flight: a slow query and a slow order that started before SIGTERM
+// are answered although the daemon accepts nothing new.
+func TestPlannedShutdownFinishesRequestsInFlight(t *testing.T) {
+	f := start(t, proctest.Options{Shards: 1, Replicas: 1, Orders: 1, Entries: 1, NoBalancerLag: true})
+	slow := standin.Control{Faults: []standin.Fault{{DelayMS: 700}}}
+	for _, b := range f.Backends {
+		must.NoError(t, f.Control(b, slow))
+	}
+	statuses := make(chan string, 2)
+	send := func(fn func() (proctest.Reply, error)) {
+		r, err := fn()
+		statuses <- fmt.Sprint(r.Status, err)
+	}
+	go send(func() (proctest.Reply, error) { return f.Query(f.Entries[0], "slow", "item") })
+	go send(func() (proctest.Reply, error) { return f.Order(f.Entries[0], "slow", proctest.NewKey()) })
+	must.NoError(t, proctest.Until(waitLimit, func() bool {
+		search, _ := f.Busy(f.Backends[0])
+		order, _ := f.Busy(f.Backends[1])
+		return search == 1 && order == 1
+	}))
+	must.NoError(t, f.Entries[0].Signal(syscall.SIGTERM))
+	must.Eq(t, "200 <nil>", <-statuses)
+	must.Eq(t, "200 <nil>", <-statuses)
+	status, err := f.Entries[0].Wait(waitLimit)
+	must.NoError(t, err)
+	must.Eq(t, 0, status)
+}
+
 // Guards against new work for a backend server that is leaving: the latest sub-request that reaches it arrives at
 // most 3 s after it started to drain, while queries and orders continue.
 func TestDrainedBackendServerGetsNoWork(t *testing.T) {
