proctest: entry daemons are in the VM list and join within 500 ms

Cause: a daemon that no list shows is not counted by the others, and the default join delay of 10 s exceeds the start timeout of the tests. Change: the fleet lists its entry daemons with their peer addresses and sets join_delay to 500 ms.

--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -76,11 +76,12 @@
 	if err != nil {
 		return f, err
 	}
-	if err := f.startStore(addresses[0], addresses[1:1+backends], opt); err != nil {
+	entries := addresses[1+backends:]
+	if err := f.startStore(addresses[0], addresses[1:1+backends], entries, opt); err != nil {
 		return f, err
 	}
 	for i := range opt.Entries {
-		if err := f.startEntry(i, addresses[1+backends+3*i:], opt); err != nil {
+		if err := f.startEntry(i, entries[3*i:], opt); err != nil {
 			return f, err
 		}
 	}
@@ -103,8 +104,15 @@
 	return Member{Process: p, Name: name, Address: address}, err
 }
 
-func (f *Fleet) startStore(address string, backends []string, opt Options) error {
+// startStore starts the backend servers and the platform's stand-in, whose VM list names them and the entry daemons.
+// entries holds three addresses for each entry daemon, the last of which is its peer address.
+func (f *Fleet) startStore(address string, backends, entries []string, opt Options) error {
 	vms := []vmlist.VM{}
+	for i := range opt.Entries {
+		vms = append(vms, vmlist.VM{
+			ID: entryName(i), Role: vmlist.RoleEntry, DataCentre: "dc", Address: entries[3*i+2], State: vmlist.StateLive,
+		})
+	}
 	for i, a := range backends {
 		set := standin.Default()
 		set.Replica, set.Service, set.DataCentre, set.Listen = fmt.Sprintf("r%d", i), OrderService, "dc", a
@@ -164,9 +172,11 @@
 	return nil
 }
 
+func entryName(i int) string { return fmt.Sprintf("entry%d", i) }
+
 func (f *Fleet) startEntry(i int, addresses []string, opt Options) error {
 	set := settings.DefaultEntry()
-	set.Node, set.DataCentre, set.Region = fmt.Sprintf("entry%d", i), "dc", "region"
+	set.Node, set.DataCentre, set.Region = entryName(i), "dc", "region"
 	set.Listen, set.Operator, set.Peer = addresses[0], addresses[1], addresses[2]
 	endpoint := "http://" + f.Store.Address
 	set.Store.VMList = endpoint
@@ -176,6 +186,7 @@
 	}
 	set.Poll = strictyaml.Duration(100 * time.Millisecond)
 	set.ConnectionsPerReplica = 40
+	set.JoinDelay = strictyaml.Duration(500 * time.Millisecond)
 	if opt.NoBalancerLag {
 		set.BalancerLag = 0
 	}
