chivemillctl status shows confirmation age and members

Cause: the table gave the number of profiles, but not whether a daemon knows that its configuration is current.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -175,6 +175,14 @@
 	return eris.Wrap(err, command)
 }
 
+// withEntries adds the operators' addresses of the entry daemons to a command.
+func (f *fleet) withEntries(args ...string) []string {
+	for _, url := range f.statusURL {
+		args = append(args, "--entry", url)
+	}
+	return args
+}
+
 // kill ends a process at once.
 func (p *process) kill() error {
 	if err := p.cmd.Process.Kill(); err != nil {
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,7 +15,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/chivemill/chivemill/confsync"
 	"github.com/chivemill/chivemill/entry"
+	"github.com/chivemill/chivemill/membership"
 )
 
 const (
@@ -239,17 +242,17 @@
 		if d.err != nil {
 			failed = append(failed, d.err)
 			bodies[i] = statusBody{Entry: d.url, Error: d.err.Error()}
-			rows[i] = []string{d.url, "-", "-", "-", "-", d.err.Error()}
+			rows[i] = []string{d.url, "-", "-", "-", "-", "-", d.err.Error()}
 			continue
 		}
 		bodies[i] = statusBody{Entry: d.url, Status: &d.status}
 		rows[i] = []string{d.url, d.status.Node, d.status.DataCentre, strconv.FormatInt(d.status.Revision, 10),
-			strconv.Itoa(len(d.status.Profiles)), ready(d.status.Ready)}
+			configuration(d.status), strconv.Itoa(liveMembers(d.status)), ready(d.status.Ready)}
 	}
 	if a.json {
 		a.writeJSON(bodies)
 	} else {
-		a.table([]string{"ENTRY", "NODE", "DATA CENTRE", "REVISION", "PROFILES", "STATE"}, rows)
+		a.table([]string{"ENTRY", "NODE", "DATA CENTRE", "REVISION", "CONFIGURATION", "MEMBERS", "STATE"}, rows)
 	}
 	if len(failed) > 0 {
 		return a.unreachable(len(failed), len(daemons), errors.Join(failed...))
@@ -257,6 +260,25 @@
 	return nil
 }
 
+// configuration tells whether the daemon knows that its configuration is current, with the age of the confirmation.
+func configuration(s entry.Status) string {
+	if s.Configuration == string(confsync.Unknown) {
+		return s.Configuration
+	}
+	return fmt.Sprintf("%s %.1fs", s.Configuration, float64(s.ConfigurationAgeMS)/1000)
+}
+
+// liveMembers counts the entry daemons that the daemon takes as live, itself included.
+func liveMembers(s entry.Status) int {
+	n := 0
+	for _, state := range s.Members {
+		if state == membership.Alive.String() || state == membership.Suspect.String() {
+			n++
+		}
+	}
+	return n
+}
+
 // unreachable is the failure of status. With --output json the daemons' errors are in the body already.
 func (a *app) unreachable(failed, total int, cause error) error {
 	return &failure{code: ExitUnavailable, kind: "unavailable", printed: a.json,
