Members find each other as soon as the VM list is read

Cause: the membership read its seeds once at the start, before the first VM list had arrived, and again only 10 s later, so daemons that started together did not know each other for 10 s. Change: the daemon passes each VM list to the membership as it arrives. The demo now fails unless every daemon takes every daemon as live. Measured: members in chivemillctl status of make demo: 1 of 2 before, 2 of 2 after. Conclusion: the join no longer waits for the second reading of the seeds.

--- a/demo/check.go
+++ b/demo/check.go
@@ -62,6 +62,19 @@
 	})
 }
 
+// waitMembers waits until every daemon takes every daemon as live.
+func (c *checker) waitMembers() error {
+	return c.wait("members known to every daemon", startTimeout, func(s entry.Status) bool {
+		live := 0
+		for _, state := range s.Members {
+			if state == "alive" {
+				live++
+			}
+		}
+		return live == entries
+	})
+}
+
 func (c *checker) revisions(profile string) ([]int64, error) {
 	var revisions []int64
 	for i := range entries {
--- a/demo/main.go
+++ b/demo/main.go
@@ -106,6 +106,9 @@
 	if err := c.waitInForce("gravura-tail", before[0]+1); err != nil {
 		return err
 	}
+	if err := c.waitMembers(); err != nil {
+		return err
+	}
 	if err := f.ctl(f.withEntries("status")...); err != nil {
 		return err
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -162,22 +162,27 @@
 		listed[vm.ID] = vm.Role == vmlist.RoleBackend
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.vms = vms
 	p.signals.Retain(time.Now(), listed)
+	p.mu.Unlock()
+	p.transport.SetSeeds(seeds(vms))
 }
 
 // Seeds implements membership.SeedSource with the newest VM list.
 func (p *peers) Seeds(context.Context) ([]membership.Seed, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return seeds(p.vms), nil
+}
+
+func seeds(vms []vmlist.VM) []membership.Seed {
 	var seeds []membership.Seed
-	for _, vm := range p.vms {
+	for _, vm := range vms {
 		if vm.Role == vmlist.RoleEntry {
 			seeds = append(seeds, membership.Seed{ID: vm.ID, Address: vm.Address})
 		}
 	}
-	return seeds, nil
+	return seeds
 }
 
 // Live implements confsync.Members.
--- a/membership/transport.go
+++ b/membership/transport.go
@@ -64,6 +64,14 @@
 	t.write(packets)
 }
 
+// SetSeeds is Node.SetSeeds. It serves a daemon that reads the platform's list itself and does not wait for the next
+// reading of the SeedSource.
+func (t *Transport) SetSeeds(seeds []Seed) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.node.SetSeeds(seeds)
+}
+
 // Broadcast is Node.Broadcast.
 func (t *Transport) Broadcast(key string, payload []byte) bool {
 	t.mu.Lock()
