relay: cancel single sub-requests of a batch at the second hop

Cause: a caller that left, such as the loser of a hedge, was cancelled at the second daemon only when all callers of its batch had left. Change: the call is a stream in both directions and carries cancellations by id. Conclusion: cancellation reaches the replica for each sub-request.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -16,14 +16,17 @@
 
 // Forwarder executes sub-requests for a peer over this daemon's own connections; relay.Local implements it.
 type Forwarder interface {
-	// Forward calls done once for each sub-request, concurrently, and returns after the last call.
-	Forward(ctx context.Context, subs []relay.Sub, done func(relay.Result))
+	// Forward calls done once for each sub-request, concurrently, and returns after the last call. An id from
+	// cancelled cancels one sub-request.
+	Forward(ctx context.Context, subs []relay.Sub, cancelled <-chan int32, done func(relay.Result))
 }
 
 var _ relay.Transport = (*Client)(nil)
 
 // Forward implements relay.Transport.
-func (c *Client) Forward(ctx context.Context, to relay.Peer, subs []relay.Sub, done func(relay.Result)) (bool, error) {
+func (c *Client) Forward(
+	ctx context.Context, to relay.Peer, subs []relay.Sub, cancelled <-chan int32, done func(relay.Result),
+) (bool, error) {
 	conn, release, err := c.pool.get(ctx, poolKey{to.Address, classRelay})
 	if err != nil {
 		return false, err
@@ -33,11 +36,19 @@
 	for _, s := range subs {
 		req.Subs = append(req.Subs, fromSub(s))
 	}
-	stream, err := NewDRPCRelayClient(conn).Forward(ctx, req)
+	stream, err := NewDRPCRelayClient(conn).Forward(ctx)
 	if err != nil {
 		return true, eris.Wrapf(err, "forward through %s", to.ID)
 	}
 	defer stream.Close()
+	if err := stream.Send(req); err != nil {
+		return true, eris.Wrapf(err, "forward through %s", to.ID)
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { sendCancels(stream, cancelled, stop) })
+	defer wg.Wait()
+	defer close(stop)
 	for {
 		resp, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
@@ -52,17 +63,37 @@
 	}
 }
 
+// sendCancels passes on cancellations until stop is closed or the stream fails.
+func sendCancels(stream DRPCRelay_ForwardClient, cancelled <-chan int32, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case id := <-cancelled:
+			if stream.Send(&RelayRequest{Cancel: []int32{id}}) != nil {
+				return
+			}
+		}
+	}
+}
+
 type relayServer struct{ forwarder Forwarder }
 
 // Forward implements DRPCRelayServer.
-func (s *relayServer) Forward(r *RelayRequest, stream DRPCRelay_ForwardStream) error {
+func (s *relayServer) Forward(stream DRPCRelay_ForwardStream) error {
+	r, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	cancelled := make(chan int32)
+	go receiveCancels(stream, cancelled)
 	subs := make([]relay.Sub, len(r.GetSubs()))
 	for i, sub := range r.GetSubs() {
 		subs[i] = toSub(sub)
 	}
 	var mu sync.Mutex
 	var sendErr error
-	s.forwarder.Forward(stream.Context(), subs, func(result relay.Result) {
+	s.forwarder.Forward(stream.Context(), subs, cancelled, func(result relay.Result) {
 		mu.Lock()
 		defer mu.Unlock()
 		if sendErr == nil {
@@ -72,6 +103,23 @@
 	return sendErr
 }
 
+// receiveCancels reads cancellations until the stream ends.
+func receiveCancels(stream DRPCRelay_ForwardStream, cancelled chan<- int32) {
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		for _, id := range r.GetCancel() {
+			select {
+			case cancelled <- id:
+			case <-stream.Context().Done():
+				return
+			}
+		}
+	}
+}
+
 func fromSub(s relay.Sub) *SubRequest {
 	return &SubRequest{
 		Replica: s.Replica, Service: s.Service, Request: s.Request, Attempt: s.Attempt, Index: s.Version.Index,
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -184,7 +184,7 @@
 	time.AfterFunc(20*time.Millisecond, cancel)
 	_, err = router.Send(ctx, "x", backend.Sub{Request: "r", Attempt: "2", Query: "wait"})
 	must.Error(t, err)
-	until(t, func() bool { return far.runs.Load() == 201 || far.cancelled.Load() == 1 })
+	testCancelOne(t, router, far)
 	ctx, cancel = context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	_, err = router.Send(ctx, "x", backend.Sub{Request: "r", Attempt: "3", Query: "wait"})
@@ -192,6 +192,28 @@
 	until(t, func() bool { return far.cancelled.Load() == far.runs.Load()-201 })
 }
 
+// testCancelOne sends two sub-requests in one batch, of which one caller leaves while the other still waits.
+func testCancelOne(t *testing.T, router *relay.Router, far *replica) {
+	until(t, func() bool { return far.cancelled.Load() == far.runs.Load()-201 })
+	before := far.cancelled.Load()
+	staying, release := context.WithCancel(t.Context())
+	leaving, leave := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i, ctx := range []context.Context{staying, leaving} {
+		wg.Go(func() {
+			_, err := router.Send(ctx, "x", backend.Sub{Request: "r", Attempt: string(rune('a' + i)), Query: "wait"})
+			must.Error(t, err)
+		})
+	}
+	until(t, func() bool { return far.runs.Load() == 201+before+2 })
+	leave()
+	until(t, func() bool { return far.cancelled.Load() == before+1 })
+	must.NoError(t, staying.Err())
+	release()
+	wg.Wait()
+	until(t, func() bool { return far.cancelled.Load() == before+2 })
+}
+
 // TestDeadPeerDoesNotDelayOthers guards against a peer that accepts and never answers holding up calls to others.
 func TestDeadPeerDoesNotDelayOthers(t *testing.T) {
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -147,9 +147,9 @@
 	if len(subs) == 0 {
 		return
 	}
-	ctx, cancel := b.watchCallers(sending)
+	ctx, cancelled, cancel := b.watchCallers(sending)
 	defer cancel()
-	sent, err := b.transport.Forward(ctx, open.peer, subs, func(r Result) {
+	sent, err := b.transport.Forward(ctx, open.peer, subs, cancelled, func(r Result) {
 		if w, ok := sending[r.ID]; ok {
 			w.finish(outcome{result: r})
 		}
@@ -159,24 +159,26 @@
 	}
 }
 
-// watchCallers returns a context that ends when all callers have left or the batcher closes, so that the peer stops
-// work that nobody waits for. A single caller that leaves is covered by the remaining time of its sub-request.
-func (b *batcher) watchCallers(subs map[int32]*waiting) (context.Context, context.CancelFunc) {
+// watchCallers returns a context that ends when all callers have left or the batcher closes, and a channel with the
+// ids of the sub-requests whose callers have left, so that the peer stops work that nobody waits for.
+func (b *batcher) watchCallers(subs map[int32]*waiting) (context.Context, <-chan int32, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(b.ctx)
 	var mu sync.Mutex
 	left := len(subs)
+	cancelled := make(chan int32, left)
 	stops := make([]func() bool, 0, left)
-	for _, w := range subs {
+	for id, w := range subs {
 		stops = append(stops, context.AfterFunc(w.ctx, func() {
 			mu.Lock()
 			defer mu.Unlock()
+			cancelled <- id
 			left--
 			if left == 0 {
 				cancel()
 			}
 		}))
 	}
-	return ctx, func() {
+	return ctx, cancelled, func() {
 		for _, stop := range stops {
 			stop()
 		}
--- a/relay/local.go
+++ b/relay/local.go
@@ -20,18 +20,41 @@
 func NewLocal(owners Owners, direct Sender) *Local { return &Local{owners: owners, direct: direct} }
 
 // Forward sends the sub-requests concurrently, calls done once for each as it ends, and returns after the last one.
-// The end of ctx cancels them.
-func (l *Local) Forward(ctx context.Context, subs []Sub, done func(Result)) {
+// The end of ctx cancels all, an id from cancelled one of them.
+func (l *Local) Forward(ctx context.Context, subs []Sub, cancelled <-chan int32, done func(Result)) {
+	ctx, cancelAll := context.WithCancel(ctx)
+	defer cancelAll()
+	cancels := make(map[int32]context.CancelFunc)
 	var wg sync.WaitGroup
 	for _, s := range subs[:min(len(subs), maxBatch)] {
-		wg.Go(func() { done(l.one(ctx, s)) })
+		subCtx, cancel := context.WithCancel(ctx)
+		cancels[s.ID] = cancel
+		wg.Go(func() {
+			defer cancel()
+			done(l.one(subCtx, s))
+		})
 	}
+	go cancelEach(ctx, cancels, cancelled)
 	wg.Wait()
 	for _, s := range subs[min(len(subs), maxBatch):] {
 		done(Result{ID: s.ID, Attempt: s.Attempt, Failure: backend.NotSent})
 	}
 }
 
+// cancelEach cancels sub-requests by id until ctx ends. Unknown ids have no effect.
+func cancelEach(ctx context.Context, cancels map[int32]context.CancelFunc, cancelled <-chan int32) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-cancelled:
+			if cancel, ok := cancels[id]; ok {
+				cancel()
+			}
+		}
+	}
+}
+
 func (l *Local) one(ctx context.Context, s Sub) Result {
 	if !l.owners.Direct(s.Replica) || s.Remaining < 0 {
 		return Result{ID: s.ID, Attempt: s.Attempt, Failure: backend.NotSent}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,8 +53,9 @@
 // Transport carries a batch to a peer. Implementations are safe for concurrent use.
 type Transport interface {
 	// Forward calls done for each result as it arrives, and returns after the last one or on failure. sent is
-	// false only if no byte of the batch reached the peer. The end of ctx cancels the batch at the peer.
-	Forward(ctx context.Context, to Peer, subs []Sub, done func(Result)) (sent bool, err error)
+	// false only if no byte of the batch reached the peer. The end of ctx cancels the batch at the peer, an id from
+	// cancelled one sub-request.
+	Forward(ctx context.Context, to Peer, subs []Sub, cancelled <-chan int32, done func(Result)) (sent bool, err error)
 }
 
 var errNoOwner = errors.New("no live daemon holds connections to the replica")
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -25,7 +25,7 @@
 	batches map[string][][]Sub
 }
 
-func (f *fakeTransport) Forward(ctx context.Context, to Peer, subs []Sub, done func(Result)) (bool, error) {
+func (f *fakeTransport) Forward(ctx context.Context, to Peer, subs []Sub, _ <-chan int32, done func(Result)) (bool, error) {
 	f.batches[to.ID] = append(f.batches[to.ID], subs)
 	return f.run[to.ID](ctx, subs, done)
 }
