quarantine: a recent answer clears a suspected request once

A fingerprint that was answered within 10 s is now cleared once per answer. The cost is that a popular request that starts to crash replicas is quarantined at its second suspicion instead of its first.

--- a/internal/crashmodel/model_test.go
+++ b/internal/crashmodel/model_test.go
@@ -35,6 +35,8 @@
 // restart must not refuse good requests. Run with -v for the table of the decision page.
 func TestRules(t *testing.T) {
 	const ms = time.Millisecond
+	grace := quarantine.DefaultRule()
+	grace.AnsweredWithin = 0
 	rules := []struct {
 		name string
 		rule quarantine.Rule
@@ -44,7 +46,8 @@
 		{"3 in 50 ms", rule(3, 50*ms, false)},
 		{"2 in 50 ms, no answer", rule(2, 50*ms, true)},
 		{"3 in 50 ms, no answer", rule(3, 50*ms, true)},
-		{"the same with grace", quarantine.DefaultRule()},
+		{"the same, grace 40 ms", grace},
+		{"the same, recent answer", quarantine.DefaultRule()},
 	}
 	byName := map[string][5]crashmodel.Outcome{}
 	for _, r := range rules {
@@ -61,17 +64,17 @@
 			})
 		}
 		must.NoError(t, group.Wait())
-		t.Logf("%-22s | crashes %4.1f, with slow peers %4.1f | refused: beside the crash %6.1f, rolling %5.1f, rack %6.1f, fleet %6.1f of %.0f",
+		t.Logf("%-24s | crashes %4.1f, with slow peers %4.1f | refused: beside the crash %6.1f, rolling %5.1f, rack %6.1f, fleet %6.1f of %.0f",
 			r.name, per(out[0].Crashed), per(out[4].Crashed), per(out[0].Refused), per(out[1].Refused), per(out[2].Refused),
 			per(out[3].Refused), per(out[3].Good))
 		byName[r.name] = out
 	}
-	none, chosen := byName["none"], byName["the same with grace"]
+	none, chosen := byName["none"], byName["the same, recent answer"]
 	must.Positive(t, none[2].Lost)
 	// The first wave is one attempt per shard; a few retries leave before the last of the losses is noticed.
 	must.LessEq(t, 13*seeds, chosen[0].Crashed)
 	must.Greater(t, chosen[0].Crashed, none[0].Crashed)
-	for i := range 3 {
+	for i := range 4 {
 		must.LessEq(t, chosen[i].Good/1000, chosen[i].Refused)
 	}
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -35,13 +35,16 @@
 	// so the losses of requests with equal fingerprints count together; an answer to one of them clears them.
 	OrderReplicas int
 	OrderWindow   time.Duration
+	// AnsweredWithin clears a suspected search whose fingerprint was answered that recently, once per answer. If all
+	// replicas fail at once, it keeps the popular requests, whose refusal would cost most, out of quarantine.
+	AnsweredWithin time.Duration
 }
 
 // DefaultRule returns the rule that docs/decisions/crashing-requests.md selects.
 func DefaultRule() Rule {
 	return Rule{
 		Replicas: 3, Window: 50 * time.Millisecond, NoAnswer: true, Grace: 40 * time.Millisecond,
-		OrderReplicas: 2, OrderWindow: 10 * time.Minute,
+		OrderReplicas: 2, OrderWindow: 10 * time.Minute, AnsweredWithin: 10 * time.Second,
 	}
 }
 
@@ -52,6 +55,8 @@
 	maxNotices = 10_000
 	// maxOrders bounds the order fingerprints whose losses are remembered.
 	maxOrders = 10_000
+	// maxAnswered bounds the fingerprints whose last answer is remembered.
+	maxAnswered = 10_000
 )
 
 // Notice is a quarantined fingerprint.
@@ -107,6 +112,10 @@
 	notices map[string]time.Time
 	running map[string]map[*Run]bool
 	orders  map[string][]loss
+	// answered holds when a search fingerprint was last answered.
+	answered map[string]time.Time
+	// swept is when answered was last searched for old entries, which is done at most once per second.
+	swept time.Time
 }
 
 // NewGuard returns a guard. publisher may be nil; a nil clock is the system's clock.
@@ -116,9 +125,10 @@
 	}
 	return &Guard{
 		rule: rule, expiry: expiry, publisher: publisher, clock: clock,
-		notices: make(map[string]time.Time),
-		running: make(map[string]map[*Run]bool),
-		orders:  make(map[string][]loss),
+		notices:  make(map[string]time.Time),
+		running:  make(map[string]map[*Run]bool),
+		orders:   make(map[string][]loss),
+		answered: make(map[string]time.Time),
 	}
 }
 
@@ -177,10 +187,12 @@
 	g := r.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r.answered = true
 	if r.kind == Order {
 		delete(g.orders, r.fingerprint)
+	} else if !r.answered {
+		g.recordAnswer(r.fingerprint)
 	}
+	r.answered = true
 	if r.suspected != nil && !r.decided && g.rule.NoAnswer {
 		r.decided = true
 		close(r.suspected)
@@ -215,6 +227,10 @@
 	}
 	r.decided = true
 	close(r.suspected)
+	if r.kind == Search && g.clearedByAnswer(r.fingerprint) {
+		g.mu.Unlock()
+		return
+	}
 	notice := Notice{Fingerprint: r.fingerprint, Until: g.clock.Now().Add(g.expiry)}
 	fresh := g.add(notice)
 	g.mu.Unlock()
@@ -246,6 +262,30 @@
 	return context.Cause(r.ctx)
 }
 
+// recordAnswer remembers that the fingerprint was answered. The caller holds the lock.
+func (g *Guard) recordAnswer(fingerprint string) {
+	now := g.clock.Now()
+	if len(g.answered) >= maxAnswered && now.Sub(g.swept) >= time.Second {
+		g.swept = now
+		for f, at := range g.answered {
+			if now.Sub(at) > g.rule.AnsweredWithin {
+				delete(g.answered, f)
+			}
+		}
+	}
+	if len(g.answered) < maxAnswered {
+		g.answered[fingerprint] = now
+	}
+}
+
+// clearedByAnswer reports whether the fingerprint was answered recently, and uses the answer up. The caller holds
+// the lock.
+func (g *Guard) clearedByAnswer(fingerprint string) bool {
+	at, ok := g.answered[fingerprint]
+	delete(g.answered, fingerprint)
+	return ok && g.clock.Now().Sub(at) <= g.rule.AnsweredWithin
+}
+
 // suspect adds a loss and applies the rule. The caller holds the lock.
 func (g *Guard) suspect(r *Run, l loss) bool {
 	if r.kind == Order {
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -131,3 +131,27 @@
 		must.SliceEmpty(t, guard.Notices())
 	})
 }
+
+// Guards against a popular request that stays refused after all replicas failed at once: a recent answer clears it
+// once, and a second suspicion without another answer does not.
+func TestRecentAnswerClearsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		guard := newGuard(nil)
+		suspicion := func() {
+			_, run, err := guard.Admit(t.Context(), "popular", quarantine.Search)
+			must.NoError(t, err)
+			for i := range 3 {
+				run.Lost(fmt.Sprint(i), time.Now())
+			}
+			run.Done()
+		}
+		_, run, err := guard.Admit(t.Context(), "popular", quarantine.Search)
+		must.NoError(t, err)
+		run.Answered()
+		run.Done()
+		suspicion()
+		must.SliceEmpty(t, guard.Notices())
+		suspicion()
+		must.Eq(t, 1, len(guard.Notices()))
+	})
+}
