Conflicts within a batch of claims; faster model of crashing requests

A batch whose keys conflict was covered by no direct test. TestConflictInBatch claims 50 keys at once, two of which exist: the two are answered already_dispatched, the other 48 are claimed, in at most six transactions. It fails when a conflict does not let the rest continue.

--- a/entry/order.go
+++ b/entry/order.go
@@ -152,6 +152,10 @@
 	return !errors.As(err, &e) || e.Executed()
 }
 
+// WaitOrders waits until the claims of refused orders are released. A shutdown calls it after the last request, so
+// that their resends through other daemons are not answered already_dispatched.
+func (d *Daemon) WaitOrders() { d.orders.runner.Close() }
+
 // serveOrder answers a checked non-idempotent request.
 func (d *Daemon) serveOrder(ctx context.Context, id string, q api.Query, p activeProfile, key oncerun.Key) (*api.Answer, error) {
 	output, err := d.orders.run(ctx, id, q, key)
--- a/internal/crashmodel/model.go
+++ b/internal/crashmodel/model.go
@@ -4,7 +4,6 @@
 package crashmodel
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -82,23 +81,45 @@
 	run func()
 }
 
+// eventHeap is a binary heap of events, the earliest first. It avoids the allocations of container/heap, which took
+// most of the time of a run.
 type eventHeap []event
 
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
+func (h eventHeap) less(i, j int) bool {
 	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
 }
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
-// Push implements heap.Interface.
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+func (h *eventHeap) push(e event) {
+	*h = append(*h, e)
+	for i := len(*h) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !h.less(i, parent) {
+			return
+		}
+		(*h)[i], (*h)[parent] = (*h)[parent], (*h)[i]
+		i = parent
+	}
+}
 
-// Pop implements heap.Interface.
-func (h *eventHeap) Pop() any {
+func (h *eventHeap) pop() event {
 	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
+	first, last := old[0], len(old)-1
+	old[0], old[last] = old[last], event{}
+	*h = old[:last]
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= last {
+			return first
+		}
+		if child+1 < last && h.less(child+1, child) {
+			child++
+		}
+		if !h.less(child, i) {
+			return first
+		}
+		old[i], old[child] = old[child], old[i]
+		i = child
+	}
 }
 
 type server struct {
@@ -134,7 +155,7 @@
 	m.build()
 	m.schedule()
 	for len(m.events) > 0 {
-		e := heap.Pop(&m.events).(event)
+		e := m.events.pop()
 		m.now = e.at
 		e.run()
 	}
@@ -143,7 +164,7 @@
 
 func (m *model) after(d time.Duration, run func()) {
 	m.seq++
-	heap.Push(&m.events, event{m.now + d, m.seq, run})
+	m.events.push(event{m.now + d, m.seq, run})
 }
 
 // Now implements quarantine.Clock.
--- a/oncerun/oncerun_test.go
+++ b/oncerun/oncerun_test.go
@@ -106,6 +106,36 @@
 	})
 }
 
+// Guards against a conflict of one key that refuses the claims of other requests in the same transaction.
+func TestConflictInBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.NewMemory(nil)
+		keys := make([]oncerun.Key, 50)
+		for i := range keys {
+			keys[i] = oncerun.NewKey(time.Now())
+		}
+		other := oncerun.NewRunner(store, oncerun.Options{})
+		must.Eq(t, "", claimKind(t, other, keys[7], "q"))
+		must.Eq(t, "", claimKind(t, other, keys[30], "q"))
+		store.SetFaults(kvtest.Faults{Delay: 10 * time.Millisecond})
+		r := oncerun.NewRunner(store, oncerun.Options{})
+		kinds := make([]api.Kind, len(keys))
+		var wg sync.WaitGroup
+		for i, key := range keys {
+			wg.Go(func() { kinds[i] = claimKind(t, r, key, "q") })
+		}
+		wg.Wait()
+		for i, kind := range kinds {
+			want := api.Kind("")
+			if i == 7 || i == 30 {
+				want = api.AlreadyDispatched
+			}
+			must.Eq(t, want, kind, must.Sprintf("key %d", i))
+		}
+		must.LessEq(t, 6, r.Counters().Transactions.Load())
+	})
+}
+
 // limitedStore runs a fixed number of writes per second, in order, each with a latency on top.
 type limitedStore struct {
 	kv.Store
