Shared test seed and rate-limited store

The test binaries repeated the code that fixes the seed, and the rate-limited store was a fake inside one test. internal/testseed fixes the seed of every stateful test, and kvtest.Limited is the store with a fixed write rate.

--- a/coverage/stateful_test.go
+++ b/coverage/stateful_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -19,18 +17,11 @@
 	"github.com/chivemill/chivemill/coverage"
 	standin "github.com/chivemill/chivemill/internal/standin/backend"
 	"github.com/chivemill/chivemill/internal/standin/memfleet"
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/snapshot"
 )
 
-// TestMain fixes the seed of rapid, so that every run checks the same scenarios, unless RAPID_FRESH is set.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("RAPID_FRESH") == "" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "500")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Main(m, 500) }
 
 const service = "shop"
 
--- a/entry/order_test.go
+++ b/entry/order_test.go
@@ -16,6 +16,7 @@
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/internal/standin/backend"
 	"github.com/chivemill/chivemill/internal/standin/memfleet"
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/kv/kvtest"
 	"github.com/chivemill/chivemill/oncerun"
 	"github.com/chivemill/chivemill/quarantine"
@@ -142,7 +143,7 @@
 	var wg sync.WaitGroup
 	for i, step := range s.steps {
 		wg.Go(func() {
-			sleep(step.at + time.Duration(i)*time.Microsecond)
+			testseed.Wait(step.at + time.Duration(i)*time.Microsecond)
 			ctx, cancel := context.WithTimeout(context.Background(), step.deadline)
 			defer cancel()
 			if step.callerGone > 0 {
--- a/oncerun/oncerun_test.go
+++ b/oncerun/oncerun_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/chivemill/chivemill/api"
-	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/kv/kvtest"
 	"github.com/chivemill/chivemill/oncerun"
 )
@@ -136,34 +136,9 @@
 	})
 }
 
-// limitedStore runs a fixed number of writes per second, in order, each with a latency on top.
-type limitedStore struct {
-	kv.Store
-	interval, latency time.Duration
-	mu                sync.Mutex
-	next              time.Time
-}
-
-func (s *limitedStore) wait() {
-	s.mu.Lock()
-	now := time.Now()
-	if s.next.Before(now) {
-		s.next = now
-	}
-	s.next = s.next.Add(s.interval)
-	until := s.next
-	s.mu.Unlock()
-	sleep(time.Until(until) + s.latency)
-}
-
-func (s *limitedStore) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
-	s.wait()
-	return s.Store.Txn(ctx, txn)
-}
-
 // claimRate offers requests at a rate for 5 s to 7 daemons and returns the share that was claimed within 200 ms.
 func claimRate(offered, maxBatch int) (claimed, total int64) {
-	store := &limitedStore{Store: kvtest.NewMemory(nil), interval: time.Second / 300, latency: 2 * time.Millisecond}
+	store := kvtest.NewLimited(kvtest.NewMemory(nil), 300, 2*time.Millisecond)
 	var runners []*oncerun.Runner
 	for range 7 {
 		runners = append(runners, oncerun.NewRunner(store, oncerun.Options{MaxBatch: maxBatch, StoreTimeout: time.Minute}))
@@ -176,7 +151,7 @@
 			defer cancel()
 			_, _ = runners[i%7].Claim(ctx, oncerun.NewKey(time.Now()), "f")
 		})
-		sleep(time.Second / time.Duration(offered))
+		testseed.Wait(time.Second / time.Duration(offered))
 	}
 	wg.Wait()
 	for _, r := range runners {
--- a/oncerun/stateful_test.go
+++ b/oncerun/stateful_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/kv/kvtest"
 	"github.com/chivemill/chivemill/oncerun"
 )
@@ -135,7 +136,7 @@
 }
 
 func runStep(st step, r *oncerun.Runner, key oncerun.Key, l *log) {
-	sleep(st.at)
+	testseed.Wait(st.at)
 	ctx, cancel := context.WithTimeout(context.Background(), st.timeout)
 	defer cancel()
 	claim, err := r.Claim(ctx, key, oncerun.Fingerprint("orders", st.query))
@@ -151,10 +152,10 @@
 	switch st.end {
 	case "kill":
 	case "refuse":
-		sleep(st.pause)
+		testseed.Wait(st.pause)
 		_ = claim.Release(context.Background())
 	default:
-		sleep(st.pause)
+		testseed.Wait(st.pause)
 		l.execute(st.key)
 	}
 }
--- a/snapshot/catalogue_test.go
+++ b/snapshot/catalogue_test.go
@@ -1,25 +1,16 @@
 package snapshot_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/snapshot"
 )
 
-// TestMain fixes the seed of rapid, so that every run checks the same scenarios, unless RAPID_FRESH is set.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("RAPID_FRESH") == "" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "2000")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Main(m, 2000) }
 
 // hold returns holdings of the first n shards of the map under the index version.
 func hold(index int64, m snapshot.Map, n int) []snapshot.Holding {
