--- a/oncerun/oncerun_test.go
+++ b/oncerun/oncerun_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/chivemill/chivemill/api"
-	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/kv/kvtest"
 	"github.com/chivemill/chivemill/oncerun"
 )
@@ -106,34 +106,39 @@
 	})
 }
 
-// limitedStore runs a fixed number of writes per second, in order, each with a latency on top.
-type limitedStore struct {
-	kv.Store
-	interval, latency time.Duration
-	mu                sync.Mutex
-	next              time.Time
-}
-
-func (s *limitedStore) wait() {
-	s.mu.Lock()
-	now := time.Now()
-	if s.next.Before(now) {
-		s.next = now
-	}
-	s.next = s.next.Add(s.interval)
-	until := s.next
-	s.mu.Unlock()
-	sleep(time.Until(until) + s.latency)
-}
-
-func (s *limitedStore) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
-	s.wait()
-	return s.Store.Txn(ctx, txn)
+// Guards against a conflict of one key that refuses the claims of other requests in the same transaction.
+func TestConflictInBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.NewMemory(nil)
+		keys := make([]oncerun.Key, 50)
+		for i := range keys {
+			keys[i] = oncerun.NewKey(time.Now())
+		}
+		other := oncerun.NewRunner(store, oncerun.Options{})
+		must.Eq(t, "", claimKind(t, other, keys[7], "q"))
+		must.Eq(t, "", claimKind(t, other, keys[30], "q"))
+		store.SetFaults(kvtest.Faults{Delay: 10 * time.Millisecond})
+		r := oncerun.NewRunner(store, oncerun.Options{})
+		kinds := make([]api.Kind, len(keys))
+		var wg sync.WaitGroup
+		for i, key := range keys {
+			wg.Go(func() { kinds[i] = claimKind(t, r, key, "q") })
+		}
+		wg.Wait()
+		for i, kind := range kinds {
+			want := api.Kind("")
+			if i == 7 || i == 30 {
+				want = api.AlreadyDispatched
+			}
+			must.Eq(t, want, kind, must.Sprintf("key %d", i))
+		}
+		must.LessEq(t, 6, r.Counters().Transactions.Load())
+	})
 }
 
 // claimRate offers requests at a rate for 5 s to 7 daemons and returns the share that was claimed within 200 ms.
 func claimRate(offered, maxBatch int) (claimed, total int64) {
-	store := &limitedStore{Store: kvtest.NewMemory(nil), interval: time.Second / 300, latency: 2 * time.Millisecond}
+	store := kvtest.NewLimited(kvtest.NewMemory(nil), 300, 2*time.Millisecond)
 	var runners []*oncerun.Runner
 	for range 7 {
 		runners = append(runners, oncerun.NewRunner(store, oncerun.Options{MaxBatch: maxBatch, StoreTimeout: time.Minute}))
@@ -146,7 +151,7 @@
 			defer cancel()
 			_, _ = runners[i%7].Claim(ctx, oncerun.NewKey(time.Now()), "f")
 		})
-		sleep(time.Second / time.Duration(offered))
+		testseed.Wait(time.Second / time.Duration(offered))
 	}
 	wg.Wait()
 	for _, r := range runners {
