Scatter as a state machine, with a bench in virtual time

Cause: replica choice, hedges and budgets could only be measured with real processes and real time, and the bench and the daemon would have run different code. Change: the decisions of one query are a pure state machine (scatter.Machine) that Run drives with goroutines and internal/bench drives with virtual time; packages hedge and limit hold the hedge delay, the budgets, the adaptive limit and the admission; the registry gains a clock, link delays, connection shares, a cold ramp and pauses after failures. The baseline (uniform random replica, one retry, no hedge, no budget) stays in the tree as a strategy.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint generate
+.PHONY: build test lint generate bench
 
 build:
 	mkdir -p bin
@@ -12,6 +12,12 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+# Measures the query policy against the baseline in virtual time, over all cases and five seeds.
+bench:
+	mkdir -p bin
+	go build -o bin/chivemill-bench ./cmd/chivemill-bench
+	bin/chivemill-bench
+
 # Regenerates the committed protobuf and drpc code.
 generate:
 	mkdir -p bin
--- /dev/null
+++ b/internal/bench/deployment.go
@@ -0,0 +1,101 @@
+package bench
+
+import (
+	"math"
+	"time"
+
+	"github.com/chivemill/chivemill/snapshot"
+)
+
+// Deployment is one of the two deployments of the design page, with its search services.
+type Deployment struct {
+	Name        string
+	DataCentres []string
+	// Daemons is the data centre index of each entry daemon.
+	Daemons []int
+	// LinkDelay is the one-way delay between two of the data centres, which lie in different regions; LocalDelay
+	// that inside one; ClientDelay that to the callers.
+	LinkDelay, LocalDelay, ClientDelay time.Duration
+	Services                           []Service
+	// ConnectionCost is the time that a replica takes to accept a new connection.
+	ConnectionCost time.Duration
+}
+
+// Service is one search service; each shard has one replica in each data centre.
+type Service struct {
+	Name        string
+	Shards      int
+	Slots       int
+	Connections int
+	Profile     Profile
+}
+
+// Profile holds the settings of a profile that the measurements use.
+type Profile struct {
+	Deadline      time.Duration
+	LeastCoverage float64
+	Wait          bool
+	Quantile      float64
+	HedgeBudget   float64
+	RetryBudget   float64
+	MaxAttempts   int
+}
+
+const replicasPerShard = 3
+
+// Service times: log-normal around the median, and a tail of rare requests that take tailFactor times as long.
+const (
+	medianService = 8 * time.Millisecond
+	sigmaService  = 0.5
+	tailShare     = 0.01
+	tailFactor    = 8
+)
+
+// meanService is the mean of the service time distribution.
+func meanService() time.Duration {
+	mean := float64(medianService) * math.Exp(sigmaService*sigmaService/2)
+	return time.Duration(mean * (1 + tailShare*(tailFactor-1)))
+}
+
+// capacity returns the queries per second that fill all slots of the service.
+func (s Service) capacity() float64 {
+	return float64(s.Slots*replicasPerShard) / meanService().Seconds()
+}
+
+func (s Service) shardMap() snapshot.Map { return snapshot.Uniform(1, s.Name, s.Shards) }
+
+// Gravura returns the deployment whose most important metric is tail latency.
+func Gravura() Deployment {
+	p := Profile{
+		Deadline: 300 * time.Millisecond, LeastCoverage: 0.7, Quantile: 0.97,
+		HedgeBudget: 0.03, RetryBudget: 0.015, MaxAttempts: 3,
+	}
+	return Deployment{
+		Name: "gravura", DataCentres: []string{"braga-a", "coimbra-a", "lisboa-a"},
+		Daemons:   []int{0, 0, 0, 1, 1, 2, 2},
+		LinkDelay: 12 * time.Millisecond, LocalDelay: 250 * time.Microsecond, ClientDelay: time.Millisecond,
+		ConnectionCost: 6 * time.Millisecond,
+		Services: []Service{
+			{Name: "loja-web", Shards: 10, Slots: 5, Connections: 40, Profile: p},
+			{Name: "faturas", Shards: 15, Slots: 5, Connections: 40, Profile: p},
+		},
+	}
+}
+
+// Tutkal returns the deployment whose most important metric is coverage.
+func Tutkal() Deployment {
+	p := Profile{
+		Deadline: time.Second, LeastCoverage: 1, Wait: true, Quantile: 0.98,
+		HedgeBudget: 0.015, RetryBudget: 0.03, MaxAttempts: 5,
+	}
+	return Deployment{
+		Name: "tutkal", DataCentres: []string{"marmara-a", "ege-a", "ic-anadolu-a"},
+		Daemons:   []int{0, 0, 0, 1, 1, 2, 2},
+		LinkDelay: 8 * time.Millisecond, LocalDelay: 250 * time.Microsecond, ClientDelay: 3 * time.Millisecond,
+		ConnectionCost: 6 * time.Millisecond,
+		Services: []Service{
+			{Name: "vitrin", Shards: 10, Slots: 3, Connections: 30, Profile: p},
+			{Name: "fatura", Shards: 15, Slots: 3, Connections: 30, Profile: p},
+		},
+	}
+}
--- /dev/null
+++ b/internal/bench/strategy.go
@@ -0,0 +1,53 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/chivemill/chivemill/hedge"
+	"github.com/chivemill/chivemill/limit"
+	"github.com/chivemill/chivemill/replica"
+)
+
+// Strategy selects which parts of the decision code a run uses.
+type Strategy struct {
+	Name    string
+	Replica replica.Policy
+	// Hedges, Budgets, Shares, Wait and Admission turn on the parts of that name.
+	Hedges, Budgets, Shares, Wait, Admission bool
+	// Attempts overrides the profile's number of attempts; 0 keeps it.
+	Attempts int
+}
+
+// Baseline is the fixed point of comparison: a uniformly random replica, no hedge, one retry, no budget.
+func Baseline() Strategy {
+	return Strategy{Name: "baseline", Replica: replica.Policy{Choice: replica.ChoiceUniform}, Attempts: 2}
+}
+
+// Default is the policy that daemons use.
+func Default() Strategy {
+	return Strategy{
+		Name: "policy", Replica: replica.DefaultPolicy(),
+		Hedges: true, Budgets: true, Shares: true, Wait: true, Admission: true,
+	}
+}
+
+func (s Strategy) admit(a *limit.Admission, q *query, now time.Time) limit.Refusal {
+	return a.Admit(q.profile, q.service.Profile.Deadline, now)
+}
+
+func (s Strategy) finish(a *limit.Admission, q *query, took time.Duration, overloaded bool, now time.Time) {
+	a.Finish(q.profile, took, overloaded, now)
+}
+
+// budget returns the budget of a profile, or nil if the strategy has none.
+func (st *serviceState) budget(profile string, strategy Strategy) *hedge.Budget {
+	if !strategy.Budgets {
+		return nil
+	}
+	b, ok := st.budgets[profile]
+	if !ok {
+		b = hedge.NewBudget(st.service.Profile.HedgeBudget, st.service.Profile.RetryBudget)
+		st.budgets[profile] = b
+	}
+	return b
+}
--- /dev/null
+++ b/limit/admission.go
@@ -0,0 +1,157 @@
+package limit
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Refusal is why a query was refused.
+type Refusal string
+
+// Reasons of a refusal. Both are decided before anything is sent.
+const (
+	Admitted       Refusal = ""
+	RefusedShare   Refusal = "share"
+	RefusedTooLate Refusal = "too_late"
+)
+
+const (
+	// halfLife is how fast a profile's claim on unused capacity fades after its demand ends.
+	halfLife = time.Second
+	// latencyWeight is the weight of a new sample in the moving average of the query latency.
+	latencyWeight = 0.05
+	// lateFraction of the average latency is the least remaining time that a query is admitted with.
+	lateFraction = 0.5
+	// overloadPause is the least time between two reductions: the effect of one must be seen before the next.
+	overloadPause = 100 * time.Millisecond
+)
+
+// Admission admits queries of several profiles to one pool of backend servers. Each profile may always use its
+// weighted share of the pool's adaptive limit; what other profiles have not claimed lately may be borrowed. The
+// unit is one query in flight of this daemon. It is safe for concurrent use.
+type Admission struct {
+	mu       sync.Mutex
+	limit    Adaptive
+	inFlight float64
+	profiles map[string]*profileUse
+	// order lists the profiles in a fixed order, so that sums do not depend on the order of a map.
+	order     []*profileUse
+	latency   time.Duration
+	latencyAt time.Time
+}
+
+type profileUse struct {
+	weight   float64
+	inFlight float64
+	// demand is the largest use that the profile lately asked for, fading with time.
+	demand   float64
+	demandAt time.Time
+}
+
+// NewAdmission returns an admission whose limit starts at start queries and stays at or below ceiling.
+func NewAdmission(start, ceiling float64) *Admission {
+	return &Admission{limit: NewAdaptive(start, ceiling, overloadPause), profiles: make(map[string]*profileUse)}
+}
+
+// SetWeight sets the share of a profile. A profile without one has weight 1.
+func (a *Admission) SetWeight(profile string, weight float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.use(profile).weight = weight
+}
+
+// Limit returns the present limit in queries.
+func (a *Admission) Limit() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limit.Limit()
+}
+
+func (a *Admission) use(profile string) *profileUse {
+	p, ok := a.profiles[profile]
+	if !ok {
+		p = &profileUse{weight: 1}
+		a.profiles[profile] = p
+		a.order = append(a.order, p)
+	}
+	return p
+}
+
+// Admit decides on one query with the remaining time. After Admitted, the caller calls Finish exactly once.
+func (a *Admission) Admit(profile string, remaining time.Duration, now time.Time) Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.use(profile)
+	if float64(remaining) < lateFraction*fade(float64(a.latency), now.Sub(a.latencyAt)) {
+		return RefusedTooLate
+	}
+	p.want(now)
+	if p.inFlight+1 > a.shareOf(p, now) && a.inFlight+1+a.reserved(p, now) > a.limit.Limit() {
+		return RefusedShare
+	}
+	p.inFlight++
+	a.inFlight++
+	return Admitted
+}
+
+// want raises the demand to one more than the profile uses now.
+func (p *profileUse) want(now time.Time) {
+	p.demand = max(p.faded(now), p.inFlight+1)
+	p.demandAt = now
+}
+
+func (p *profileUse) faded(now time.Time) float64 {
+	return fade(p.demand, now.Sub(p.demandAt))
+}
+
+// fade halves v once per half-life. A latency fades too: otherwise an average above every remaining time would
+// refuse all queries and never be corrected.
+func fade(v float64, age time.Duration) float64 {
+	if v == 0 || age <= 0 {
+		return v
+	}
+	return v * math.Exp2(-float64(age)/float64(halfLife))
+}
+
+// shareOf returns the profile's part of the limit among the profiles with recent demand.
+func (a *Admission) shareOf(p *profileUse, now time.Time) float64 {
+	var sum float64
+	for _, q := range a.order {
+		if q == p || q.faded(now) >= 0.5 {
+			sum += q.weight
+		}
+	}
+	return a.limit.Limit() * p.weight / sum
+}
+
+// reserved returns what the other profiles may still claim of their shares.
+func (a *Admission) reserved(p *profileUse, now time.Time) float64 {
+	var sum float64
+	for _, q := range a.order {
+		if q != p {
+			sum += max(0, min(a.shareOf(q, now), q.faded(now))-q.inFlight)
+		}
+	}
+	return sum
+}
+
+// Finish ends an admitted query. overloaded says that a backend server shed part of it or that it missed its
+// deadline.
+func (a *Admission) Finish(profile string, latency time.Duration, overloaded bool, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if overloaded {
+		a.limit.Overload(a.inFlight, now)
+	} else {
+		a.limit.Good(a.inFlight)
+	}
+	a.inFlight--
+	a.use(profile).inFlight--
+	a.latencyAt = now
+	if a.latency == 0 {
+		a.latency = latency
+		return
+	}
+	a.latency += time.Duration(latencyWeight * float64(latency-a.latency))
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -2,19 +2,18 @@
 package replica
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/limit"
 	"github.com/chivemill/chivemill/snapshot"
 	"github.com/chivemill/chivemill/vmlist"
 )
 
-// latencyWeight is the weight of a new sample in the moving average of the latency.
-const latencyWeight = 0.1
-
 // Replica is what is known of one replica. Latency is the moving average of answered sub-requests.
 type Replica struct {
 	ID         string
@@ -29,23 +28,89 @@
 	Latency  time.Duration
 	// Failures counts failures since the last success.
 	Failures int
+
+	latencyAt time.Time
+	// rampFrom is when an incarnation above the first known one was seen.
+	rampFrom   time.Time
+	avoidUntil time.Time
+	// lost counts attempts in a row that were cancelled because a hedge answered first.
+	lost int
+	// linkDelay is the one-way delay to the replica's data centre.
+	linkDelay time.Duration
+	// connections is the daemon's share of the replica's connections, 0 if unknown.
+	connections int
+	// adaptive limits the sub-requests in flight after the replica shed load.
+	adaptive limit.Adaptive
 }
 
 // accepts reports whether new work may be sent.
 func (r *Replica) accepts() bool {
-	return r.Load.Incarnation > r.Leaving && r.Load.State == backend.StateReady
+	return !r.isLeaving() && r.Load.State == backend.StateReady
 }
 
+// isLeaving reports whether the known incarnation is leaving. It is true until a load report gave one.
+func (r *Replica) isLeaving() bool { return r.Load.Incarnation <= r.Leaving }
+
 // Registry holds all replicas of a daemon. It is safe for concurrent use.
 type Registry struct {
 	mu       sync.Mutex
 	rng      *rand.Rand
+	policy   Policy
+	clock    func() time.Time
+	link     func(dataCentre string) time.Duration
 	replicas map[string]*Replica
+	// holders and services index the replicas by what they serve, sorted by id; nil after a change.
+	holders  map[holderKey][]*Replica
+	services map[string][]*Replica
+	scratch  []*Replica
+}
+
+type holderKey struct {
+	service string
+	holding snapshot.Holding
 }
 
-// NewRegistry returns an empty registry whose choices follow the seed.
+// NewRegistry returns an empty registry with the default policy, whose choices follow the seed.
 func NewRegistry(seed uint64) *Registry {
-	return &Registry{rng: rand.New(rand.NewPCG(seed, seed)), replicas: make(map[string]*Replica)}
+	return &Registry{
+		rng: rand.New(rand.NewPCG(seed, seed)), policy: DefaultPolicy(), clock: time.Now,
+		replicas: make(map[string]*Replica),
+	}
+}
+
+// SetPolicy changes the parameters of the choice.
+func (g *Registry) SetPolicy(p Policy) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.policy = p
+}
+
+// SetClock replaces the clock, for measurements in virtual time.
+func (g *Registry) SetClock(clock func() time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.clock = clock
+}
+
+// SetLinkDelay sets the function that returns the one-way delay to a data centre.
+func (g *Registry) SetLinkDelay(link func(dataCentre string) time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.link = link
+	for _, r := range g.replicas {
+		r.linkDelay = link(r.DataCentre)
+	}
+}
+
+// SetConnections sets the daemon's share of a replica's connections. Pick does not choose a replica whose share
+// is in use.
+func (g *Registry) SetConnections(id string, connections int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r, ok := g.replicas[id]; ok {
+		r.connections = connections
+		r.adaptive.SetCeiling(float64(connections))
+	}
 }
 
 // SetList takes the platform's list: new replicas are added, and replicas that are no longer listed are removed
@@ -61,8 +126,9 @@
 		listed[vm.ID] = true
 		r, ok := g.replicas[vm.ID]
 		if !ok || r.Address != vm.Address {
-			r = &Replica{ID: vm.ID, Service: vm.Service, DataCentre: vm.DataCentre, Address: vm.Address}
+			r = g.newReplica(vm)
 			g.replicas[vm.ID] = r
+			g.holders = nil
 		}
 		if vm.State == vmlist.StateLeaving {
 			r.Leaving = max(r.Leaving, r.Load.Incarnation)
@@ -71,11 +137,22 @@
 	for id, r := range g.replicas {
 		if !listed[id] && r.Failures > 0 {
 			delete(g.replicas, id)
+			g.holders = nil
 		}
 	}
 }
 
-// SetLoad takes an answer of the load endpoint. An answer of an older incarnation is ignored.
+func (g *Registry) newReplica(vm vmlist.VM) *Replica {
+	r := &Replica{ID: vm.ID, Service: vm.Service, DataCentre: vm.DataCentre, Address: vm.Address}
+	r.adaptive = limit.NewAdaptive(unlimited, unlimited, shedPause)
+	if g.link != nil {
+		r.linkDelay = g.link(vm.DataCentre)
+	}
+	return r
+}
+
+// SetLoad takes an answer of the load endpoint. An answer of an older incarnation is ignored. A new incarnation
+// of a known replica starts a cold ramp, whatever state it reports.
 func (g *Registry) SetLoad(id string, load backend.Load, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -83,12 +160,34 @@
 	if !ok || load.Incarnation < r.Load.Incarnation {
 		return
 	}
+	if r.Load.Incarnation > 0 && load.Incarnation > r.Load.Incarnation {
+		r.restarted(now)
+	}
+	if !slices.Equal(r.Load.Holdings, load.Holdings) {
+		g.holders = nil
+	}
+	if r.Load.State == "" {
+		r.Failures = 0
+	}
 	r.Load, r.LoadAt = load, now
 	if load.State == backend.StateDraining {
 		r.Leaving = max(r.Leaving, load.Incarnation)
 	}
 }
 
+// restarted forgets what was learned of the previous incarnation.
+func (r *Replica) restarted(now time.Time) {
+	r.rampFrom = now
+	r.avoidUntil = time.Time{}
+	r.Failures, r.lost = 0, 0
+	r.Latency = 0
+	ceiling := unlimited
+	if r.connections > 0 {
+		ceiling = float64(r.connections)
+	}
+	r.adaptive = limit.NewAdaptive(ceiling, ceiling, shedPause)
+}
+
 // MarkLeaving records that an incarnation is leaving. The mark is never taken back for that incarnation.
 func (g *Registry) MarkLeaving(id string, incarnation int64) {
 	g.mu.Lock()
@@ -132,75 +231,36 @@
 	return holdings
 }
 
-// Pick chooses a replica for a shard of a snapshot, or any replica of the service if shard is empty, and counts
-// a sub-request in flight. Replicas in exclude are not chosen. ok is false if none is left.
-func (g *Registry) Pick(service string, version snapshot.Version, shard string, exclude []string) (Replica, bool) {
+// Address returns the address of a replica.
+func (g *Registry) Address(id string) (string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var candidates []*Replica
-	want := snapshot.Holding{Version: version, Shard: shard}
-	for _, r := range g.replicas {
-		if r.Service != service || !r.accepts() || slices.Contains(exclude, r.ID) {
-			continue
-		}
-		if shard == "" || slices.Contains(r.Load.Holdings, want) {
-			candidates = append(candidates, r)
-		}
-	}
-	if len(candidates) == 0 {
-		return Replica{}, false
-	}
-	slices.SortFunc(candidates, func(a, b *Replica) int { return compareIDs(a.ID, b.ID) })
-	best := candidates[g.rng.IntN(len(candidates))]
-	if other := candidates[g.rng.IntN(len(candidates))]; cost(other) < cost(best) {
-		best = other
-	}
-	best.InFlight++
-	return *best, true
-}
-
-func compareIDs(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
+	r, ok := g.replicas[id]
+	if !ok {
+		return "", false
 	}
-	return 0
-}
-
-func cost(r *Replica) float64 {
-	return float64(r.InFlight+1) * float64(r.Latency+time.Millisecond) * float64(r.Failures+1)
+	return r.Address, true
 }
 
-// Done ends a sub-request that Pick counted. err is nil for an answer.
-func (g *Registry) Done(id string, latency time.Duration, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	r, ok := g.replicas[id]
-	if !ok {
+// index rebuilds the lists of replicas by what they serve. The caller holds g.mu.
+func (g *Registry) index() {
+	if g.holders != nil {
 		return
 	}
-	r.InFlight--
-	if err != nil {
-		r.Failures++
-		return
+	g.holders = make(map[holderKey][]*Replica)
+	g.services = make(map[string][]*Replica)
+	for _, r := range g.replicas {
+		g.services[r.Service] = append(g.services[r.Service], r)
+		for _, h := range r.Load.Holdings {
+			key := holderKey{r.Service, h}
+			g.holders[key] = append(g.holders[key], r)
+		}
 	}
-	r.Failures = 0
-	if r.Latency == 0 {
-		r.Latency = latency
-		return
+	byID := func(a, b *Replica) int { return cmp.Compare(a.ID, b.ID) }
+	for _, list := range g.holders {
+		slices.SortFunc(list, byID)
 	}
-	r.Latency += time.Duration(latencyWeight * float64(latency-r.Latency))
-}
-
-// Address returns the address of a replica.
-func (g *Registry) Address(id string) (string, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	r, ok := g.replicas[id]
-	if !ok {
-		return "", false
+	for _, list := range g.services {
+		slices.SortFunc(list, byID)
 	}
-	return r.Address, true
 }
--- /dev/null
+++ b/scatter/machine.go
@@ -0,0 +1,345 @@
+package scatter
+
+import (
+	"context"
+	"time"
+
+	"github.com/chivemill/chivemill/api"
+)
+
+const (
+	// firstWait is the pause of a waiting shard after its first immediate retry; it doubles up to maxWait.
+	firstWait = 5 * time.Millisecond
+	maxWait   = 40 * time.Millisecond
+)
+
+// ActionKind is what the driver of a Machine has to do.
+type ActionKind int
+
+// Kinds of action.
+const (
+	// ActionSend sends the attempt to the replica.
+	ActionSend ActionKind = iota
+	// ActionCancel ends an attempt whose result is not needed any more.
+	ActionCancel
+)
+
+// Action is one output of a Machine. Shard is the index in the plan's map, Attempt counts from 0 per shard.
+type Action struct {
+	Kind    ActionKind
+	Shard   int
+	Attempt int
+	Replica string
+}
+
+// Machine decides the attempts of one query. It does no I/O and reads no clock: the driver passes events with
+// their time and carries out the returned actions. It is not safe for concurrent use. The returned slice of
+// actions is valid until the next call.
+type Machine struct {
+	plan     *Plan
+	picker   Picker
+	deadline time.Time
+	shards   []shardState
+	pending  int
+	hedgeAt  time.Time
+	waiting  int
+	actions  []Action
+	exclude  []string
+
+	// sent, hedges and retries count attempts; sent includes the other two.
+	sent, hedges, retries int
+}
+
+type attempt struct {
+	target Target
+	begin  time.Time
+	open   bool
+}
+
+type shardState struct {
+	attempts []attempt
+	open     int
+	done     bool
+	answered bool
+	waiting  bool
+	wakeAt   time.Time
+	wait     time.Duration
+	reason   api.MissingReason
+}
+
+// NewMachine returns a machine for the plan. A zero deadline means none.
+func NewMachine(plan *Plan, picker Picker, deadline time.Time) *Machine {
+	n := len(plan.Map.Shards)
+	m := &Machine{plan: plan, picker: picker, deadline: deadline, shards: make([]shardState, n), pending: n}
+	first := make([]attempt, n)
+	for i := range m.shards {
+		// The first attempt of each shard lives in one common allocation.
+		m.shards[i].attempts = first[i : i : i+1]
+	}
+	m.actions = make([]Action, 0, n)
+	return m
+}
+
+// Start sends the first attempt of every shard.
+func (m *Machine) Start(now time.Time) []Action {
+	m.actions = m.actions[:0]
+	earn(m.plan.Hedges, len(m.shards))
+	if m.plan.Retries != m.plan.Hedges {
+		earn(m.plan.Retries, len(m.shards))
+	}
+	for i := range m.shards {
+		if !m.send(i, now) {
+			m.settle(i, api.MissingNoReplica, now)
+		}
+	}
+	if m.plan.HedgeDelay > 0 && m.plan.MaxAttempts > 1 {
+		m.hedgeAt = now.Add(m.plan.HedgeDelay)
+	}
+	return m.actions
+}
+
+// Tick handles the times that have passed: the deadline, the hedge delay and the pauses of waiting shards.
+func (m *Machine) Tick(now time.Time) []Action {
+	m.actions = m.actions[:0]
+	if !m.deadline.IsZero() && !now.Before(m.deadline) {
+		m.finish(now, context.DeadlineExceeded)
+		return m.actions
+	}
+	if !m.hedgeAt.IsZero() && !now.Before(m.hedgeAt) {
+		m.hedge(now)
+	}
+	if m.waiting > 0 {
+		m.resume(now)
+	}
+	return m.actions
+}
+
+// Stop ends the query early; cause is what the open attempts are ended with.
+func (m *Machine) Stop(now time.Time, cause error) []Action {
+	m.actions = m.actions[:0]
+	m.finish(now, cause)
+	return m.actions
+}
+
+// Settled handles the end of an attempt; err is nil for a valid answer. taken reports whether the answer counts:
+// the first answer of a shard does, a result of a cancelled attempt does not.
+func (m *Machine) Settled(shard, number int, err error, now time.Time) (actions []Action, taken bool) {
+	m.actions = m.actions[:0]
+	s := &m.shards[shard]
+	if s.done || !s.attempts[number].open {
+		return m.actions, false
+	}
+	m.close(s, number, err, now)
+	if err == nil {
+		s.answered = true
+		m.complete(shard, now, context.Canceled)
+		return m.actions, true
+	}
+	s.reason = Reason(err)
+	if s.open == 0 {
+		m.retry(shard, now)
+	}
+	return m.actions, false
+}
+
+// Wake returns when Tick is due next; ok is false if it is not needed.
+func (m *Machine) Wake() (at time.Time, ok bool) {
+	if m.pending == 0 {
+		return time.Time{}, false
+	}
+	at = m.deadline
+	at = earlier(at, m.hedgeAt)
+	if m.waiting > 0 {
+		for i := range m.shards {
+			if m.shards[i].waiting {
+				at = earlier(at, m.shards[i].wakeAt)
+			}
+		}
+	}
+	return at, !at.IsZero()
+}
+
+// Done reports whether every shard is answered or given up.
+func (m *Machine) Done() bool { return m.pending == 0 }
+
+// Answered reports whether the shard has an answer, and the reason if it does not.
+func (m *Machine) Answered(shard int) (bool, api.MissingReason) {
+	return m.shards[shard].answered, m.shards[shard].reason
+}
+
+// Counts returns the numbers of sub-requests; sent includes hedges and retries.
+func (m *Machine) Counts() (sent, hedges, retries int) { return m.sent, m.hedges, m.retries }
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func earn(b Budget, n int) {
+	if e, ok := b.(Earner); ok {
+		e.Earn(n)
+	}
+}
+
+// send picks a replica that the shard has not tried, and reports whether one was left.
+func (m *Machine) send(shard int, now time.Time) bool {
+	s := &m.shards[shard]
+	m.exclude = m.exclude[:0]
+	for i := range s.attempts {
+		m.exclude = append(m.exclude, s.attempts[i].target.ID)
+	}
+	target, ok := m.pick(shard)
+	if !ok && m.plan.Wait && len(s.attempts) > 0 && s.open == 0 {
+		// A replica that refused a moment ago may be the shard's last live one.
+		m.exclude = m.exclude[:0]
+		target, ok = m.pick(shard)
+	}
+	if !ok {
+		return false
+	}
+	s.attempts = append(s.attempts, attempt{target: target, begin: now, open: true})
+	s.open++
+	m.sent++
+	m.actions = append(m.actions, Action{ActionSend, shard, len(s.attempts) - 1, target.ID})
+	return true
+}
+
+func (m *Machine) pick(shard int) (Target, bool) {
+	return m.picker.Pick(m.plan.Service, m.plan.Version, m.plan.Map.Shards[shard].ID, m.exclude)
+}
+
+func (m *Machine) close(s *shardState, number int, err error, now time.Time) {
+	a := &s.attempts[number]
+	a.open = false
+	s.open--
+	a.target.Done(now.Sub(a.begin), err)
+}
+
+// complete ends a shard and cancels its open attempts.
+func (m *Machine) complete(shard int, now time.Time, cause error) {
+	s := &m.shards[shard]
+	s.done = true
+	m.pending--
+	if s.waiting {
+		s.waiting = false
+		m.waiting--
+	}
+	for i := range s.attempts {
+		if s.attempts[i].open {
+			m.close(s, i, cause, now)
+			m.actions = append(m.actions, Action{ActionCancel, shard, i, s.attempts[i].target.ID})
+		}
+	}
+}
+
+// hedge sends one more attempt for each shard that is still on an attempt, and rearms itself, because a hedge
+// that the budget refused now may be allowed later.
+func (m *Machine) hedge(now time.Time) {
+	m.hedgeAt = time.Time{}
+	for i := range m.shards {
+		s := &m.shards[i]
+		if s.done || s.open == 0 || s.open > 1 || len(s.attempts) >= m.plan.MaxAttempts {
+			continue
+		}
+		m.hedgeAt = now.Add(m.plan.HedgeDelay)
+		if m.plan.Hedges.Take() {
+			if m.send(i, now) {
+				m.hedges++
+			} else {
+				refund(m.plan.Hedges)
+			}
+		}
+	}
+}
+
+func refund(b Budget) {
+	if r, ok := b.(Refunder); ok {
+		r.Refund()
+	}
+}
+
+// retry follows a failed attempt when no other attempt of the shard is open.
+func (m *Machine) retry(shard int, now time.Time) {
+	s := &m.shards[shard]
+	if len(s.attempts) >= m.plan.MaxAttempts {
+		m.giveUp(shard, s.reason, now)
+		return
+	}
+	if s.wait > 0 {
+		m.settle(shard, s.reason, now)
+		return
+	}
+	m.retryNow(shard, now)
+}
+
+// retryNow spends from the budget for one more attempt.
+func (m *Machine) retryNow(shard int, now time.Time) {
+	s := &m.shards[shard]
+	again := len(s.attempts) > 0
+	if again && !m.plan.Retries.Take() {
+		m.settle(shard, api.MissingBudget, now)
+		return
+	}
+	if m.send(shard, now) {
+		if again {
+			m.retries++
+		}
+		return
+	}
+	if again {
+		refund(m.plan.Retries)
+	}
+	if s.reason == "" {
+		s.reason = api.MissingNoReplica
+	}
+	m.settle(shard, s.reason, now)
+}
+
+// settle gives the shard up, or lets it wait if the plan says so.
+func (m *Machine) settle(shard int, reason api.MissingReason, now time.Time) {
+	s := &m.shards[shard]
+	s.reason = reason
+	if !m.plan.Wait || m.deadline.IsZero() {
+		m.giveUp(shard, reason, now)
+		return
+	}
+	s.wait = min(maxWait, max(firstWait, 2*s.wait))
+	s.wakeAt = now.Add(s.wait)
+	if !s.waiting {
+		s.waiting = true
+		m.waiting++
+	}
+}
+
+func (m *Machine) giveUp(shard int, reason api.MissingReason, now time.Time) {
+	m.shards[shard].reason = reason
+	m.complete(shard, now, context.Canceled)
+}
+
+func (m *Machine) resume(now time.Time) {
+	for i := range m.shards {
+		s := &m.shards[i]
+		if !s.waiting || now.Before(s.wakeAt) {
+			continue
+		}
+		s.waiting = false
+		m.waiting--
+		m.retryNow(i, now)
+	}
+}
+
+func (m *Machine) finish(now time.Time, cause error) {
+	for i := range m.shards {
+		s := &m.shards[i]
+		if s.done {
+			continue
+		}
+		if s.reason == "" || s.open > 0 {
+			s.reason = api.MissingTimeout
+		}
+		m.complete(i, now, cause)
+	}
+	m.hedgeAt = time.Time{}
+}
--- /dev/null
+++ b/scatter/machine_test.go
@@ -0,0 +1,286 @@
+package scatter_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/scatter"
+	"github.com/chivemill/chivemill/snapshot"
+)
+
+var begin = time.Unix(1000, 0)
+
+// bucket is a budget that records whether it was asked beyond its tokens.
+type bucket struct{ tokens, taken int }
+
+func (b *bucket) Take() bool {
+	if b.tokens == 0 {
+		return false
+	}
+	b.tokens--
+	b.taken++
+	return true
+}
+
+func (b *bucket) Refund() { b.tokens++; b.taken-- }
+
+// flakyPicker leaves out replicas at random and counts how often Done is called for each pick.
+type flakyPicker struct {
+	t        *rapid.T
+	replicas int
+	picks    int
+	ended    int
+}
+
+func (p *flakyPicker) Pick(_ string, _ snapshot.Version, shard string, exclude []string) (scatter.Target, bool) {
+	if rapid.IntRange(0, 5).Draw(p.t, "none left") == 0 {
+		return scatter.Target{}, false
+	}
+	for i := range p.replicas {
+		id := fmt.Sprintf("%s-r%d", shard, i)
+		excluded := false
+		for _, e := range exclude {
+			excluded = excluded || e == id
+		}
+		if !excluded {
+			p.picks++
+			done := false
+			return scatter.Target{ID: id, Done: func(time.Duration, error) {
+				if done {
+					p.t.Fatalf("Done called twice for %s", id)
+				}
+				done = true
+				p.ended++
+			}}, true
+		}
+	}
+	return scatter.Target{}, false
+}
+
+type attemptKey struct{ shard, number int }
+
+// model follows a machine through its actions.
+type model struct {
+	t        *rapid.T
+	plan     scatter.Plan
+	picker   *flakyPicker
+	machine  *scatter.Machine
+	hedges   *bucket
+	retries  *bucket
+	now      time.Time
+	deadline time.Time
+	open     map[attemptKey]bool
+	attempts map[int]int
+	answered map[int]int
+	sent     int
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, now: begin, deadline: begin.Add(300 * time.Millisecond),
+		hedges:  &bucket{tokens: rapid.IntRange(0, 4).Draw(t, "hedges")},
+		retries: &bucket{tokens: rapid.IntRange(0, 4).Draw(t, "retries")},
+		picker:  &flakyPicker{t: t, replicas: rapid.IntRange(1, 4).Draw(t, "replicas")},
+		open:    map[attemptKey]bool{}, attempts: map[int]int{}, answered: map[int]int{},
+	}
+	m.plan = scatter.Plan{
+		Service: "s", Request: "r", Version: snapshot.Version{Index: 1, Map: 1},
+		Map:         snapshot.Uniform(1, "s", rapid.IntRange(1, 5).Draw(t, "shards")),
+		HedgeDelay:  time.Duration(rapid.IntRange(0, 50).Draw(t, "hedge delay")) * time.Millisecond,
+		MaxAttempts: rapid.IntRange(1, 5).Draw(t, "attempts"),
+		Wait:        rapid.Bool().Draw(t, "wait"),
+		Hedges:      m.hedges, Retries: m.retries,
+	}
+	m.machine = scatter.NewMachine(&m.plan, m.picker, m.deadline)
+	m.apply(m.machine.Start(m.now))
+	return m
+}
+
+func (m *model) apply(actions []scatter.Action) {
+	for _, a := range actions {
+		key := attemptKey{a.Shard, a.Attempt}
+		if a.Kind == scatter.ActionCancel {
+			if !m.open[key] {
+				m.t.Fatalf("cancelled attempt %v is not open", key)
+			}
+			delete(m.open, key)
+			continue
+		}
+		if m.answered[a.Shard] > 0 {
+			m.t.Fatalf("attempt %v was sent after the answer", key)
+		}
+		m.open[key] = true
+		m.sent++
+		m.attempts[a.Shard]++
+	}
+	m.check()
+}
+
+func (m *model) check() {
+	for shard, n := range m.attempts {
+		if n > m.plan.MaxAttempts {
+			m.t.Fatalf("shard %d has %d attempts of %d", shard, n, m.plan.MaxAttempts)
+		}
+	}
+	sent, hedges, retries := m.machine.Counts()
+	if sent != m.sent || hedges != m.hedges.taken || retries != m.retries.taken {
+		m.t.Fatalf("counts %d, %d, %d; seen %d, %d, %d", sent, hedges, retries, m.sent, m.hedges.taken, m.retries.taken)
+	}
+	if extra := sent - len(m.attempts); extra != m.hedges.taken+m.retries.taken {
+		m.t.Fatalf("%d extra attempts for %d budget tokens", extra, m.hedges.taken+m.retries.taken)
+	}
+	if m.picker.picks-m.picker.ended != len(m.open) {
+		m.t.Fatalf("%d picks without Done, %d attempts open", m.picker.picks-m.picker.ended, len(m.open))
+	}
+	for key := range m.open {
+		if m.answered[key.shard] > 0 {
+			m.t.Fatalf("attempt %v is open after the answer", key)
+		}
+	}
+	if m.machine.Done() && len(m.open) > 0 {
+		m.t.Fatalf("done with %d attempts open", len(m.open))
+	}
+}
+
+// settle ends one open attempt with an answer or a failure, or repeats the end of a closed one.
+func (m *model) settle(t *rapid.T) {
+	if m.sent == 0 {
+		return
+	}
+	shard := rapid.IntRange(0, len(m.plan.Map.Shards)-1).Draw(t, "shard")
+	if m.attempts[shard] == 0 {
+		return
+	}
+	key := attemptKey{shard, rapid.IntRange(0, m.attempts[shard]-1).Draw(t, "attempt")}
+	var err error
+	if rapid.Bool().Draw(t, "fails") {
+		err = &backend.Error{Failure: backend.Refused}
+	}
+	wasOpen := m.open[key]
+	delete(m.open, key)
+	actions, taken := m.machine.Settled(key.shard, key.number, err, m.now)
+	if taken != (wasOpen && err == nil) {
+		t.Fatalf("result of %v taken %v, open %v, error %v", key, taken, wasOpen, err)
+	}
+	if taken {
+		// A second answer of the shard must not be taken.
+		m.answered[shard]++
+		for other := range m.open {
+			if other.shard == shard && len(actions) == 0 {
+				t.Fatalf("attempt %v was not cancelled", other)
+			}
+		}
+	}
+	if m.answered[shard] > 1 {
+		t.Fatalf("shard %d was answered twice", shard)
+	}
+	m.apply(actions)
+}
+
+func (m *model) tick(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+	m.apply(m.machine.Tick(m.now))
+	if !m.now.Before(m.deadline) && !m.machine.Done() {
+		t.Fatalf("not done at the deadline")
+	}
+}
+
+// Guards against more attempts than allowed, overdrawn budgets, shards that are answered twice, losers that are
+// not cancelled, picks without exactly one Done, and queries that outlive their deadline.
+func TestMachineKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(map[string]func(*rapid.T){"settle": m.settle, "tick": m.tick})
+		m.apply(m.machine.Tick(m.deadline))
+		if !m.machine.Done() {
+			t.Fatalf("not done at the deadline")
+		}
+		for i := range m.plan.Map.Shards {
+			if ok, reason := m.machine.Answered(i); ok != (m.answered[i] == 1) || !ok && reason == "" {
+				t.Fatalf("shard %d: answered %v, seen %d, reason %q", i, ok, m.answered[i], reason)
+			}
+		}
+	})
+}
+
+// fixedPicker offers the replicas of a list in order.
+type fixedPicker struct{ ids []string }
+
+func (p fixedPicker) Pick(_ string, _ snapshot.Version, _ string, exclude []string) (scatter.Target, bool) {
+	for _, id := range p.ids {
+		excluded := false
+		for _, e := range exclude {
+			excluded = excluded || e == id
+		}
+		if !excluded {
+			return scatter.Target{ID: id, Done: func(time.Duration, error) {}}, true
+		}
+	}
+	return scatter.Target{}, false
+}
+
+// Guards against a waiting profile that gives a shard up although its only live replica answers within the
+// deadline: the replica refuses once and is tried again.
+func TestMachineWaitsForLastReplica(t *testing.T) {
+	plan := scatter.Plan{
+		Map: snapshot.Uniform(1, "s", 1), MaxAttempts: 5, Wait: true,
+		Hedges: &bucket{}, Retries: &bucket{tokens: 10},
+	}
+	m := scatter.NewMachine(&plan, fixedPicker{[]string{"only"}}, begin.Add(time.Second))
+	m.Start(begin)
+	refused := &backend.Error{Failure: backend.Refused, Refusal: backend.Refusal{Reason: backend.RefusedShedding}}
+	now := begin
+	for number := range 3 {
+		m.Settled(0, number, refused, now)
+		for range 5 {
+			at, ok := m.Wake()
+			if !ok || !at.Before(begin.Add(time.Second)) {
+				break
+			}
+			now = at
+			m.Tick(now)
+		}
+	}
+	if m.Done() {
+		t.Fatal("gave up before the deadline")
+	}
+	if _, taken := m.Settled(0, 3, nil, now); !taken {
+		t.Fatal("the answer of the fourth attempt was not taken")
+	}
+}
+
+// Guards against losers that keep running: the cancelled attempt's context ends before Run returns, and the answer
+// holds the winner.
+func TestRunCancelsLoser(t *testing.T) {
+	plan := scatter.Plan{
+		Request: "r", Version: snapshot.Version{Index: 1, Map: 1}, Map: snapshot.Uniform(1, "s", 1),
+		HedgeDelay: time.Millisecond, MaxAttempts: 2, Hedges: &bucket{tokens: 1}, Retries: &bucket{},
+	}
+	loser := make(chan context.Context, 1)
+	sender := senderFunc(func(ctx context.Context, replica string, sub backend.Sub) (backend.SubAnswer, error) {
+		if replica == "a" {
+			loser <- ctx
+			<-ctx.Done()
+			return backend.SubAnswer{}, ctx.Err()
+		}
+		return backend.SubAnswer{Version: sub.Version, Shard: sub.Shard}, nil
+	})
+	result := scatter.Run(t.Context(), plan, fixedPicker{[]string{"a", "b"}}, sender)
+	if ctx := <-loser; ctx.Err() == nil {
+		t.Fatal("the loser's context has not ended")
+	}
+	if !result.Coverage.Complete || result.Hedges != 1 {
+		t.Fatalf("result %+v", result)
+	}
+}
+
+type senderFunc func(ctx context.Context, replica string, sub backend.Sub) (backend.SubAnswer, error)
+
+func (f senderFunc) Send(ctx context.Context, replica string, sub backend.Sub) (backend.SubAnswer, error) {
+	return f(ctx, replica, sub)
+}
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/chivemill/chivemill/api"
@@ -18,7 +17,8 @@
 // Target is a replica that was picked for one attempt.
 type Target struct {
 	ID string
-	// Done ends the attempt; err is nil for an answer.
+	// Done ends the attempt; err is nil for an answer, context.Canceled for an attempt that lost or was abandoned,
+	// and context.DeadlineExceeded for one that was open at the deadline.
 	Done func(latency time.Duration, err error)
 }
 
@@ -47,8 +47,11 @@
 	// HedgeDelay is the wait before a hedge; 0 sends none.
 	HedgeDelay  time.Duration
 	MaxAttempts int
-	Hedges      Budget
-	Retries     Budget
+	// Wait keeps a shard without a usable replica or budget open until the deadline instead of giving it up.
+	// MaxAttempts and the budgets still hold.
+	Wait    bool
+	Hedges  Budget
+	Retries Budget
 }
 
 // Result is the gathered answer of a query.
@@ -59,115 +62,128 @@
 	Attempts, Hedges, Retries int
 }
 
+// Earner is a Budget that grows with the sub-requests that queries need. A Machine reports them at the start.
+type Earner interface {
+	Earn(subRequests int)
+}
+
+// Refunder is a Budget that takes back an extra attempt that found no replica.
+type Refunder interface {
+	Refund()
+}
+
 // Run sends the query to every shard of the plan and returns when each shard is answered or given up, or when
-// ctx ends. Attempts that lost are cancelled before it returns.
+// ctx ends. Attempts that lost are cancelled before it returns. The decisions are those of a Machine.
 func Run(ctx context.Context, plan Plan, picker Picker, sender Sender) Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	merge := coverage.NewMerge(plan.Version, plan.Map)
-	runs := make([]shardRun, len(plan.Map.Shards))
-	var wg sync.WaitGroup
-	for i, s := range plan.Map.Shards {
-		runs[i] = shardRun{plan: &plan, shard: s.ID, ticket: merge.Ticket(s.ID), picker: picker, sender: sender}
-		wg.Go(func() { runs[i].run(ctx) })
+	deadline, _ := ctx.Deadline()
+	r := &run{
+		plan: &plan, sender: sender, ctx: ctx,
+		machine: NewMachine(&plan, picker, deadline),
+		merge:   coverage.NewMerge(plan.Version, plan.Map),
+		results: make(chan settled),
+		lanes:   make([]lane, len(plan.Map.Shards)),
 	}
-	wg.Wait()
+	r.loop()
 	var result Result
-	result.Records, result.Coverage = merge.Close()
-	for i := range runs {
-		result.Attempts += runs[i].attempts
-		result.Hedges += runs[i].hedges
-		result.Retries += runs[i].retries
+	for i, s := range plan.Map.Shards {
+		if ok, reason := r.machine.Answered(i); !ok {
+			r.merge.Ticket(s.ID).Miss(reason)
+		}
 	}
+	result.Records, result.Coverage = r.merge.Close()
+	result.Attempts, result.Hedges, result.Retries = r.machine.Counts()
 	return result
 }
 
-// shardRun is the state of one shard of a query. Only the goroutine of run touches it.
-type shardRun struct {
-	plan   *Plan
-	shard  string
-	ticket coverage.Ticket
-	picker Picker
-	sender Sender
+// run drives a Machine with goroutines and the real clock. Only the goroutine of loop touches it, apart from the
+// channel.
+type run struct {
+	plan    *Plan
+	sender  Sender
+	ctx     context.Context
+	machine *Machine
+	merge   *coverage.Merge
+	results chan settled
+	lanes   []lane
+}
 
-	tried                     []string
-	inFlight                  int
-	attempts, hedges, retries int
+// lane is the context that all attempts of one shard share: they all end when the shard is answered.
+type lane struct {
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
-type attemptResult struct {
-	result coverage.Result
-	err    error
+type settled struct {
+	shard, attempt int
+	result         coverage.Result
+	err            error
 }
 
-func (r *shardRun) run(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan attemptResult, r.plan.MaxAttempts)
-	if !r.start(ctx, results) {
-		r.ticket.Miss(api.MissingNoReplica)
-		return
-	}
-	hedge := r.hedgeTimer()
-	for r.inFlight > 0 {
+func (r *run) loop() {
+	r.perform(r.machine.Start(time.Now()))
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !r.machine.Done() {
+		var wake <-chan time.Time
+		if at, ok := r.machine.Wake(); ok {
+			timer.Reset(time.Until(at))
+			wake = timer.C
+		}
 		select {
-		case <-ctx.Done():
-			r.ticket.Miss(api.MissingTimeout)
-			return
-		case <-hedge:
-			hedge = nil
-			if r.attempts < r.plan.MaxAttempts && r.plan.Hedges.Take() && r.start(ctx, results) {
-				r.hedges++
-			}
-		case got := <-results:
-			r.inFlight--
-			if got.err == nil {
-				got.result.Add()
-				return
-			}
-			r.ticket.Miss(Reason(got.err))
-			if r.attempts < r.plan.MaxAttempts && ctx.Err() == nil && r.plan.Retries.Take() && r.start(ctx, results) {
-				r.retries++
-			}
+		case <-r.ctx.Done():
+			r.perform(r.machine.Stop(time.Now(), r.ctx.Err()))
+		case <-wake:
+			r.perform(r.machine.Tick(time.Now()))
+		case got := <-r.results:
+			r.settle(got)
 		}
 	}
 }
 
-func (r *shardRun) hedgeTimer() <-chan time.Time {
-	if r.plan.HedgeDelay <= 0 || r.plan.MaxAttempts < 2 {
-		return nil
+func (r *run) settle(got settled) {
+	actions, taken := r.machine.Settled(got.shard, got.attempt, got.err, time.Now())
+	if taken {
+		got.result.Add()
+		r.lanes[got.shard].cancel()
 	}
-	return time.After(r.plan.HedgeDelay)
+	r.perform(actions)
 }
 
-// start sends one attempt and reports whether a replica was left for it.
-func (r *shardRun) start(ctx context.Context, results chan<- attemptResult) bool {
-	target, ok := r.picker.Pick(r.plan.Service, r.plan.Version, r.shard, r.tried)
-	if !ok {
-		return false
+func (r *run) perform(actions []Action) {
+	for _, a := range actions {
+		l := &r.lanes[a.Shard]
+		if a.Kind == ActionCancel {
+			l.cancel()
+			continue
+		}
+		if l.ctx == nil {
+			l.ctx, l.cancel = context.WithCancel(r.ctx)
+		}
+		go r.attempt(l.ctx, a)
 	}
-	r.tried = append(r.tried, target.ID)
-	r.attempts++
-	r.inFlight++
+}
+
+func (r *run) attempt(ctx context.Context, a Action) {
+	shard := r.plan.Map.Shards[a.Shard].ID
 	sub := backend.Sub{
 		Service: r.plan.Service,
 		Request: r.plan.Request,
-		Attempt: r.plan.Request + "/" + r.shard + "/" + strconv.Itoa(r.attempts),
+		Attempt: r.plan.Request + "/" + shard + "/" + strconv.Itoa(a.Attempt+1),
 		Version: r.plan.Version,
-		Shard:   r.shard,
+		Shard:   shard,
 		Query:   r.plan.Query,
 	}
-	go func() {
-		begin := time.Now()
-		answer, err := r.sender.Send(ctx, target.ID, sub)
-		var result coverage.Result
-		if err == nil {
-			result, err = r.ticket.Check(answer)
-		}
-		target.Done(time.Since(begin), err)
-		results <- attemptResult{result, err}
-	}()
-	return true
+	answer, err := r.sender.Send(ctx, a.Replica, sub)
+	got := settled{shard: a.Shard, attempt: a.Attempt, err: err}
+	if err == nil {
+		got.result, got.err = r.merge.Ticket(shard).Check(answer)
+	}
+	select {
+	case r.results <- got:
+	case <-r.ctx.Done():
+	}
 }
 
 // Reason maps the error of an attempt to the reason that the coverage states.
