Warm connections, and admission by room instead of latency

Cause: a hedge closed its loser's connection, and the next attempt to that replica paid 30 ms for a new one; admission took a late answer as overload, although lost messages make answers late without any load. Change: the daemon keeps 2 idle connections per replica within its share; a query is refused before anything is sent when fewer shards than its least coverage have a replica with room; a shard without room is the sign of overload, latency is not.

--- a/internal/bench/daemon.go
+++ b/internal/bench/daemon.go
@@ -24,13 +24,13 @@
 
 // pool is a daemon's connections to one replica.
 type pool struct {
-	idle, open, share int
+	idle, open, opening, claimed, share int
 	// generation grows when the replica closes all connections.
 	generation int
 }
 
 func (p *pool) reset() {
-	p.idle, p.open = 0, 0
+	p.idle, p.open, p.opening, p.claimed = 0, 0, 0, 0
 	p.generation++
 }
 
@@ -89,14 +89,17 @@
 	}
 	back := d.w.delay(s.dc, d.dc)
 	load := s.load()
-	d.w.after(there+back, func() { d.registry.SetLoad(s.id, load, d.w.time()) })
+	d.w.after(there+back, func() {
+		d.registry.SetLoad(s.id, load, d.w.time())
+		d.warm(s, d.pools[s.id])
+	})
 }
 
 // admit decides on a query and starts it, or refuses it before anything is sent.
 func (d *daemon) admit(q *query) {
 	st := d.state[q.service.Name]
 	if d.w.strategy.Admission {
-		refusal := d.w.strategy.admit(st.admission, q, d.w.time())
+		refusal := d.w.strategy.admit(d, st, q)
 		if refusal != limit.Admitted {
 			d.w.stats.count("admission_" + string(refusal))
 			q.refused()
@@ -127,13 +130,41 @@
 	})
 }
 
+// warm opens connections in the background until enough are idle. An abandoned attempt closes its connection, and
+// without this the next attempt would pay for a new one.
+func (d *daemon) warm(s *server, p *pool) {
+	for p.idle+p.opening < d.w.strategy.WarmConnections && p.open < p.share && s.conns < s.limit && !s.down {
+		s.conns++
+		s.peakConns = max(s.peakConns, s.conns)
+		p.open++
+		p.opening++
+		generation := p.generation
+		d.w.after(2*d.w.delay(d.dc, s.dc)+d.w.dep.ConnectionCost, func() {
+			if p.generation == generation {
+				p.opening--
+				if p.claimed > 0 {
+					p.claimed--
+				} else {
+					p.idle++
+				}
+			}
+		})
+	}
+}
+
 // connect takes an idle connection or opens one. It returns the time until the request can be written, or until
 // the attempt failed.
 func (d *daemon) connect(s *server, p *pool) (time.Duration, bool) {
 	if p.idle > 0 {
 		p.idle--
+		d.warm(s, p)
 		return 0, true
 	}
+	if p.opening > p.claimed {
+		// The attempt takes a connection that is being opened; the wait is that of a whole opening at most.
+		p.claimed++
+		return d.w.delay(d.dc, s.dc) + d.w.delay(s.dc, d.dc) + d.w.dep.ConnectionCost, true
+	}
 	if p.share > 0 && p.open >= p.share {
 		d.w.stats.count("connection_share")
 		return 0, false
--- a/internal/bench/query.go
+++ b/internal/bench/query.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/scatter"
 )
@@ -48,6 +49,7 @@
 	}
 	c.pool.open--
 	c.s.conns--
+	c.d.warm(c.s, c.pool)
 	c.d.w.after(c.d.w.delay(c.d.dc, c.s.dc), func() { c.s.cancel(c.job) })
 }
 
@@ -148,15 +150,19 @@
 	shards := len(q.plan.Map.Shards)
 	answered := 0
 	for i := range shards {
-		if ok, _ := q.machine.Answered(i); ok {
+		ok, reason := q.machine.Answered(i)
+		if ok {
 			answered++
+			continue
 		}
+		q.w.stats.count("missing_" + string(reason))
+		q.shed = q.shed || reason == api.MissingNoReplica
 	}
 	coverage := float64(answered) / float64(shards)
 	took := q.w.now - q.arrived
 	good := coverage >= q.service.Profile.LeastCoverage
 	if q.w.strategy.Admission {
-		q.w.strategy.finish(q.st.admission, q, took, q.shed || !good || took > q.service.Profile.Deadline/2, q.w.time())
+		q.w.strategy.finish(q.st.admission, q, took, q.shed, q.w.time())
 	}
 	q.w.stats.answer(q, took+2*q.w.dep.ClientDelay, coverage, good)
 	if !good {
--- a/internal/bench/strategy.go
+++ b/internal/bench/strategy.go
@@ -16,6 +16,8 @@
 	Hedges, Budgets, Shares, Wait, Admission bool
 	// Attempts overrides the profile's number of attempts; 0 keeps it.
 	Attempts int
+	// WarmConnections is the number of idle connections that a daemon keeps to each replica, within its share.
+	WarmConnections int
 }
 
 // Baseline is the fixed point of comparison: a uniformly random replica, no hedge, one retry, no budget.
@@ -28,11 +30,13 @@
 	return Strategy{
 		Name: "policy", Replica: replica.DefaultPolicy(),
 		Hedges: true, Budgets: true, Shares: true, Wait: true, Admission: true,
+		WarmConnections: 2,
 	}
 }
 
-func (s Strategy) admit(a *limit.Admission, q *query, now time.Time) limit.Refusal {
-	return a.Admit(q.profile, q.service.Profile.Deadline, now)
+func (s Strategy) admit(d *daemon, st *serviceState, q *query) limit.Refusal {
+	room := d.registry.Room(st.plan.Service, st.plan.Version, st.plan.Map.Shards)
+	return st.admission.Admit(q.profile, q.service.Profile.Deadline, room, q.service.Profile.LeastCoverage, d.w.time())
 }
 
 func (s Strategy) finish(a *limit.Admission, q *query, took time.Duration, overloaded bool, now time.Time) {
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -9,11 +9,13 @@
 // Refusal is why a query was refused.
 type Refusal string
 
-// Reasons of a refusal. Both are decided before anything is sent.
+// Reasons of a refusal. All are decided before anything is sent.
 const (
 	Admitted       Refusal = ""
 	RefusedShare   Refusal = "share"
 	RefusedTooLate Refusal = "too_late"
+	// RefusedNoRoom means that too many shards have no replica with room. It is decided from the registry's Room.
+	RefusedNoRoom Refusal = "no_room"
 )
 
 const (
@@ -79,7 +81,8 @@
 }
 
 // Admit decides on one query with the remaining time. After Admitted, the caller calls Finish exactly once.
-func (a *Admission) Admit(profile string, remaining time.Duration, now time.Time) Refusal {
+// room is the fraction of the query's shards that have a replica with room, least the fraction it needs.
+func (a *Admission) Admit(profile string, remaining time.Duration, room, least float64, now time.Time) Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.use(profile)
@@ -87,6 +90,10 @@
 		return RefusedTooLate
 	}
 	p.want(now)
+	if room < least {
+		a.limit.Overload(a.inFlight, now)
+		return RefusedNoRoom
+	}
 	if p.inFlight+1 > a.shareOf(p, now) && a.inFlight+1+a.reserved(p, now) > a.limit.Limit() {
 		return RefusedShare
 	}
@@ -136,8 +143,8 @@
 	return sum
 }
 
-// Finish ends an admitted query. overloaded says that a backend server shed part of it or that it missed its
-// deadline.
+// Finish ends an admitted query. overloaded says that a backend server shed part of it or that a shard had no
+// replica with room.
 func (a *Admission) Finish(profile string, latency time.Duration, overloaded bool, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -241,3 +241,19 @@
 		r.adaptive.Overload(inFlight, now)
 	}
 }
+
+// Room returns the fraction of the shards that have a replica which accepts work and has room for one more
+// sub-request. A query that needs more than that is better refused before anything is sent.
+func (g *Registry) Room(service string, version snapshot.Version, shards []snapshot.Shard) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.index()
+	room := 0
+	for _, s := range shards {
+		list := g.holders[holderKey{service, snapshot.Holding{Version: version, Shard: s.ID}}]
+		if slices.ContainsFunc(list, func(r *Replica) bool { return !r.isLeaving() && !r.isFull() }) {
+			room++
+		}
+	}
+	return float64(room) / float64(max(1, len(shards)))
+}
