Bursts within a share, and sheds counted per replica

Change: a profile whose average demand lies within its share may use three times the share for a moment; a shed lowers the rate and raises the cost of its replica only, and admission reacts to shards that stay missing.

--- a/internal/bench/query.go
+++ b/internal/bench/query.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/chivemill/chivemill/api"
-	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/scatter"
 )
 
@@ -71,8 +69,8 @@
 	calls  [][]*call
 	wakeAt time.Duration
 	ended  bool
-	// shed is set when a replica shed one of the attempts.
-	shed bool
+	// overloaded is set when a shard is missing because its replicas had no room or refused.
+	overloaded bool
 }
 
 func (q *query) start(d *daemon, st *serviceState) {
@@ -135,10 +133,6 @@
 	if q.ended {
 		return
 	}
-	var failed *backend.Error
-	if errors.As(err, &failed) && failed.Refusal.Reason == backend.RefusedShedding {
-		q.shed = true
-	}
 	q.decide(func() []scatter.Action {
 		actions, _ := q.machine.Settled(shard, number, err, q.w.time())
 		return actions
@@ -156,13 +150,13 @@
 			continue
 		}
 		q.w.stats.count("missing_" + string(reason))
-		q.shed = q.shed || reason == api.MissingNoReplica
+		q.overloaded = q.overloaded || reason == api.MissingNoReplica || reason == api.MissingRefused
 	}
 	coverage := float64(answered) / float64(shards)
 	took := q.w.now - q.arrived
 	good := coverage >= q.service.Profile.LeastCoverage
 	if q.w.strategy.Admission {
-		q.w.strategy.finish(q.st.admission, q, took, q.shed, q.w.time())
+		q.w.strategy.finish(q.st.admission, q, took, q.overloaded, q.w.time())
 	}
 	q.w.stats.answer(q, took+2*q.w.dep.ClientDelay, coverage, good)
 	if !good {
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -25,6 +25,8 @@
 	latencyWeight = 0.05
 	// lateFraction of the average latency is the least remaining time that a query is admitted with.
 	lateFraction = 0.5
+	// burstFactor times its share is what a profile with a demand within its share may use for a moment.
+	burstFactor = 3
 	// overloadPause is the least time between two reductions: the effect of one must be seen before the next.
 	overloadPause = 100 * time.Millisecond
 )
@@ -49,6 +51,9 @@
 	// demand is the largest use that the profile lately asked for, fading with time.
 	demand   float64
 	demandAt time.Time
+	// rate is the average number of queries per second that the profile offered, refused ones included.
+	rate   float64
+	rateAt time.Time
 }
 
 // NewAdmission returns an admission whose limit starts at start queries and stays at or below ceiling.
@@ -94,7 +99,7 @@
 		a.limit.Overload(a.inFlight, now)
 		return RefusedNoRoom
 	}
-	if p.inFlight+1 > a.shareOf(p, now) && a.inFlight+1+a.reserved(p, now) > a.limit.Limit() {
+	if !a.guaranteed(p, now) && a.inFlight+1+a.reserved(p, now) > a.limit.Limit() {
 		return RefusedShare
 	}
 	p.inFlight++
@@ -102,8 +107,20 @@
 	return Admitted
 }
 
-// want raises the demand to one more than the profile uses now.
+// guaranteed reports whether the profile's share covers one more query. A profile whose average demand lies within
+// its share may exceed it for a moment: random arrivals do so often while the share is only a few queries.
+func (a *Admission) guaranteed(p *profileUse, now time.Time) bool {
+	share := a.shareOf(p, now)
+	if p.rate*a.latency.Seconds() <= share {
+		share *= burstFactor
+	}
+	return p.inFlight+1 <= share
+}
+
+// want counts an offered query and raises the demand to one more than the profile uses now.
 func (p *profileUse) want(now time.Time) {
+	p.rate = fade(p.rate, now.Sub(p.rateAt)) + math.Ln2/halfLife.Seconds()
+	p.rateAt = now
 	p.demand = max(p.faded(now), p.inFlight+1)
 	p.demandAt = now
 }
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -18,6 +18,8 @@
 	unlimited = 1e6
 	// shedPause is the least time between two reductions of a replica's limit.
 	shedPause = 50 * time.Millisecond
+	// leastServed bounds the cost of a replica that sheds everything, so that it is still tried at times.
+	leastServed = 0.2
 	// assumedSlots is used while a replica has not reported its slots.
 	assumedSlots = 4
 )
@@ -155,7 +157,8 @@
 	}
 	reported := float64(r.Load.Busy+r.Load.Queued) * halved(now.Sub(r.LoadAt), g.policy.ReportHalfLife)
 	cost := own*(1+(float64(r.InFlight)+reported)/slots) + 2*float64(r.linkDelay)
-	return cost * float64(1+r.Failures) / g.ramp(r, now)
+	served := max(leastServed, 1-r.shedRate)
+	return cost * float64(1+r.Failures) / (g.ramp(r, now) * served * served)
 }
 
 func halved(age, halfLife time.Duration) float64 {
@@ -191,6 +194,7 @@
 	case err == nil:
 		r.adaptive.Good(inFlight)
 		r.Failures, r.lost = 0, 0
+		r.shedRate -= latencyWeight * r.shedRate
 		r.observe(latency, now)
 	case errors.Is(err, context.Canceled):
 		g.lose(r, latency, now)
@@ -238,6 +242,7 @@
 	case backend.RefusedDraining:
 		r.Leaving = max(r.Leaving, refusal.Incarnation)
 	case backend.RefusedShedding, backend.RefusedCold:
+		r.shedRate += latencyWeight * (1 - r.shedRate)
 		r.adaptive.Overload(inFlight, now)
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -35,6 +35,8 @@
 	avoidUntil time.Time
 	// lost counts attempts in a row that were cancelled because a hedge answered first.
 	lost int
+	// shedRate is the moving average of the fraction of sub-requests that the replica shed.
+	shedRate float64
 	// linkDelay is the one-way delay to the replica's data centre.
 	linkDelay time.Duration
 	// connections is the daemon's share of the replica's connections, 0 if unknown.
@@ -180,7 +182,7 @@
 	r.rampFrom = now
 	r.avoidUntil = time.Time{}
 	r.Failures, r.lost = 0, 0
-	r.Latency = 0
+	r.Latency, r.shedRate = 0, 0
 	ceiling := unlimited
 	if r.connections > 0 {
 		ceiling = float64(r.connections)
