Two sheds within one query as a sign of overload

Change: a query that was shed at least twice counts as overload; a single shed stays a matter of its replica.

--- a/internal/bench/query.go
+++ b/internal/bench/query.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/limit"
 	"github.com/chivemill/chivemill/scatter"
 )
 
@@ -71,6 +74,7 @@
 	ended  bool
 	// overloaded is set when a shard is missing because its replicas had no room or refused.
 	overloaded bool
+	sheds      int
 }
 
 func (q *query) start(d *daemon, st *serviceState) {
@@ -133,6 +137,11 @@
 	if q.ended {
 		return
 	}
+	var failed *backend.Error
+	if errors.As(err, &failed) && failed.Refusal.Reason == backend.RefusedShedding {
+		q.sheds++
+		q.overloaded = q.overloaded || q.sheds >= limit.OverloadSheds
+	}
 	q.decide(func() []scatter.Action {
 		actions, _ := q.machine.Settled(shard, number, err, q.w.time())
 		return actions
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -18,6 +18,10 @@
 	RefusedNoRoom Refusal = "no_room"
 )
 
+// OverloadSheds is the number of sheds within one query that is a sign of overload of the service; a single one is
+// a matter of its replica.
+const OverloadSheds = 2
+
 const (
 	// halfLife is how fast a profile's claim on unused capacity fades after its demand ends.
 	halfLife = time.Second
