Only the first retry of a waiting shard is immediate

Cause: a shard under a waiting profile spent all its attempts within milliseconds while its last live replica shed, and then gave up with most of the deadline left; the pause applied only after a pick had failed. Change: from the second retry on, a waiting shard pauses, and after refusals the remaining attempts are spread over the remaining time.

--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -267,7 +267,8 @@
 		m.giveUp(shard, s.reason, now)
 		return
 	}
-	if s.wait > 0 {
+	if m.plan.Wait && (s.wait > 0 || len(s.attempts) > 1) {
+		// Only the first retry is immediate; the others wait for the replica to recover.
 		m.settle(shard, s.reason, now)
 		return
 	}
@@ -306,13 +307,23 @@
 		return
 	}
 	s.wait = min(maxWait, max(firstWait, 2*s.wait))
-	s.wakeAt = now.Add(s.wait)
+	s.wakeAt = now.Add(max(s.wait, m.spread(s, now)))
 	if !s.waiting {
 		s.waiting = true
 		m.waiting++
 	}
 }
 
+// spread returns the pause that spreads the attempts left over the remaining time, once replicas have refused
+// some. Otherwise a burst of refusals uses up the attempts in the first tenth of the deadline.
+func (m *Machine) spread(s *shardState, now time.Time) time.Duration {
+	left := m.plan.MaxAttempts - len(s.attempts)
+	if len(s.attempts) < 2 || s.reason != api.MissingRefused && s.reason != api.MissingConnection {
+		return 0
+	}
+	return m.deadline.Sub(now) / time.Duration(2*(left+1))
+}
+
 func (m *Machine) giveUp(shard int, reason api.MissingReason, now time.Time) {
 	m.shards[shard].reason = reason
 	m.complete(shard, now, context.Canceled)
