Hedge delay of at most a quarter of the deadline

Cause: with 20% of the messages late, the quantile of the latency came near the deadline and hedges were of no use. Change: the delay is capped at a quarter of the profile's deadline. Late messages hold the few connections of a daemon, so shards have no room; a cap on the delay cannot change that.

--- a/hedge/delay.go
+++ b/hedge/delay.go
@@ -100,12 +100,16 @@
 	return d.cached, true
 }
 
-// For returns the hedge delay: the quantile q, but at least least. It is 0, which sends no hedge, while too few
-// samples are known.
-func (d *Delay) For(q float64, least time.Duration, now time.Time) time.Duration {
+// deadlineParts is the number of hedge delays that fit into a deadline at least. When many messages are late, the
+// quantile itself comes near the deadline, and a hedge sent then is of no use.
+const deadlineParts = 4
+
+// For returns the hedge delay: the quantile q, but at least least and at most a quarter of the deadline. It is 0,
+// which sends no hedge, while too few samples are known.
+func (d *Delay) For(q float64, least, deadline time.Duration, now time.Time) time.Duration {
 	latency, ok := d.Quantile(q, now)
 	if !ok {
 		return 0
 	}
-	return max(least, latency)
+	return min(max(least, latency), deadline/deadlineParts)
 }
--- a/internal/bench/query.go
+++ b/internal/bench/query.go
@@ -88,7 +88,7 @@
 	}
 	now := q.w.time()
 	if q.w.strategy.Hedges {
-		q.plan.HedgeDelay = st.latency.For(q.service.Profile.Quantile, time.Millisecond, now)
+		q.plan.HedgeDelay = st.latency.For(q.service.Profile.Quantile, time.Millisecond, q.service.Profile.Deadline, now)
 	}
 	q.calls = make([][]*call, len(q.plan.Map.Shards))
 	q.machine = scatter.NewMachine(&q.plan, d, epoch.Add(q.deadline))
