--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo lint generate confbench
+.PHONY: build test demo lint generate bench confbench
 
 build:
 	mkdir -p bin
@@ -16,6 +16,12 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+# Measures the query policy against the baseline in virtual time, over all cases and five seeds.
+bench:
+	mkdir -p bin
+	go build -o bin/chivemill-bench ./cmd/chivemill-bench
+	bin/chivemill-bench
+
 # Regenerates the committed protobuf and drpc code.
 generate:
 	mkdir -p bin
