Entry daemon uses the routing policy; coverage errors state run truthfully

Cause: the search path hedged and retried without budgets, admitted everything, and answered coverage_too_low with run yes even when every backend server had refused. A VM list that lags marked the next incarnation as leaving. Change: hedge delay, budgets, admission, connection shares and warm connections come from the policy packages; a query of which no attempt can have run is answered backend_refused with run never; only the list's change to leaving marks an incarnation; each replica's copy of a shard map is compared; the unused kind draining is removed.

--- a/api/errors.go
+++ b/api/errors.go
@@ -22,7 +22,6 @@
 	KeyConflict       Kind = "key_conflict"
 	KeyExpired        Kind = "key_expired"
 	Overloaded        Kind = "overloaded"
-	Draining          Kind = "draining"
 	NoSnapshot        Kind = "no_snapshot"
 	NoProfile         Kind = "no_profile"
 	StoreUnavailable  Kind = "store_unavailable"
@@ -38,7 +37,8 @@
 // Run states whether the request that an error answers was executed by a backend server.
 type Run string
 
-// Values of Run. Never is a promise: no backend server executed any part of the request.
+// Values of Run. Never is a promise: no backend server executed any part of the request. Maybe says that some may
+// have; Yes is the state of an answered request.
 const (
 	RunNever Run = "never"
 	RunMaybe Run = "maybe"
@@ -71,14 +71,13 @@
 	KeyConflict:       {http.StatusUnprocessableEntity, RunNever, RetryNo},
 	KeyExpired:        {http.StatusBadRequest, RunNever, RetryNo},
 	Overloaded:        {http.StatusServiceUnavailable, RunNever, RetryLater},
-	Draining:          {http.StatusServiceUnavailable, RunNever, RetryLater},
 	NoSnapshot:        {http.StatusServiceUnavailable, RunNever, RetryLater},
 	NoProfile:         {http.StatusServiceUnavailable, RunNever, RetryLater},
 	StoreUnavailable:  {http.StatusServiceUnavailable, RunNever, RetryLater},
 	BackendRefused:    {http.StatusServiceUnavailable, RunNever, RetryLater},
 	Quarantined:       {http.StatusUnprocessableEntity, RunNever, RetryNo},
 	AlreadyDispatched: {http.StatusConflict, RunMaybe, RetryNo},
-	CoverageTooLow:    {http.StatusBadGateway, RunYes, RetryIdempotent},
+	CoverageTooLow:    {http.StatusBadGateway, RunMaybe, RetryIdempotent},
 	DeadlineExceeded:  {http.StatusGatewayTimeout, RunMaybe, RetryIdempotent},
 	OutcomeUnknown:    {http.StatusBadGateway, RunMaybe, RetryNo},
 	Internal:          {http.StatusInternalServerError, RunMaybe, RetryIdempotent},
--- a/backend/client.go
+++ b/backend/client.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -98,6 +99,8 @@
 	http    *http.Client
 	limit   atomic.Int64
 	open    atomic.Int64
+	busy    atomic.Int64
+	warming atomic.Bool
 }
 
 // errConnectionLimit means that the replica's connection share is used up.
@@ -160,6 +163,41 @@
 // OpenConnections returns the number of open connections.
 func (c *Client) OpenConnections() int { return int(c.open.Load()) }
 
+// Warm opens connections until n are idle, as far as the limit allows, by reading the health endpoint. A new
+// connection costs a sub-request several milliseconds, and an abandoned attempt closes its connection. A call while
+// another one runs does nothing.
+func (c *Client) Warm(ctx context.Context, n int) {
+	if !c.warming.CompareAndSwap(false, true) {
+		return
+	}
+	defer c.warming.Store(false)
+	idle := c.open.Load() - c.busy.Load()
+	room := c.limit.Load() - c.open.Load()
+	if int64(n) <= idle || room <= 0 {
+		return
+	}
+	// Requests that run at the same time use different connections: the idle ones and as many new ones as wanted.
+	var wg sync.WaitGroup
+	for range idle + min(int64(n)-idle, room) {
+		wg.Go(func() { c.health(ctx) })
+	}
+	wg.Wait()
+}
+
+func (c *Client) health(ctx context.Context) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+PathHealth, nil)
+	if err != nil {
+		return
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return
+	}
+	// A body that was read to its end leaves the connection usable.
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer))
+	resp.Body.Close()
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -179,6 +217,8 @@
 // Send sends a sub-request and returns its checked answer or an *Error. The deadline of ctx travels as remaining
 // time. An abandoned call closes its connection, so that its late answer cannot reach another request.
 func (c *Client) Send(ctx context.Context, sub Sub) (SubAnswer, error) {
+	c.busy.Add(1)
+	defer c.busy.Add(-1)
 	path := PathSub
 	if sub.Key != "" {
 		path = PathExecute
--- a/cmd/chivemill-entry/main.go
+++ b/cmd/chivemill-entry/main.go
@@ -88,6 +88,7 @@
 	case err := <-stopped:
 		// A response is written out after its request has left the in-flight count.
 		<-closed
+		d.WaitOrders()
 		return err
 	case err := <-failed:
 		return err
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -43,6 +43,7 @@
 	catalogues map[string]*snapshot.Catalogue
 	profiles   map[string]activeProfile
 	bindings   map[string]string
+	policies   map[string]*servicePolicy
 }
 
 // NewDaemon opens the peer address and returns a daemon that Run starts.
@@ -54,7 +55,9 @@
 		catalogues: make(map[string]*snapshot.Catalogue),
 		profiles:   make(map[string]activeProfile),
 		bindings:   make(map[string]string),
+		policies:   make(map[string]*servicePolicy),
 	}
+	d.registry.SetLinkDelay(func(dataCentre string) time.Duration { return set.LinkDelays[dataCentre].D() })
 	var err error
 	if d.peers, err = newPeers(d, store); err != nil {
 		return nil, err
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -12,8 +12,6 @@
 
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/internal/httpjson"
-	"github.com/chivemill/chivemill/quarantine"
-	"github.com/chivemill/chivemill/scatter"
 )
 
 // CallerHandler serves the callers' interface.
@@ -96,6 +94,9 @@
 }
 
 func (d *Daemon) serveQuery(r *http.Request, id string) (api.Query, *api.Answer, error) {
+	if d.InFlight() > int64(d.set.MaxInFlight) {
+		return api.Query{}, nil, api.Errorf(api.Overloaded, "more than %d requests are in flight", d.set.MaxInFlight)
+	}
 	mark, err := readOrderMark(r.Header)
 	if err != nil {
 		return api.Query{}, nil, err
@@ -127,37 +128,3 @@
 	}
 	return d.search(ctx, id, q, p)
 }
-
-type unlimited struct{}
-
-// Take implements scatter.Budget.
-func (unlimited) Take() bool { return true }
-
-func (d *Daemon) search(ctx context.Context, id string, q api.Query, p activeProfile) (*api.Answer, error) {
-	d.mu.Lock()
-	version, shardMap, ok := d.catalogue(q.Service).Current()
-	d.mu.Unlock()
-	if !ok {
-		return nil, api.Errorf(api.NoSnapshot, "no snapshot of service %q is known yet", q.Service)
-	}
-	plan := scatter.Plan{
-		Service: q.Service, Request: id, Query: q.Query, Version: version, Map: shardMap,
-		MaxAttempts: p.Retry.MaxAttempts, Hedges: unlimited{}, Retries: unlimited{},
-	}
-	runCtx, run, err := d.guard.Admit(ctx, crashFingerprint(q.Service, q.Query), quarantine.Search)
-	if err != nil {
-		return nil, err
-	}
-	defer run.Done()
-	result := scatter.Run(runCtx, plan, d, run.Watch(d))
-	d.metrics.attempts(q.Service, result)
-	answer := &api.Answer{
-		RequestID: id, Nonce: q.Nonce, Service: q.Service, Profile: p.Name, Revision: p.revision,
-		Snapshot: version, Coverage: result.Coverage, Records: result.Records,
-	}
-	if result.Coverage.Fraction < p.LeastCoverage {
-		return answer, api.Errorf(api.CoverageTooLow, "coverage %.3f is below the profile's least coverage %.3f",
-			result.Coverage.Fraction, p.LeastCoverage)
-	}
-	return answer, nil
-}
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -15,8 +16,12 @@
 	"github.com/chivemill/chivemill/snapshot"
 )
 
-// loadTimeout bounds one call of a load endpoint.
-const loadTimeout = time.Second
+const (
+	// loadTimeout bounds one call of a load endpoint.
+	loadTimeout = time.Second
+	// warmConnections is the number of idle connections kept to each replica, within the daemon's share.
+	warmConnections = 2
+)
 
 // pollReplicas reads the VM list and the load endpoints until ctx ends.
 func (d *Daemon) pollReplicas(ctx context.Context) {
@@ -57,21 +62,29 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	client := d.client(r)
-	client.SetConnections(d.peers.connections(d.connectionLimit(r.ID), r.ID))
+	d.applyShare(r.ID, client)
 	load, err := client.Load(ctx)
 	if err != nil {
 		d.registry.Unreachable(r.ID)
 		return
 	}
 	for _, h := range load.Holdings {
-		d.learnMap(ctx, client, r.Service, h.Version.Map)
+		d.learnMap(ctx, client, r, h.Version.Map)
 	}
 	d.registry.SetLoad(r.ID, load, time.Now())
+	client.Warm(ctx, warmConnections)
 	if load.State == backend.StateDraining {
 		d.peers.raise(r.ID, load.Incarnation, signal.Leaving)
 	}
 }
 
+// applyShare limits the connections to the replica to this daemon's share.
+func (d *Daemon) applyShare(id string, client *backend.Client) {
+	share := d.peers.connections(d.connectionLimit(id), id)
+	client.SetConnections(share)
+	d.registry.SetConnections(id, share)
+}
+
 // connectionLimit returns the connections that all daemons together may hold to the replica.
 func (d *Daemon) connectionLimit(id string) int {
 	if limit := d.registry.ConnectionLimit(id); limit > 0 {
@@ -80,9 +93,10 @@
 	return d.set.ConnectionsPerReplica
 }
 
-func (d *Daemon) learnMap(ctx context.Context, client *backend.Client, service string, version int64) {
+// learnMap reads the replica's copy of a shard map once, so that replicas that disagree are found.
+func (d *Daemon) learnMap(ctx context.Context, client *backend.Client, r replica.Replica, version int64) {
 	d.mu.Lock()
-	_, known := d.catalogue(service).Map(version)
+	known := d.catalogue(r.Service).HasMapFrom(r.ID, version)
 	d.mu.Unlock()
 	if known {
 		return
@@ -90,11 +104,12 @@
 	m, err := client.Map(ctx, version)
 	if err == nil {
 		d.mu.Lock()
-		err = d.catalogue(service).AddMap(m)
+		err = d.catalogue(r.Service).AddMapFrom(r.ID, m)
 		d.mu.Unlock()
 	}
 	if err != nil {
-		d.log.Warn("shard map not usable", zap.String("service", service), zap.Int64("map", version), zap.Error(err))
+		d.log.Warn("shard map not usable", zap.String("service", r.Service), zap.String("replica", r.ID),
+			zap.Int64("map", version), zap.Error(err))
 	}
 }
 
@@ -132,8 +147,13 @@
 	if !ok {
 		return scatter.Target{}, false
 	}
+	delays := d.policyOf(service).delays
 	return scatter.Target{ID: r.ID, Done: func(latency time.Duration, err error) {
 		d.registry.Done(r.ID, latency, err)
+		// An attempt that lost took at least this long; leaving it out would make the hedge delay too short.
+		if err == nil || errors.Is(err, context.Canceled) {
+			delays.Observe(latency, time.Now())
+		}
 	}}, true
 }
 
--- /dev/null
+++ b/entry/search.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/limit"
+	"github.com/chivemill/chivemill/profile"
+	"github.com/chivemill/chivemill/quarantine"
+	"github.com/chivemill/chivemill/scatter"
+	"github.com/chivemill/chivemill/snapshot"
+)
+
+// bind binds a query to the snapshot in use.
+func (d *Daemon) bind(q api.Query, p activeProfile) (snapshot.Version, snapshot.Map, error) {
+	holdings := d.registry.Holdings(q.Service)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	catalogue := d.catalogue(q.Service)
+	version, shardMap, ok := catalogue.Current()
+	switch {
+	case !ok:
+		return version, shardMap, api.Errorf(api.NoSnapshot, "no snapshot of service %q is known", q.Service)
+	case p.Snapshot == profile.SnapshotRequireComplete && !catalogue.Complete(holdings):
+		return version, shardMap, api.Errorf(api.NoSnapshot,
+			"no snapshot of service %q is complete, which the profile requires", q.Service)
+	}
+	return version, shardMap, nil
+}
+
+// search answers a query over the shards of its snapshot. ctx carries the deadline. The answer is also returned
+// with an error that is decided after the shards were queried.
+func (d *Daemon) search(ctx context.Context, id string, q api.Query, p activeProfile) (*api.Answer, error) {
+	version, shardMap, err := d.bind(q, p)
+	if err != nil {
+		return nil, err
+	}
+	runCtx, run, err := d.guard.Admit(ctx, crashFingerprint(q.Service, q.Query), quarantine.Search)
+	if err != nil {
+		return nil, err
+	}
+	defer run.Done()
+	policy := d.policyOf(q.Service)
+	begin := time.Now()
+	if err := d.admit(ctx, q, p, version, shardMap); err != nil {
+		return nil, err
+	}
+	budget := d.budgetOf(q.Service, p)
+	plan := scatter.Plan{
+		Service: q.Service, Request: id, Query: q.Query, Version: version, Map: shardMap,
+		HedgeDelay: policy.hedgeDelay(p, begin), MaxAttempts: p.Retry.MaxAttempts,
+		Wait:   p.Partial != profile.PartialReturn,
+		Hedges: budget.Hedges(), Retries: budget.Retries(),
+	}
+	attempts := &attemptLog{next: run.Watch(d)}
+	result := scatter.Run(runCtx, plan, d, attempts)
+	policy.admission.Finish(p.Name, time.Since(begin), overloaded(result.Coverage, attempts), time.Now())
+	d.metrics.attempts(q.Service, result)
+	if errors.Is(context.Cause(runCtx), quarantine.ErrQuarantined) {
+		markQuarantined(&result.Coverage)
+	}
+	answer := &api.Answer{
+		RequestID: id, Nonce: q.Nonce, Service: q.Service, Profile: p.Name, Revision: p.revision,
+		Snapshot: version, Coverage: result.Coverage, Records: result.Records,
+	}
+	if result.Coverage.Fraction < p.LeastCoverage && !attempts.mayHaveRun() {
+		return answer, api.Errorf(api.BackendRefused, "every backend server contacted refused before execution")
+	}
+	if result.Coverage.Fraction < p.LeastCoverage {
+		return answer, api.Errorf(api.CoverageTooLow, "coverage %.3f is below the profile's least coverage %.3f",
+			result.Coverage.Fraction, p.LeastCoverage)
+	}
+	return answer, nil
+}
+
+// admit admits a query or refuses it before anything is sent.
+func (d *Daemon) admit(ctx context.Context, q api.Query, p activeProfile, version snapshot.Version, m snapshot.Map) error {
+	now := time.Now()
+	deadline, _ := ctx.Deadline()
+	room := d.registry.Room(q.Service, version, m.Shards)
+	admission := d.policyOf(q.Service).admission
+	admission.SetWeight(p.Name, float64(p.Share))
+	switch refusal := admission.Admit(p.Name, deadline.Sub(now), room, p.LeastCoverage, now); refusal {
+	case limit.Admitted:
+		return nil
+	case limit.RefusedTooLate:
+		return api.Errorf(api.Overloaded, "the time left, %s, is less than queries take at present",
+			deadline.Sub(now).Round(time.Millisecond))
+	case limit.RefusedNoRoom:
+		return api.Errorf(api.Overloaded, "replicas with room cover %.3f, the profile needs %.3f", room, p.LeastCoverage)
+	default:
+		return api.Errorf(api.Overloaded, "the share of profile %q is in use", p.Name)
+	}
+}
+
+// overloaded reports whether a query met overload: more sheds than one replica explains, or a shard that no replica
+// took.
+func overloaded(c api.Coverage, attempts *attemptLog) bool {
+	if attempts.sheds.Load() >= limit.OverloadSheds {
+		return true
+	}
+	for _, m := range c.Missing {
+		if m.Reason == api.MissingNoReplica || m.Reason == api.MissingRefused {
+			return true
+		}
+	}
+	return false
+}
+
+func markQuarantined(c *api.Coverage) {
+	for i := range c.Missing {
+		c.Missing[i].Reason = api.MissingQuarantined
+	}
+}
+
+// attemptLog records what became of the attempts of one query.
+type attemptLog struct {
+	next scatter.Sender
+	// sheds counts the attempts that replicas shed.
+	sheds atomic.Int64
+	// unrefused counts the attempts that were started and not certainly refused before execution. An attempt that is
+	// still open when the query ends counts, because a backend server may execute it.
+	unrefused atomic.Int64
+}
+
+// mayHaveRun reports whether a backend server may have executed an attempt.
+func (a *attemptLog) mayHaveRun() bool { return a.unrefused.Load() > 0 }
+
+// Send implements scatter.Sender.
+func (a *attemptLog) Send(ctx context.Context, replica string, sub backend.Sub) (backend.SubAnswer, error) {
+	a.unrefused.Add(1)
+	answer, err := a.next.Send(ctx, replica, sub)
+	if err != nil && !mayHaveRun(err) {
+		a.unrefused.Add(-1)
+	}
+	var failed *backend.Error
+	if errors.As(err, &failed) && failed.Refusal.Reason == backend.RefusedShedding {
+		a.sheds.Add(1)
+	}
+	return answer, err
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -29,7 +29,11 @@
 	// Failures counts failures since the last success.
 	Failures int
 
-	latencyAt time.Time
+	// listed is the state in the platform's list. listUnsure is set while the list says leaving and has done so since
+	// before the incarnation was known: the list lags, so it may speak of an earlier incarnation.
+	listed     vmlist.State
+	listUnsure bool
+	latencyAt  time.Time
 	// rampFrom is when an incarnation above the first known one was seen.
 	rampFrom   time.Time
 	avoidUntil time.Time
@@ -51,7 +55,7 @@
 }
 
 // isLeaving reports whether the known incarnation is leaving. It is true until a load report gave one.
-func (r *Replica) isLeaving() bool { return r.Load.Incarnation <= r.Leaving }
+func (r *Replica) isLeaving() bool { return r.Load.Incarnation <= r.Leaving || r.listUnsure }
 
 // Registry holds all replicas of a daemon. It is safe for concurrent use.
 type Registry struct {
@@ -132,9 +136,7 @@
 			g.replicas[vm.ID] = r
 			g.holders = nil
 		}
-		if vm.State == vmlist.StateLeaving {
-			r.Leaving = max(r.Leaving, r.Load.Incarnation)
-		}
+		r.setListed(vm.State)
 	}
 	for id, r := range g.replicas {
 		if !listed[id] && r.Failures > 0 {
@@ -153,6 +155,19 @@
 	return r
 }
 
+// setListed takes the state in the platform's list. Only the change to leaving marks the incarnation: the list lags,
+// and a mark from each reading would also mark the next incarnation.
+func (r *Replica) setListed(state vmlist.State) {
+	if state == vmlist.StateLeaving && r.listed != vmlist.StateLeaving {
+		r.Leaving = max(r.Leaving, r.Load.Incarnation)
+		r.listUnsure = r.Load.Incarnation == 0
+	}
+	if state != vmlist.StateLeaving {
+		r.listUnsure = false
+	}
+	r.listed = state
+}
+
 // SetLoad takes an answer of the load endpoint. An answer of an older incarnation is ignored. A new incarnation
 // of a known replica starts a cold ramp, whatever state it reports.
 func (g *Registry) SetLoad(id string, load backend.Load, now time.Time) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,6 +72,8 @@
 	MaxInFlight int `yaml:"max_in_flight"`
 	// ConnectionsPerReplica is the limit of all daemons together for a replica that has not reported its own.
 	ConnectionsPerReplica int `yaml:"connections_per_replica"`
+	// LinkDelays is the one-way delay to other data centres. A data centre that is not listed counts as near.
+	LinkDelays map[string]strictyaml.Duration `yaml:"link_delays,omitempty"`
 	// JoinDelay is how long a starting daemon opens no connections to backend servers and is not ready, until the
 	// other daemons count it. It exceeds the time in which the member list or the VM list shows the daemon to all.
 	JoinDelay strictyaml.Duration `yaml:"join_delay"`
@@ -112,6 +114,9 @@
 	Range(doc, "balancer_lag", e.BalancerLag.D(), 0, time.Minute)
 	Range(doc, "max_body", e.MaxBody, 1, 1<<20)
 	Range(doc, "max_in_flight", e.MaxInFlight, 1, 100_000)
+	for name, delay := range e.LinkDelays {
+		Range(doc, "link_delays."+name, delay.D(), 0, time.Second)
+	}
 	Range(doc, "join_delay", e.JoinDelay.D(), 100*time.Millisecond, 5*time.Minute)
 	Range(doc, "connection_hold", e.ConnectionHold.D(), time.Second, 10*time.Minute)
 	Range(doc, "connections_per_replica", e.ConnectionsPerReplica, 1, 1000)
--- a/snapshot/catalogue.go
+++ b/snapshot/catalogue.go
@@ -147,6 +147,11 @@
 	return c.current
 }
 
+// Complete reports whether every shard of the snapshot in use is among the holdings.
+func (c *Catalogue) Complete(holdings []Holding) bool {
+	return !c.current.IsZero() && c.coveredRange(c.current, holders(holdings)) == KeySpace
+}
+
 func holders(holdings []Holding) map[Version]map[string]bool {
 	held := make(map[Version]map[string]bool)
 	for _, h := range holdings {
