Quiet watches stay live on a store that reports progress rarely

Cause: etcd sends progress messages every ten minutes by default, so every watch ended after 5 s of silence and no daemon could confirm its configuration: all would report stale without any fault. Change: a watch that is silent for 1.5 s reads the keys changed since its revision. The stand-in announces a watch at once, as etcd does, and can leave out progress messages. Conclusion: confirmation needs no special setting of the store. Deletions are still delivered by the watch alone.

--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -35,6 +35,8 @@
 	LoseRequests int `json:"lose_requests"`
 	// LateWrites is as in kvtest.Faults.
 	LateWrites int `json:"late_writes"`
+	// NoProgress is as in kvtest.Faults.
+	NoProgress bool `json:"no_progress"`
 	// ListLagMS delays each change of the VM list, in milliseconds.
 	ListLagMS int64 `json:"list_lag_ms"`
 }
@@ -141,6 +143,7 @@
 		Down:        in.Down,
 		Delay:       time.Duration(in.DelayMS) * time.Millisecond,
 		LoseAnswers: in.LoseAnswers, LoseRequests: in.LoseRequests, LateWrites: in.LateWrites,
+		NoProgress: in.NoProgress,
 	})
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -157,7 +160,9 @@
 	items, revision, err := s.store.List(ctx, string(in.Key))
 	out.Header.Revision = etcdjson.Int64(revision)
 	for _, i := range items {
-		out.KVs = append(out.KVs, etcdjson.FromItem(i))
+		if i.ModRevision >= int64(in.MinModRevision) {
+			out.KVs = append(out.KVs, etcdjson.FromItem(i))
+		}
 	}
 	return out, err
 }
@@ -258,9 +263,18 @@
 		answerError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, "create_request is required")
 		return
 	}
+	if s.store.Faults().Down {
+		fail(w, kv.ErrUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	enc := json.NewEncoder(w)
 	flusher := http.NewResponseController(w)
+	var created etcdjson.WatchResponse
+	created.Result.Created = true
+	created.Result.Header.Revision = etcdjson.Int64(s.store.Revision())
+	_ = enc.Encode(created)
+	_ = flusher.Flush()
 	err := s.store.Watch(r.Context(), string(in.Create.Key), int64(in.Create.StartRevision), func(b kv.WatchBatch) {
 		var msg etcdjson.WatchResponse
 		msg.Result.Header.Revision = etcdjson.Int64(b.Revision)
--- a/kv/etcdjson/client.go
+++ b/kv/etcdjson/client.go
@@ -38,6 +38,7 @@
 	next      atomic.Uint64
 	calls     Calls
 	silence   time.Duration
+	progress  time.Duration
 }
 
 var _ kv.Store = (*Client)(nil)
@@ -56,6 +57,7 @@
 	return &Client{
 		endpoints: trimmed,
 		silence:   watchSilence,
+		progress:  watchProgress,
 		http: &http.Client{
 			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8},
 			// The gateway does not redirect. A followed redirect would turn the call into a GET.
--- a/kv/etcdjson/watch_test.go
+++ b/kv/etcdjson/watch_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/kv/etcdjson"
 	"github.com/chivemill/chivemill/kv/kvtest"
 )
 
@@ -81,3 +82,47 @@
 	must.ErrorIs(t, err, kv.ErrUnavailable)
 	must.Eq(t, []int64{4, 9}, revisions)
 }
+
+// Guards against a watch that looks dead because the store sends no progress messages, as etcd does by default.
+func TestQuietWatchStaysLive(t *testing.T) {
+	c, mem := standin(t, nil)
+	mem.SetFaults(kvtest.Faults{NoProgress: true})
+	result, err := c.Txn(t.Context(), put("a", "v", 0))
+	must.NoError(t, err)
+	c.SetProgress(20 * time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	calls := 0
+	err = c.Watch(ctx, "a", result.Revision+1, func(b kv.WatchBatch) {
+		must.Eq(t, kv.WatchBatch{Revision: result.Revision}, b)
+		if calls++; calls == 5 {
+			cancel()
+		}
+	})
+	must.ErrorIs(t, err, context.Canceled)
+}
+
+// Guards against a watch that delivers nothing any more while its connection stays open: the change is delivered all
+// the same, the resume revision stays behind it, and the watch ends.
+func TestStuckWatchDeliversAndEnds(t *testing.T) {
+	c := connect(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == etcdjson.PathRange {
+			fmt.Fprintln(w, `{"header":{"revision":"9"},"kvs":[{"key":"YQ==","mod_revision":"7"}]}`)
+			return
+		}
+		fmt.Fprintln(w, `{"result":{"header":{"revision":"9"},"created":true}}`)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	c.SetSilence(200 * time.Millisecond)
+	c.SetProgress(20 * time.Millisecond)
+	var first *kv.WatchBatch
+	err := c.Watch(t.Context(), "a", 5, func(b kv.WatchBatch) {
+		if first == nil {
+			first = &b
+		}
+	})
+	must.ErrorIs(t, err, kv.ErrUnavailable)
+	must.StrContains(t, err.Error(), "nothing received")
+	must.Eq(t, &kv.WatchBatch{Revision: 4, Events: []kv.Event{{Item: kv.Item{Key: "a", ModRevision: 7}}}}, first)
+}
--- a/kv/etcdjson/wire.go
+++ b/kv/etcdjson/wire.go
@@ -76,6 +76,8 @@
 type RangeRequest struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	// MinModRevision leaves out keys that were last changed before this revision.
+	MinModRevision Int64 `json:"min_mod_revision,omitempty"`
 }
 
 // RangeResponse is etcdserverpb.RangeResponse.
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -85,8 +85,9 @@
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease; alive is false if it has lapsed.
 	KeepAlive(ctx context.Context, id LeaseID) (alive bool, err error)
-	// Watch calls fn for changes of keys with the prefix from the revision on, 0 for those after the call, in order, and with an empty
-	// batch at least every few seconds while the watch is live. It returns when ctx ends, the connection
-	// breaks, or the revision was compacted.
+	// Watch calls fn for changes of keys with the prefix from the revision on, 0 for those after the call. Changes of
+	// a key come in order and may be repeated. While the watch is live, fn is called at least every few seconds, with
+	// an empty batch if nothing changed. Watch returns when ctx ends, the connection breaks, or the revision was
+	// compacted.
 	Watch(ctx context.Context, prefix string, from int64, fn func(WatchBatch)) error
 }
--- a/kv/kvtest/memory.go
+++ b/kv/kvtest/memory.go
@@ -30,6 +30,8 @@
 	LoseRequests int
 	// LateWrites is the number of next transactions whose answer is lost and which run only after the next read.
 	LateWrites int
+	// NoProgress leaves out the empty batches of a watch, as a store does that reports progress rarely.
+	NoProgress bool
 }
 
 // ErrRejected means that the store does not accept a call, whatever its state. The call had no effect.
@@ -373,8 +375,11 @@
 		}
 		next = max(next, m.revision+1)
 		changed := m.changed
+		quiet := m.faults.NoProgress && len(batch.Events) == 0
 		m.mu.Unlock()
-		fn(batch)
+		if !quiet {
+			fn(batch)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
