Limit of near replicas by their queue, and tests of the policy

Cause: in the forced update the last live replica of a shard queued up to the connection share of every daemon, and each query waited for that queue. Change: the limit of a near replica shrinks while its average time is above three times what is typical for the service.

--- /dev/null
+++ b/hedge/hedge_test.go
@@ -0,0 +1,103 @@
+package hedge_test
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/chivemill/chivemill/hedge"
+)
+
+// TestMain fixes the seed of rapid, unless RAPID_FRESH asks for a new one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("RAPID_FRESH") == "" {
+		_ = flag.Set("rapid.seed", "20250303")
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a hedge delay off the quantile: at most one bucket (5%) above the exact value, and not below it.
+func TestQuantileIsWithinOneBucket(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		d := hedge.NewDelay()
+		n := rapid.IntRange(20, 300).Draw(t, "n")
+		samples := make([]time.Duration, n)
+		for i := range samples {
+			samples[i] = time.Duration(rapid.IntRange(200, 500_000).Draw(t, "us")) * time.Microsecond
+			d.Observe(samples[i], now)
+		}
+		q := rapid.Float64Range(0.05, 0.99).Draw(t, "q")
+		got, ok := d.Quantile(q, now)
+		must.True(t, ok)
+		slices.Sort(samples)
+		rank := q * float64(n)
+		i := int(rank)
+		if float64(i) < rank {
+			i++
+		}
+		exact := samples[max(0, i-1)]
+		if float64(got) < float64(exact)*0.999 || float64(got) > float64(exact)*1.051 {
+			t.Fatalf("quantile %.3f of %d samples is %s, exactly %s", q, n, got, exact)
+		}
+	})
+}
+
+// Guards against hedges before the latency is known, delays outside their bounds, and old samples that never fade.
+func TestDelayBoundsAndAging(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := hedge.NewDelay()
+	must.Eq(t, 0, d.For(0.95, time.Millisecond, time.Second, now))
+	for range 100 {
+		d.Observe(900*time.Millisecond, now)
+	}
+	must.Eq(t, 250*time.Millisecond, d.For(0.95, time.Millisecond, time.Second, now))
+	now = now.Add(40 * time.Second)
+	for range 100 {
+		d.Observe(2*time.Millisecond, now)
+	}
+	must.Less(t, 5*time.Millisecond, d.For(0.95, time.Millisecond, time.Second, now))
+	must.Eq(t, 7*time.Millisecond, d.For(0.5, 7*time.Millisecond, time.Second, now.Add(time.Second)))
+}
+
+// Guards against overdrawn budgets: hedges stay within their fraction and all extra attempts within the sum, plus the
+// token at the start.
+func TestBudgetIsNeverOverdrawn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hedges := rapid.Float64Range(0, 0.5).Draw(t, "hedges")
+		retries := rapid.Float64Range(0, 0.5).Draw(t, "retries")
+		b := hedge.NewBudget(hedges, retries)
+		var needed, hedged, extra float64
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				n := rapid.IntRange(1, 30).Draw(t, "n")
+				b.Hedges().Earn(n)
+				needed += float64(n)
+			case 1:
+				if b.Hedges().Take() {
+					hedged++
+					extra++
+				}
+			case 2:
+				if b.Retries().Take() {
+					extra++
+				}
+			case 3:
+				if b.Hedges().Take() {
+					b.Hedges().Refund()
+				}
+			}
+			const rounding = 1e-6
+			if hedged > needed*hedges+rounding || extra > 1+needed*(hedges+retries)+rounding {
+				t.Fatalf("%g hedges, %g extra for %g needed at %g and %g", hedged, extra, needed, hedges, retries)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/limit/admission_test.go
@@ -0,0 +1,94 @@
+package limit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/limit"
+)
+
+const queryTime = 20 * time.Millisecond
+
+// offerFor offers two profiles with equal shares at fixed rates for seconds of virtual time and returns the admitted
+// fraction of each.
+func offerFor(a *limit.Admission, seconds int, rates map[string]float64) map[string]float64 {
+	type end struct {
+		at      time.Time
+		profile string
+	}
+	rng := rand.New(rand.NewPCG(11, 11))
+	now := time.Unix(1000, 0)
+	var open []end
+	offered, admitted := map[string]float64{}, map[string]float64{}
+	for range seconds * 10_000 {
+		now = now.Add(100 * time.Microsecond)
+		for len(open) > 0 && !open[0].at.After(now) {
+			a.Finish(open[0].profile, queryTime, false, now)
+			open = open[1:]
+		}
+		for _, profile := range []string{"flood", "main"} {
+			if rng.Float64() > rates[profile]/10_000 {
+				continue
+			}
+			offered[profile]++
+			if a.Admit(profile, time.Second, 1, 1, now) == limit.Admitted {
+				admitted[profile]++
+				open = append(open, end{now.Add(queryTime), profile})
+			}
+		}
+	}
+	return map[string]float64{"main": admitted["main"] / offered["main"], "flood": admitted["flood"] / offered["flood"]}
+}
+
+// Guards against a profile that loses its share to another one that floods: 10 queries in flight hold 500 per second.
+func TestShareIsKeptUnderFlood(t *testing.T) {
+	a := limit.NewAdmission(10, 10)
+	admitted := offerFor(a, 5, map[string]float64{"main": 200, "flood": 5000})
+	must.Greater(t, 0.95, admitted["main"])
+	must.Less(t, 0.2, admitted["flood"])
+}
+
+// Guards against capacity that stays unused because it is reserved for a profile without demand.
+func TestUnusedShareIsBorrowed(t *testing.T) {
+	a := limit.NewAdmission(10, 10)
+	a.SetWeight("main", 9)
+	admitted := offerFor(a, 5, map[string]float64{"main": 0, "flood": 300})
+	must.Greater(t, 0.85, admitted["flood"])
+}
+
+// Guards against queries that are admitted although their remaining time or the room of their shards is too small,
+// and against a slow period that refuses queries for ever.
+func TestHopelessQueriesAreRefused(t *testing.T) {
+	a := limit.NewAdmission(10, 10)
+	now := time.Unix(1000, 0)
+	must.Eq(t, limit.Admitted, a.Admit("p", time.Second, 1, 1, now))
+	a.Finish("p", 400*time.Millisecond, false, now)
+	must.Eq(t, limit.RefusedTooLate, a.Admit("p", 100*time.Millisecond, 1, 1, now))
+	must.Eq(t, limit.RefusedNoRoom, a.Admit("p", time.Second, 0.6, 0.7, now))
+	must.Eq(t, limit.Admitted, a.Admit("p", time.Second, 0.8, 0.7, now))
+	must.Eq(t, limit.Admitted, a.Admit("p", 100*time.Millisecond, 1, 1, now.Add(5*time.Second)))
+}
+
+// Guards against a limit that ignores overload, falls to zero, or grows while it is not in use.
+func TestAdaptiveFollowsOverload(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := limit.NewAdaptive(20, 100, 10*time.Millisecond)
+	for range 100 {
+		l.Good(2)
+	}
+	must.Eq(t, 20.0, l.Limit())
+	l.Overload(20, now)
+	l.Overload(20, now)
+	must.Eq(t, 18.0, l.Limit())
+	for i := range 100 {
+		l.Overload(20, now.Add(time.Duration(i+1)*time.Second))
+	}
+	must.Eq(t, 1.0, l.Limit())
+	for range 20 {
+		l.Good(l.Limit())
+	}
+	must.Greater(t, 5.0, l.Limit())
+}
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -16,6 +16,11 @@
 	latencyWeight = 0.1
 	// unlimited is the concurrency limit of a replica that never shed.
 	unlimited = 1e6
+	// nearDelay is the one-way delay up to which a replica counts as near.
+	nearDelay = time.Millisecond
+	// typicalWeight is the weight of a new sample in the typical time of a service. It is small, so that an
+	// incident does not become typical.
+	typicalWeight = 0.0005
 	// shedPause is the least time between two reductions of a replica's limit.
 	shedPause = 50 * time.Millisecond
 	// leastServed bounds the cost of a replica that sheds everything, so that it is still tried at times.
@@ -196,6 +201,7 @@
 		r.Failures, r.lost = 0, 0
 		r.shedRate -= latencyWeight * r.shedRate
 		r.observe(latency, now)
+		g.watchQueue(r, inFlight, now)
 	case errors.Is(err, context.Canceled):
 		g.lose(r, latency, now)
 	case errors.As(err, &failed) && failed.Failure == backend.Refused:
@@ -208,6 +214,25 @@
 	}
 }
 
+// watchQueue lowers the limit of a replica whose average time is far above what is typical for its service. Its
+// queue would otherwise grow to its connection share, and each query would wait for the whole queue. Only near
+// replicas are judged, because late messages on a long link look the same as a queue.
+func (g *Registry) watchQueue(r *Replica, inFlight float64, now time.Time) {
+	if r.linkDelay > nearDelay {
+		return
+	}
+	took := float64(r.service())
+	typical := g.typical[r.Service]
+	if typical == 0 {
+		typical = took
+	}
+	typical += typicalWeight * (min(took, 2*typical) - typical)
+	g.typical[r.Service] = typical
+	if g.policy.QueueFactor > 0 && took > g.policy.QueueFactor*typical {
+		r.adaptive.Overload(inFlight, now)
+	}
+}
+
 func (r *Replica) observe(latency time.Duration, now time.Time) {
 	r.latencyAt = now
 	if r.Latency == 0 {
--- a/replica/policy.go
+++ b/replica/policy.go
@@ -30,6 +30,8 @@
 	AvoidFirst, AvoidMost time.Duration
 	// LostLimit is the number of attempts lost to hedges in a row that counts as a failure.
 	LostLimit int
+	// QueueFactor times the typical time of its service is the average time above which a replica's limit shrinks.
+	QueueFactor float64
 	// Nearest adds the replica with the least link delay to the candidates.
 	Nearest bool
 }
@@ -45,5 +47,6 @@
 		AvoidMost:       5 * time.Second,
 		LostLimit:       3,
 		Nearest:         true,
+		QueueFactor:     3,
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -65,6 +65,8 @@
 	holders  map[holderKey][]*Replica
 	services map[string][]*Replica
 	scratch  []*Replica
+	// typical is the slow moving average of the time without link delay, per service, in nanoseconds.
+	typical map[string]float64
 }
 
 type holderKey struct {
@@ -76,7 +78,7 @@
 func NewRegistry(seed uint64) *Registry {
 	return &Registry{
 		rng: rand.New(rand.NewPCG(seed, seed)), policy: DefaultPolicy(), clock: time.Now,
-		replicas: make(map[string]*Replica),
+		replicas: make(map[string]*Replica), typical: make(map[string]float64),
 	}
 }
 
