--- a/cmd/chivemill-bench/main.go
+++ b/cmd/chivemill-bench/main.go
@@ -43,6 +43,15 @@
 	return list == "" || slices.Contains(strings.Split(list, ","), name)
 }
 
+// strategies returns the strategies of a case: placement by dominant resource competes where queries differ.
+func strategies(c bench.Case) []bench.Strategy {
+	list := []bench.Strategy{bench.Baseline(), bench.Default()}
+	if slices.Contains([]string{"flood", "mix", "mix-overload"}, c.Name) {
+		list = append(list, bench.DominantResource())
+	}
+	return list
+}
+
 func run(_ context.Context, cmd *cli.Command) error {
 	var jobs []bench.Job
 	for _, dep := range []bench.Deployment{bench.Gravura(), bench.Tutkal()} {
@@ -50,7 +59,7 @@
 			if !selected(cmd.String("deployments"), dep.Name) || !selected(cmd.String("cases"), c.Name) {
 				continue
 			}
-			for _, s := range []bench.Strategy{bench.Baseline(), bench.Default()} {
+			for _, s := range strategies(c) {
 				for seed := range cmd.Int("seeds") {
 					jobs = append(jobs, bench.Job{Deployment: dep, Case: c, Strategy: s, Seed: uint64(seed) + 1})
 				}
@@ -76,6 +85,7 @@
 	rows := bench.Collect(jobs, bench.Measure(jobs, cmd.Int("workers")))
 	bench.Print(os.Stdout, rows)
 	bench.PrintRatios(os.Stdout, rows, bench.Default().Name)
+	bench.PrintRatios(os.Stdout, rows, bench.DominantResource().Name)
 	missed := bench.PrintTargets(os.Stdout, rows, bench.Default().Name)
 	fmt.Printf("\n%d runs in %.1f s, %d targets missed\n", len(jobs), time.Since(begin).Seconds(), missed)
 	return nil
--- a/internal/bench/cases.go
+++ b/internal/bench/cases.go
@@ -7,10 +7,11 @@
 // calmLoad is the offered load of the cases without overload, as a fraction of the slots.
 const calmLoad = 0.4
 
-// Names of the profiles of the flooding case.
+// Names of the profiles.
 const (
 	profileMain  = "main"
 	profileFlood = "flood"
+	profileHeavy = "heavy"
 )
 
 // Times of one restart in the forced update, compressed so that every server restarts within one run.
@@ -49,6 +50,8 @@
 		{Name: "shedding", Length: caseLength, Sources: even(calmLoad), Prepare: shedding},
 		{Name: "idle-reports", Length: caseLength, Sources: even(0.7), Prepare: lying},
 		{Name: "flood", Length: caseLength, Sources: flood},
+		{Name: "mix", Length: caseLength, Sources: mix},
+		{Name: "mix-overload", Length: caseLength, Sources: mixOverload},
 		{Name: "caller-retries", Length: caseLength, Sources: even(1.2), CallerRetries: 3},
 	}
 	return cases
@@ -104,6 +107,22 @@
 	return sources
 }
 
+// mix offers short queries to all shards (0.3 of the slots) and long ones to three shards (0.3 of their slots).
+func mix(dep Deployment) []Source { return mixed(dep, 1) }
+
+// mixOverload offers twice the load of mix, which is 1.2 times the slots of three shards.
+func mixOverload(dep Deployment) []Source { return mixed(dep, 2) }
+
+func mixed(dep Deployment, factor float64) []Source {
+	var sources []Source
+	for _, s := range dep.Services {
+		sources = append(sources,
+			Source{Service: s.Name, Profile: profileMain, Load: 0.6 * factor, Work: 0.5},
+			Source{Service: s.Name, Profile: profileHeavy, Load: 0.05 * factor, Work: 6, Shards: 3})
+	}
+	return sources
+}
+
 // update restarts every server once at a random time: it drains, is down, and comes back cold with a higher
 // incarnation. At each moment at least one replica of each shard is neither draining nor down.
 func update(w *world) {
--- a/internal/bench/daemon.go
+++ b/internal/bench/daemon.go
@@ -43,6 +43,8 @@
 	pools    map[string]*pool
 	state    map[string]*serviceState
 	rng      *rand.Rand
+	// dominant is set if the strategy places by dominant resource.
+	dominant *dominantPlacer
 }
 
 // serviceState is what a daemon keeps per service.
@@ -61,7 +63,12 @@
 		return scatter.Target{}, false
 	}
 	latency := d.state[service].latency
+	release := func() {}
+	if d.dominant != nil {
+		release = d.dominant.place(&r)
+	}
 	return scatter.Target{ID: r.ID, Done: func(took time.Duration, err error) {
+		release()
 		d.registry.Done(r.ID, took, err)
 		if d.w.strategy.Hedges && (err == nil || err == lost) {
 			latency.Observe(took, d.w.time())
--- a/internal/bench/query.go
+++ b/internal/bench/query.go
@@ -97,6 +97,9 @@
 
 // decide runs one step of the machine, with its time counted, and carries out its actions.
 func (q *query) decide(step func() []scatter.Action) {
+	if q.d.dominant != nil {
+		q.d.dominant.work = q.work
+	}
 	begin := time.Now()
 	actions := step()
 	q.w.stats.decision += time.Since(begin)
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -86,7 +86,24 @@
 			r.mean(func(x Result) float64 { return x.Below }), r.mean(func(x Result) float64 { return x.Complete }),
 			100*r.mean(func(x Result) float64 { return x.Extra }), r.mean(func(x Result) float64 { return x.Goodput }),
 			r.mean(func(x Result) float64 { return float64(x.CPU) / 1000 }), peak, r.Results[0].Limit, r.refusals())
+		if profiles := r.profiles(); profiles != "" {
+			fmt.Fprintf(out, "%-8s %-14s %-9s   goodput to offered by profile:%s\n", "", "", "", profiles)
+		}
+	}
+}
+
+// profiles returns goodput to offered load per profile, if there are several.
+func (r Row) profiles() string {
+	var text string
+	if len(r.Results[0].Offered) < 2 {
+		return text
+	}
+	for _, name := range []string{profileMain, profileFlood, profileHeavy} {
+		if r.Results[0].Offered[name] > 0 {
+			text += fmt.Sprintf(" %s %.4f", name, r.mean(func(x Result) float64 { return x.Good[name] / x.Offered[name] }))
+		}
 	}
+	return text
 }
 
 // refusals returns the mean count per run of each kind.
--- a/internal/bench/strategy.go
+++ b/internal/bench/strategy.go
@@ -18,6 +18,8 @@
 	Attempts int
 	// WarmConnections is the number of idle connections that a daemon keeps to each replica, within its share.
 	WarmConnections int
+	// Dominant chooses replicas by dominant resource.
+	Dominant bool
 }
 
 // Baseline is the fixed point of comparison: a uniformly random replica, no hedge, one retry, no budget.
@@ -35,7 +37,11 @@
 }
 
 func (s Strategy) admit(d *daemon, st *serviceState, q *query) limit.Refusal {
-	room := d.registry.Room(st.plan.Service, st.plan.Version, st.plan.Map.Shards)
+	shards := st.plan.Map.Shards
+	if q.shards > 0 {
+		shards = shards[:q.shards]
+	}
+	room := d.registry.Room(st.plan.Service, st.plan.Version, shards)
 	return st.admission.Admit(q.profile, q.service.Profile.Deadline, room, q.service.Profile.LeastCoverage, d.w.time())
 }
 
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -103,7 +103,12 @@
 		pools: make(map[string]*pool), state: make(map[string]*serviceState),
 		rng: rand.New(rand.NewPCG(seed, 100+uint64(index))),
 	}
-	d.registry.SetPolicy(w.strategy.Replica)
+	policy := w.strategy.Replica
+	if w.strategy.Dominant {
+		d.dominant = newDominantPlacer(w.dep)
+		policy.Cost = d.dominant.cost
+	}
+	d.registry.SetPolicy(policy)
 	d.registry.SetClock(w.time)
 	d.registry.SetLinkDelay(func(name string) time.Duration { return w.link(dc, name) })
 	var vms []vmlist.VM
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -98,6 +98,9 @@
 	if len(list) == 1 {
 		return list[0]
 	}
+	if g.policy.Cost != nil {
+		return g.least(list)
+	}
 	i := g.rng.IntN(len(list))
 	j := g.rng.IntN(len(list) - 1)
 	if j >= i {
@@ -117,6 +120,20 @@
 	return best
 }
 
+// least takes the replica with the least cost by the policy's own estimate; the search starts at a random one, so
+// that ties are spread.
+func (g *Registry) least(list []*Replica) *Replica {
+	start := g.rng.IntN(len(list))
+	best, bestCost := list[start], g.policy.Cost(list[start])
+	for i := 1; i < len(list); i++ {
+		r := list[(start+i)%len(list)]
+		if cost := g.policy.Cost(r); cost < bestCost {
+			best, bestCost = r, cost
+		}
+	}
+	return best
+}
+
 // nearest returns the index of the replica with the least link delay.
 func nearest(list []*Replica) int {
 	least := 0
--- a/replica/policy.go
+++ b/replica/policy.go
@@ -32,6 +32,9 @@
 	LostLimit int
 	// QueueFactor times the typical time of its service is the average time above which a replica's limit shrinks.
 	QueueFactor float64
+	// Cost, if set, replaces the cost estimate and is compared over all candidates. It is called under the
+	// registry's lock and must not call the registry. It serves experiments.
+	Cost func(r *Replica) float64
 	// Nearest adds the replica with the least link delay to the candidates.
 	Nearest bool
 }
