--- a/internal/bench/strategy.go
+++ b/internal/bench/strategy.go
@@ -41,8 +41,8 @@
 	if q.shards > 0 {
 		shards = shards[:q.shards]
 	}
-	room := d.registry.Room(st.plan.Service, st.plan.Version, shards)
-	return st.admission.Admit(q.profile, q.service.Profile.Deadline, room, q.service.Profile.LeastCoverage, d.w.time())
+	room, spare := d.registry.Room(st.plan.Service, st.plan.Version, shards)
+	return st.admission.Admit(q.profile, q.service.Profile.Deadline, room, spare, q.service.Profile.LeastCoverage, d.w.time())
 }
 
 func (s Strategy) finish(a *limit.Admission, q *query, took time.Duration, overloaded bool, now time.Time) {
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -90,8 +90,9 @@
 }
 
 // Admit decides on one query with the remaining time. After Admitted, the caller calls Finish exactly once.
-// room is the fraction of the query's shards that have a replica with room, least the fraction it needs.
-func (a *Admission) Admit(profile string, remaining time.Duration, room, least float64, now time.Time) Refusal {
+// room and spare are the fractions of the query's shards that have room for one and for two sub-requests, least the
+// fraction it needs. While other profiles have demand, a query beyond its profile's share needs spare room.
+func (a *Admission) Admit(profile string, remaining time.Duration, room, spare, least float64, now time.Time) Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.use(profile)
@@ -99,11 +100,15 @@
 		return RefusedTooLate
 	}
 	p.want(now)
+	guaranteed := a.guaranteed(p, now)
+	if !guaranteed && a.reserved(p, now) > 0 {
+		room = spare
+	}
 	if room < least {
 		a.limit.Overload(a.inFlight, now)
 		return RefusedNoRoom
 	}
-	if !a.guaranteed(p, now) && a.inFlight+1+a.reserved(p, now) > a.limit.Limit() {
+	if !guaranteed && a.inFlight+1+a.reserved(p, now) > a.limit.Limit() {
 		return RefusedShare
 	}
 	p.inFlight++
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -70,10 +70,7 @@
 
 // isFull reports whether the connection share or the limit after load shedding is in use.
 func (r *Replica) isFull() bool {
-	if r.connections > 0 && r.InFlight >= r.connections {
-		return true
-	}
-	return float64(r.InFlight) >= r.adaptive.Limit()
+	return r.free() == 0
 }
 
 func (g *Registry) filter(list []*Replica, exclude []string, keep func(*Replica) bool) []*Replica {
@@ -290,17 +287,35 @@
 }
 
 // Room returns the fraction of the shards that have a replica which accepts work and has room for one more
-// sub-request. A query that needs more than that is better refused before anything is sent.
-func (g *Registry) Room(service string, version snapshot.Version, shards []snapshot.Shard) float64 {
+// sub-request, and the fraction with room for two. A query that needs more than the first is better refused before
+// anything is sent; the second leaves room for queries of other profiles.
+func (g *Registry) Room(service string, version snapshot.Version, shards []snapshot.Shard) (one, two float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.index()
-	room := 0
 	for _, s := range shards {
-		list := g.holders[holderKey{service, snapshot.Holding{Version: version, Shard: s.ID}}]
-		if slices.ContainsFunc(list, func(r *Replica) bool { return !r.isLeaving() && !r.isFull() }) {
-			room++
+		free := 0
+		for _, r := range g.holders[holderKey{service, snapshot.Holding{Version: version, Shard: s.ID}}] {
+			if !r.isLeaving() {
+				free += r.free()
+			}
+		}
+		if free >= 1 {
+			one++
+		}
+		if free >= 2 {
+			two++
 		}
 	}
-	return float64(room) / float64(max(1, len(shards)))
+	n := float64(max(1, len(shards)))
+	return one / n, two / n
+}
+
+// free returns the number of further sub-requests that the replica has room for.
+func (r *Replica) free() int {
+	free := int(math.Ceil(r.adaptive.Limit())) - r.InFlight
+	if r.connections > 0 {
+		free = min(free, r.connections-r.InFlight)
+	}
+	return max(0, free)
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -166,5 +166,6 @@
 	g.Done("a", time.Millisecond, shed)
 	_, ok := g.Pick("s", version, "s-0", nil)
 	must.False(t, ok, must.Sprint("9 in flight is the limit after a shed at 10"))
-	must.Eq(t, 0.0, g.Room("s", version, snapshot.Uniform(1, "s", 1).Shards))
+	one, _ := g.Room("s", version, snapshot.Uniform(1, "s", 1).Shards)
+	must.Eq(t, 0.0, one)
 }
