--- a/replica/pick.go
+++ b/replica/pick.go
@@ -16,6 +16,11 @@
 	latencyWeight = 0.1
 	// unlimited is the concurrency limit of a replica that never shed.
 	unlimited = 1e6
+	// nearDelay is the one-way delay up to which a replica counts as near.
+	nearDelay = time.Millisecond
+	// typicalWeight is the weight of a new sample in the typical time of a service. It is small, so that an
+	// incident does not become typical.
+	typicalWeight = 0.0005
 	// shedPause is the least time between two reductions of a replica's limit.
 	shedPause = 50 * time.Millisecond
 	// leastServed bounds the cost of a replica that sheds everything, so that it is still tried at times.
@@ -65,10 +70,7 @@
 
 // isFull reports whether the connection share or the limit after load shedding is in use.
 func (r *Replica) isFull() bool {
-	if r.connections > 0 && r.InFlight >= r.connections {
-		return true
-	}
-	return float64(r.InFlight) >= r.adaptive.Limit()
+	return r.free() == 0
 }
 
 func (g *Registry) filter(list []*Replica, exclude []string, keep func(*Replica) bool) []*Replica {
@@ -93,6 +95,9 @@
 	if len(list) == 1 {
 		return list[0]
 	}
+	if g.policy.Cost != nil {
+		return g.least(list)
+	}
 	i := g.rng.IntN(len(list))
 	j := g.rng.IntN(len(list) - 1)
 	if j >= i {
@@ -112,6 +117,20 @@
 	return best
 }
 
+// least takes the replica with the least cost by the policy's own estimate; the search starts at a random one, so
+// that ties are spread.
+func (g *Registry) least(list []*Replica) *Replica {
+	start := g.rng.IntN(len(list))
+	best, bestCost := list[start], g.policy.Cost(list[start])
+	for i := 1; i < len(list); i++ {
+		r := list[(start+i)%len(list)]
+		if cost := g.policy.Cost(r); cost < bestCost {
+			best, bestCost = r, cost
+		}
+	}
+	return best
+}
+
 // nearest returns the index of the replica with the least link delay.
 func nearest(list []*Replica) int {
 	least := 0
@@ -196,6 +215,7 @@
 		r.Failures, r.lost = 0, 0
 		r.shedRate -= latencyWeight * r.shedRate
 		r.observe(latency, now)
+		g.watchQueue(r, inFlight, now)
 	case errors.Is(err, context.Canceled):
 		g.lose(r, latency, now)
 	case errors.As(err, &failed) && failed.Failure == backend.Refused:
@@ -208,6 +228,25 @@
 	}
 }
 
+// watchQueue lowers the limit of a replica whose average time is far above what is typical for its service. Its
+// queue would otherwise grow to its connection share, and each query would wait for the whole queue. Only near
+// replicas are judged, because late messages on a long link look the same as a queue.
+func (g *Registry) watchQueue(r *Replica, inFlight float64, now time.Time) {
+	if r.linkDelay > nearDelay {
+		return
+	}
+	took := float64(r.service())
+	typical := g.typical[r.Service]
+	if typical == 0 {
+		typical = took
+	}
+	typical += typicalWeight * (min(took, 2*typical) - typical)
+	g.typical[r.Service] = typical
+	if g.policy.QueueFactor > 0 && took > g.policy.QueueFactor*typical {
+		r.adaptive.Overload(inFlight, now)
+	}
+}
+
 func (r *Replica) observe(latency time.Duration, now time.Time) {
 	r.latencyAt = now
 	if r.Latency == 0 {
@@ -248,17 +287,35 @@
 }
 
 // Room returns the fraction of the shards that have a replica which accepts work and has room for one more
-// sub-request. A query that needs more than that is better refused before anything is sent.
-func (g *Registry) Room(service string, version snapshot.Version, shards []snapshot.Shard) float64 {
+// sub-request, and the fraction with room for two. A query that needs more than the first is better refused before
+// anything is sent; the second leaves room for queries of other profiles.
+func (g *Registry) Room(service string, version snapshot.Version, shards []snapshot.Shard) (one, two float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.index()
-	room := 0
 	for _, s := range shards {
-		list := g.holders[holderKey{service, snapshot.Holding{Version: version, Shard: s.ID}}]
-		if slices.ContainsFunc(list, func(r *Replica) bool { return !r.isLeaving() && !r.isFull() }) {
-			room++
+		free := 0
+		for _, r := range g.holders[holderKey{service, snapshot.Holding{Version: version, Shard: s.ID}}] {
+			if !r.isLeaving() {
+				free += r.free()
+			}
+		}
+		if free >= 1 {
+			one++
 		}
+		if free >= 2 {
+			two++
+		}
+	}
+	n := float64(max(1, len(shards)))
+	return one / n, two / n
+}
+
+// free returns the number of further sub-requests that the replica has room for.
+func (r *Replica) free() int {
+	free := int(math.Ceil(r.adaptive.Limit())) - r.InFlight
+	if r.connections > 0 {
+		free = min(free, r.connections-r.InFlight)
 	}
-	return float64(room) / float64(max(1, len(shards)))
+	return max(0, free)
 }
