Capacity tool: real membership, signal and share code of whole fleets

Cause: the two-year size is judged by growth rates, which have to come from runs of the real code. Change: internal/capacity runs up to 1,400 nodes in one process over an in-memory network with virtual time, and the command chivemill-capacity (target capacity) prints costs, delays and traffic with fitted slopes.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint generate
+.PHONY: build test lint generate capacity
 
 build:
 	mkdir -p bin
@@ -18,3 +18,9 @@
 	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	cd tools && go build -o ../bin/buf github.com/bufbuild/buf/cmd/buf
 	PATH="$(CURDIR)/bin:$$PATH" bin/buf generate
+
+# Measures the growth rates of docs/CAPACITY.md: at most 3 minutes, 4 cores and 4 GiB.
+capacity:
+	mkdir -p bin
+	go build -o bin/ ./cmd/chivemill-capacity
+	bin/chivemill-capacity
--- /dev/null
+++ b/internal/capacity/measure.go
@@ -0,0 +1,129 @@
+package capacity
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chivemill/chivemill/membership"
+)
+
+// pollEvery is the resolution of the measured delays.
+const pollEvery = 50 * time.Millisecond
+
+// Delays are the times from an event until nodes knew of it. Missing counts the nodes that did not know within the
+// limit of the measurement.
+type Delays struct {
+	all     []time.Duration
+	Missing int
+}
+
+func (d *Delays) merge(o Delays) {
+	d.all = append(d.all, o.all...)
+	d.Missing += o.Missing
+}
+
+// Median returns the median over all nodes and events, 0 without any.
+func (d *Delays) Median() time.Duration { return d.quantile(0.5) }
+
+// Max returns the largest delay.
+func (d *Delays) Max() time.Duration { return d.quantile(1) }
+
+func (d *Delays) quantile(q float64) time.Duration {
+	if len(d.all) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(d.all))
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+// Traffic is what nodes sent and received on the mean, per node and second.
+type Traffic struct {
+	SentBytes, SentPackets, ReceivedBytes, ReceivedPackets float64
+}
+
+func traffic(before, after membership.Stats, nodeSeconds float64) Traffic {
+	return Traffic{
+		SentBytes:       float64(after.SentBytes-before.SentBytes) / nodeSeconds,
+		SentPackets:     float64(after.SentPackets-before.SentPackets) / nodeSeconds,
+		ReceivedBytes:   float64(after.ReceivedBytes-before.ReceivedBytes) / nodeSeconds,
+		ReceivedPackets: float64(after.ReceivedPackets-before.ReceivedPackets) / nodeSeconds,
+	}
+}
+
+// span measures the traffic of f's nodes while the network runs for d.
+func (f *Fleet) span(d time.Duration) Traffic {
+	before := f.total()
+	f.net.Run(d)
+	return traffic(before, f.total(), d.Seconds()*float64(len(f.running)))
+}
+
+// watch runs the network until all addresses know, or for the limit, and returns the delays from now.
+func (f *Fleet) watch(addrs []string, limit time.Duration, known func(addr string) bool) Delays {
+	var d Delays
+	left := slices.Clone(addrs)
+	start := f.net.Now()
+	for len(left) > 0 && f.net.Now().Sub(start) < limit {
+		f.net.Run(pollEvery)
+		at := f.net.Now().Sub(start)
+		left = slices.DeleteFunc(left, func(a string) bool {
+			if !known(a) {
+				return false
+			}
+			d.all = append(d.all, at)
+			return true
+		})
+	}
+	d.Missing = len(left)
+	return d
+}
+
+// peaks holds the most bytes that any one node sent and received within a second.
+type peaks struct{ Sent, Received uint64 }
+
+// peak calls measure and samples all nodes once a virtual second until it returns.
+func (f *Fleet) peak(measure func()) peaks {
+	var p peaks
+	last := make(map[*membership.Node]membership.Stats)
+	done := false
+	var sample func()
+	sample = func() {
+		if done {
+			return
+		}
+		for _, a := range f.running {
+			node := f.node(a)
+			s := node.Stats()
+			if before, ok := last[node]; ok {
+				p.Sent = max(p.Sent, s.SentBytes-before.SentBytes)
+				p.Received = max(p.Received, s.ReceivedBytes-before.ReceivedBytes)
+			}
+			last[node] = s
+		}
+		f.net.After(time.Second, sample)
+	}
+	sample()
+	measure()
+	done = true
+	return p
+}
+
+// settle runs until no gossip waits anywhere, at most for the limit, and returns whether it came to rest.
+func (f *Fleet) settle(limit time.Duration) bool {
+	end := f.net.Now().Add(limit)
+	for f.net.Now().Before(end) {
+		f.net.Run(time.Second)
+		if f.idle() {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) idle() bool {
+	for _, a := range f.running {
+		if f.node(a).QueueLen() > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,171 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"time"
+)
+
+// events in the order of the report.
+var events = []Event{Signal, SignalStorm, Leave, Join, Load, Failure, Rack, RackBack, Centre, CentreBack, Cut, Merge}
+
+// Fit is a straight line y = Base + Slope x through measured points.
+type Fit struct{ Base, Slope float64 }
+
+// NewFit returns the least-squares line through the points.
+func NewFit(x, y []float64) Fit {
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	n := float64(len(x))
+	spread := n*sxx - sx*sx
+	if spread == 0 {
+		return Fit{Base: sy / n}
+	}
+	slope := (n*sxy - sx*sy) / spread
+	return Fit{Base: (sy - slope*sx) / n, Slope: slope}
+}
+
+// At returns the value of the line.
+func (f Fit) At(x float64) float64 { return f.Base + f.Slope*x }
+
+// WriteCosts prints the costs and their slopes as Markdown tables.
+func WriteCosts(w io.Writer, costs []Cost) {
+	fmt.Fprintln(w, "| nodes | quiet CPU % | CPU % at byte rate | heap KB | quiet sent B/s | quiet sent packets/s | received B/s | received packets/s | at byte rate sent B/s | shares of 8,300 replicas ms | one change ms | owners of one replica µs |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, c := range costs {
+		q := c.QuietTraffic
+		fmt.Fprintf(w, "| %d | %.4f | %.4f | %.0f | %.0f | %.2f | %.0f | %.2f | %.0f | %.1f | %.1f | %.1f |\n", c.Nodes, c.Quiet, c.Busy,
+			c.Heap/1024, q.SentBytes, q.SentPackets, q.ReceivedBytes, q.ReceivedPackets, c.BusyTraffic.SentBytes,
+			ms(c.Shares), ms(c.Change), float64(c.Owners.Nanoseconds())/1e3)
+	}
+	fmt.Fprintf(w, "\nSlopes (least squares over the sizes up to 700, and the value at %d against the measured one):\n\n", TargetNodes)
+	fmt.Fprintln(w, "| quantity | base | slope per node | extrapolated | measured |")
+	fmt.Fprintln(w, "|---|---|---|---|---|")
+	costLine(w, costs, "quiet CPU %", func(c Cost) float64 { return c.Quiet })
+	costLine(w, costs, "CPU % at byte rate", func(c Cost) float64 { return c.Busy })
+	costLine(w, costs, "heap KB", func(c Cost) float64 { return c.Heap / 1024 })
+	costLine(w, costs, "quiet sent B/s", func(c Cost) float64 { return c.QuietTraffic.SentBytes })
+	costLine(w, costs, "shares ms", func(c Cost) float64 { return ms(c.Shares) })
+	costLine(w, costs, "one change ms", func(c Cost) float64 { return ms(c.Change) })
+	costLine(w, costs, "owners µs", func(c Cost) float64 { return float64(c.Owners.Nanoseconds()) / 1e3 })
+}
+
+func costLine(w io.Writer, costs []Cost, name string, value func(Cost) float64) {
+	var x, y []float64
+	measured := math.NaN()
+	for _, c := range costs {
+		if c.Nodes == TargetNodes {
+			measured = value(c)
+			continue
+		}
+		x, y = append(x, float64(c.Nodes)), append(y, value(c))
+	}
+	fit := NewFit(x, y)
+	fmt.Fprintf(w, "| %s | %.4g | %.4g | %.4g | %.4g |\n", name, fit.Base, fit.Slope, fit.At(TargetNodes), measured)
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1e3 }
+
+// WriteEvents prints the outcomes of all events as a Markdown table. A range gives the spread over the seeds.
+func WriteEvents(w io.Writer, results []Result) {
+	fmt.Fprintln(w, "| event | nodes | seeds | events | median s | maximum s | unaware nodes | B per node and event | peak sent B/s of a node | peak received B/s of a node |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|")
+	for _, e := range events {
+		for _, n := range Sizes {
+			writeEvent(w, e, n, results)
+		}
+	}
+}
+
+func writeEvent(w io.Writer, e Event, n int, results []Result) {
+	var medians, maxima, bytes []float64
+	var peak peaks
+	count, missing := 0, 0
+	for _, r := range results {
+		o, ok := r.Outcomes[e]
+		if !ok || r.Nodes != n {
+			continue
+		}
+		medians = append(medians, o.Median().Seconds())
+		maxima = append(maxima, o.Max().Seconds())
+		bytes = append(bytes, o.BytesPerEvent)
+		peak = larger(peak, o.Peak)
+		count += o.Events
+		missing += o.Missing
+	}
+	if len(medians) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "| %s | %d | %d | %d | %s | %s | %d | %s | %d | %d |\n", e, n, len(medians), count,
+		span(medians, 2), span(maxima, 2), missing, span(bytes, 0), peak.Sent, peak.Received)
+}
+
+// span prints the least and the largest value, or one value if they print alike.
+func span(values []float64, digits int) string {
+	low, high := values[0], values[0]
+	for _, v := range values {
+		low, high = min(low, v), max(high, v)
+	}
+	a, b := fmt.Sprintf("%.*f", digits, low), fmt.Sprintf("%.*f", digits, high)
+	if a == b {
+		return a
+	}
+	return a + " to " + b
+}
+
+// WriteDays prints the traffic of an ordinary day and of the update hour at the two-year rates, worked out from the
+// measured bytes per event.
+func WriteDays(w io.Writer, results []Result) {
+	fmt.Fprintln(w, "| nodes | quiet B/s | ordinary day B/s | update hour B/s |")
+	fmt.Fprintln(w, "|---|---|---|---|")
+	for _, n := range Sizes {
+		var quiet, ordinary, update []float64
+		for _, r := range results {
+			if r.Nodes != n {
+				continue
+			}
+			share := float64(n) / TargetNodes / day.Seconds()
+			perDay := r.Outcomes[Failure].BytesPerEvent*failuresPerDay + restartsPerDay*
+				(r.Outcomes[Leave].BytesPerEvent+r.Outcomes[Join].BytesPerEvent+signalsPerRestart*r.Outcomes[Signal].BytesPerEvent)
+			quiet = append(quiet, r.Quiet.SentBytes)
+			ordinary = append(ordinary, r.Quiet.SentBytes+perDay*share)
+			update = append(update, r.Quiet.SentBytes+stormRate(n)*r.Outcomes[SignalStorm].BytesPerEvent)
+		}
+		if len(quiet) > 0 {
+			fmt.Fprintf(w, "| %d | %s | %s | %s |\n", n, span(quiet, 0), span(ordinary, 0), span(update, 0))
+		}
+	}
+}
+
+// WriteGrowth prints how the largest delays grow with log2 of the number of nodes.
+func WriteGrowth(w io.Writer, results []Result) {
+	fmt.Fprintln(w, "| event | base s | s per doubling of the fleet | extrapolated maximum at 1,400 s |")
+	fmt.Fprintln(w, "|---|---|---|---|")
+	for _, e := range events {
+		var x, y []float64
+		sizes := make(map[int]bool)
+		for _, r := range results {
+			if o, ok := r.Outcomes[e]; ok && len(o.all) > 0 && r.Nodes != TargetNodes {
+				x, y = append(x, math.Log2(float64(r.Nodes))), append(y, o.Max().Seconds())
+				sizes[r.Nodes] = true
+			}
+		}
+		if len(sizes) < 2 {
+			continue
+		}
+		fit := NewFit(x, y)
+		fmt.Fprintf(w, "| %s | %.2f | %.2f | %.2f |\n", e, fit.Base, fit.Slope, fit.At(math.Log2(TargetNodes)))
+	}
+}
+
+// Heading prints a title in front of a table.
+func Heading(w io.Writer, title string) {
+	fmt.Fprintf(w, "\n%s\n%s\n\n", title, strings.Repeat("-", len(title)))
+}
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"bytes"
+
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
@@ -16,6 +18,8 @@
 	record  *wire.Record
 	payload []byte
 	size    int
+	// heard counts how often others sent the same item since this node last sent it.
+	heard int
 	// replaced means that a newer item has the key.
 	replaced bool
 }
@@ -26,6 +30,8 @@
 	items    map[string]*item
 	buckets  [][]*item
 	payloads int
+	// closed keeps records of other members from being queued.
+	closed bool
 	// preferPayload alternates which kind fills a datagram first when both wait, so that neither starves.
 	preferPayload bool
 }
@@ -82,6 +88,8 @@
 			}
 			switch {
 			case it.replaced:
+			case b+it.heard >= limit:
+				q.drop(it)
 			case (it.payload != nil) != payloads:
 				kept = append(kept, it)
 			case used+it.size > room:
@@ -97,7 +105,7 @@
 		q.buckets[b] = kept
 	}
 	for i, it := range taken {
-		q.put(d, it, from[i]+1, limit)
+		q.put(d, it, from[i]+1+it.heard, limit)
 	}
 	return used
 }
@@ -111,11 +119,9 @@
 	} else {
 		d.Records = append(d.Records, it.record)
 	}
+	it.heard = 0
 	if sent >= limit {
-		delete(q.items, it.key)
-		if it.payload != nil {
-			q.payloads--
-		}
+		q.drop(it)
 		return
 	}
 	for len(q.buckets) <= sent {
@@ -124,11 +130,35 @@
 	q.buckets[sent] = append(q.buckets[sent], it)
 }
 
+func (q *queue) drop(it *item) {
+	delete(q.items, it.key)
+	if it.payload != nil {
+		q.payloads--
+	}
+}
+
+// hearRecord and hearPayload note that another member sent an item that this node knows. It counts as a transmission: what arrives
+// often is already widely known, and sending it on would only use the byte rate.
+func (n *Node) hearRecord(r *wire.Record) {
+	if it := n.queue.items["m"+r.Id]; it != nil && it.record.Incarnation == r.Incarnation && it.record.State == r.State {
+		it.heard++
+	}
+}
+
+func (n *Node) hearPayload(key string, payload []byte) {
+	if it := n.queue.items["p"+key]; it != nil && bytes.Equal(it.payload, payload) {
+		it.heard++
+	}
+}
+
 // pushRecord queues a copy of the record, because the node's own record changes in place.
 func (n *Node) pushRecord(r *wire.Record) {
 	if r.State != wire.State_STATE_ALIVE && r.Incarnation > maxClaim {
 		return
 	}
+	if n.queue.closed && r != n.self {
+		return
+	}
 	r = proto.CloneOf(r)
 	n.queue.push(&item{key: "m" + r.Id, record: r, size: 1 + protowire.SizeBytes(proto.Size(r))})
 }
--- a/membership/membershiptest/network.go
+++ b/membership/membershiptest/network.go
@@ -2,7 +2,6 @@
 package membershiptest
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -50,23 +49,49 @@
 	call  func()
 }
 
+// events is a binary heap. container/heap would allocate for each event, which dominates large simulations.
 type events []event
 
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
+func (e events) before(i, j int) bool {
 	if !e[i].at.Equal(e[j].at) {
 		return e[i].at.Before(e[j].at)
 	}
 	return e[i].count < e[j].count
 }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	(*e)[last] = event{}
-	*e = (*e)[:last]
-	return x
+
+func (e *events) push(ev event) {
+	*e = append(*e, ev)
+	h := *e
+	for i := len(h) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !h.before(i, parent) {
+			return
+		}
+		h[i], h[parent] = h[parent], h[i]
+		i = parent
+	}
+}
+
+func (e *events) pop() event {
+	h := *e
+	first, last := h[0], len(h)-1
+	h[0], h[last] = h[last], event{}
+	*e = h[:last]
+	h = h[:last]
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= last {
+			return first
+		}
+		if child+1 < last && h.before(child+1, child) {
+			child++
+		}
+		if !h.before(child, i) {
+			return first
+		}
+		h[i], h[child] = h[child], h[i]
+		i = child
+	}
 }
 
 // NewNetwork returns a network without nodes whose random choices follow the seed.
@@ -148,7 +173,7 @@
 func (n *Network) Run(d time.Duration) {
 	end := n.now.Add(d)
 	for len(n.events) > 0 && !n.events[0].at.After(end) {
-		ev := heap.Pop(&n.events).(event)
+		ev := n.events.pop()
 		n.now = ev.at
 		n.handle(ev)
 	}
@@ -158,7 +183,7 @@
 func (n *Network) push(ev event) {
 	n.count++
 	ev.count = n.count
-	heap.Push(&n.events, ev)
+	n.events.push(ev)
 }
 
 func (n *Network) handle(ev event) {
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -25,6 +25,7 @@
 		return
 	}
 	if !less(m.claim, r) {
+		n.hearRecord(r)
 		if direct && !m.isLive && !less(r, m.claim) && r.State == wire.State_STATE_ALIVE {
 			n.setLive(m)
 		}
--- a/membership/node.go
+++ b/membership/node.go
@@ -119,6 +119,8 @@
 	// Deliver is called from Receive for each broadcast payload. It returns the key under which a newer payload
 	// replaces an older one, and whether the payload is new, in which case it is sent on. nil ignores payloads.
 	Deliver func(payload []byte) (key string, fresh bool)
+	// Known are members to begin with, for example the list of a peer. They are taken like gossip and not sent on.
+	Known []Member
 	// ByteRate is the number of bytes per second above which gossip and pages wait. Probes and acknowledgements
 	// are sent in any case, without records. The default is DefaultByteRate.
 	ByteRate int
@@ -227,9 +229,22 @@
 	n.sequence = uint64(n.rng.Uint32())
 	n.queue.items = make(map[string]*item)
 	n.tokens = float64(cfg.ByteRate)
+	n.load(cfg.Known)
 	return n
 }
 
+func (n *Node) load(known []Member) {
+	n.queue.closed = true
+	for _, m := range known {
+		r := &wire.Record{Id: m.ID, Address: m.Address, DataCentre: m.DataCentre, Region: m.Region,
+			Incarnation: m.Incarnation, State: wire.State(m.State)}
+		if validRecord(r) && r.Id != n.self.Id {
+			n.merge(time.Time{}, r, false)
+		}
+	}
+	n.queue.closed = false
+}
+
 // SetSeeds replaces the addresses of listed daemons. The list may lag and may contain the node itself.
 func (n *Node) SetSeeds(seeds []Seed) {
 	n.seeds = slices.Clone(seeds[:min(len(seeds), n.cfg.MaxMembers)])
--- a/membership/wire.go
+++ b/membership/wire.go
@@ -105,6 +105,9 @@
 	}
 	n.mergeValid(now, d.Echo)
 	n.mergeValid(now, d.Target)
+	// Records of a page are old news to other members, so only a record about this node itself is sent on.
+	n.queue.closed = d.Kind == wire.Kind_KIND_PAGE
+	defer func() { n.queue.closed = false }()
 	for _, r := range d.Records {
 		n.mergeValid(now, r)
 	}
@@ -132,9 +135,12 @@
 	if n.cfg.Deliver == nil {
 		return
 	}
-	if key, fresh := n.cfg.Deliver(p); fresh {
+	key, fresh := n.cfg.Deliver(p)
+	if fresh {
 		n.pushPayload(key, p)
+		return
 	}
+	n.hearPayload(key, p)
 }
 
 // answer replies to the request in a datagram.
--- a/share/share.go
+++ b/share/share.go
@@ -17,13 +17,42 @@
 // It is 0 if self is not counted.
 func (s Set) Connections(limit int, replica, self string) int {
 	rank, ok := s.members.Rank(replica, self)
-	if !ok || rank >= limit {
+	if !ok {
+		return 0
+	}
+	return connections(limit, rank, s.members.Len())
+}
+
+// connections is the number of t in [0, limit) with t mod n = rank.
+func connections(limit, rank, n int) int {
+	if rank >= limit {
 		return 0
 	}
-	n := s.members.Len()
 	return (limit - rank + n - 1) / n
 }
 
+// Table keeps one daemon's share of many replicas while counted members come and go. It is not safe for concurrent
+// use.
+type Table struct{ ranks *rendezvous.Ranks }
+
+// NewTable returns the shares of self, which is the only counted member at first.
+func NewTable(self string, replicas []string) Table {
+	return Table{ranks: rendezvous.NewRanks(self, replicas)}
+}
+
+// SetCounted replaces the counted members and returns the number of members that changed. Each of them costs one
+// short hash per replica.
+func (t Table) SetCounted(counted []string) int { return t.ranks.SetMembers(counted) }
+
+// Connections returns the number of connections to the replica, 0 if the replica is not in the table.
+func (t Table) Connections(limit int, replica string) int {
+	rank, ok := t.ranks.Rank(replica)
+	if !ok {
+		return 0
+	}
+	return connections(limit, rank, t.ranks.Len())
+}
+
 // Owners returns the members that hold at least one connection to the replica, those with the most connections
 // first. A daemon without a connection of its own sends its sub-requests through one of them.
 func (s Set) Owners(limit int, replica string) []string { return s.members.Top(replica, limit) }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -43,6 +43,11 @@
 		all := names(rapid.IntRange(1, 60).Draw(t, "all"))
 		limit := rapid.IntRange(0, 100).Draw(t, "limit")
 		set := share.NewSet(all)
+		table := share.NewTable(all[0], []string{"replica-1"})
+		table.SetCounted(all)
+		if got := table.Connections(limit, "replica-1"); got != set.Connections(limit, "replica-1", all[0]) {
+			t.Fatalf("table gives %d connections", got)
+		}
 		owners := set.Owners(limit, "replica-1")
 		sum := 0
 		for _, self := range all {
--- a/signal/payload.go
+++ b/signal/payload.go
@@ -62,6 +62,21 @@
 // Pollers returns the n members that poll the replica.
 func (p Polling) Pollers(replica string, n int) []string { return p.members.Top(replica, n) }
 
+// Duties keeps which replicas one daemon polls while members come and go. It is not safe for concurrent use.
+type Duties struct{ ranks *rendezvous.Ranks }
+
+// NewDuties returns the duties of self, which is the only member at first.
+func NewDuties(self string, replicas []string) Duties {
+	return Duties{ranks: rendezvous.NewRanks(self, replicas)}
+}
+
+// SetMembers replaces the live members and returns the number of members that changed. Each of them costs one short
+// hash per replica.
+func (d Duties) SetMembers(members []string) int { return d.ranks.SetMembers(members) }
+
+// Replicas returns the replicas that have self among their n pollers, sorted.
+func (d Duties) Replicas(n int) []string { return d.ranks.First(n) }
+
 // Pollers is Polling.Pollers for one replica.
 func Pollers(replica string, members []string, n int) []string {
 	return NewPolling(members).Pollers(replica, n)
