--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo lint generate bench confbench
+.PHONY: build test demo lint generate bench capacity confbench
 
 build:
 	mkdir -p bin
@@ -32,3 +32,9 @@
 # Measures the dissemination of the configuration; the table goes to docs/measurements.
 confbench:
 	go run ./cmd/chivemill-confbench
+
+# Measures the growth rates of docs/CAPACITY.md: at most 3 minutes, 4 cores and 4 GiB.
+capacity:
+	mkdir -p bin
+	go build -o bin/ ./cmd/chivemill-capacity
+	bin/chivemill-capacity
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/limit"
 	"github.com/chivemill/chivemill/metrics"
 	"github.com/chivemill/chivemill/oncerun"
 	"github.com/chivemill/chivemill/quarantine"
@@ -35,6 +36,8 @@
 	guard    *quarantine.Guard
 	orders   *orderPath
 	peers    *peers
+	// total admits requests of all services to this daemon.
+	total    *limit.Admission
 	inFlight atomic.Int64
 	draining atomic.Bool
 
@@ -56,6 +59,7 @@
 		profiles:   make(map[string]activeProfile),
 		bindings:   make(map[string]string),
 		policies:   make(map[string]*servicePolicy),
+		total:      limit.NewAdmission(float64(set.MaxInFlight), float64(set.MaxInFlight)),
 	}
 	d.registry.SetLinkDelay(func(dataCentre string) time.Duration { return set.LinkDelays[dataCentre].D() })
 	var err error
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -94,9 +94,6 @@
 }
 
 func (d *Daemon) serveQuery(r *http.Request, id string) (api.Query, *api.Answer, error) {
-	if d.InFlight() > int64(d.set.MaxInFlight) {
-		return api.Query{}, nil, api.Errorf(api.Overloaded, "more than %d requests are in flight", d.set.MaxInFlight)
-	}
 	mark, err := readOrderMark(r.Header)
 	if err != nil {
 		return api.Query{}, nil, err
@@ -123,6 +120,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline)
 	defer cancel()
+	finish, err := d.admitRequest(p)
+	if err != nil {
+		return nil, err
+	}
+	defer finish()
 	if mark.order {
 		return d.serveOrder(ctx, id, q, p, mark.key)
 	}
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/hedge"
 	"github.com/chivemill/chivemill/limit"
 )
@@ -63,3 +64,17 @@
 	}
 	return s.delays.For(p.Hedge.Quantile, p.Hedge.MinDelay.D(), p.Deadline.D(), now)
 }
+
+// noDeadline is the remaining time for an admission that is not about time.
+const noDeadline = time.Hour
+
+// admitRequest admits a request to this daemon. The requests in flight are shared by the profiles' weights, so that a
+// flood of one service leaves the others their part. finish is called at the end of an admitted request.
+func (d *Daemon) admitRequest(p activeProfile) (finish func(), err error) {
+	begin := time.Now()
+	d.total.SetWeight(p.Name, float64(p.Share))
+	if refusal := d.total.Admit(p.Name, noDeadline, 1, 1, 0, begin); refusal != limit.Admitted {
+		return nil, api.Errorf(api.Overloaded, "%d requests are in flight and the share of profile %q is in use", d.InFlight(), p.Name)
+	}
+	return func() { d.total.Finish(p.Name, time.Since(begin), false, time.Now()) }, nil
+}
--- a/entry/search.go
+++ b/entry/search.go
@@ -81,10 +81,10 @@
 func (d *Daemon) admit(ctx context.Context, q api.Query, p activeProfile, version snapshot.Version, m snapshot.Map) error {
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
-	room := d.registry.Room(q.Service, version, m.Shards)
+	room, spare := d.registry.Room(q.Service, version, m.Shards)
 	admission := d.policyOf(q.Service).admission
 	admission.SetWeight(p.Name, float64(p.Share))
-	switch refusal := admission.Admit(p.Name, deadline.Sub(now), room, p.LeastCoverage, now); refusal {
+	switch refusal := admission.Admit(p.Name, deadline.Sub(now), room, spare, p.LeastCoverage, now); refusal {
 	case limit.Admitted:
 		return nil
 	case limit.RefusedTooLate:
