Stand-in backend servers model links, connection costs and count connections

Cause: connection_cost was read from the settings but cost nothing, links between data centres had no delay on loopback, and nothing counted open connections or the work that reaches a replica after its stop signal.

Change: the entry daemon states its data centre in Chivemill-Data-Centre on each request to a backend server. The stand-in delays the request and its answer by the one-way delay of its settings, charges a new connection its cost and one round trip, releases the slot before the answer travels, counts open connections and their peak, counts sub-requests by second after the start of draining, and optionally appends executions and final counters to files. standin-fleet writes the delays of the deployment.

--- a/backend/client.go
+++ b/backend/client.go
@@ -94,10 +94,11 @@
 // Client sends sub-requests to one replica over at most a fixed number of connections. It is safe for
 // concurrent use.
 type Client struct {
-	address string
-	http    *http.Client
-	limit   atomic.Int64
-	open    atomic.Int64
+	address    string
+	dataCentre string
+	http       *http.Client
+	limit      atomic.Int64
+	open       atomic.Int64
 }
 
 // errConnectionLimit means that the replica's connection share is used up.
@@ -157,6 +158,9 @@
 	}
 }
 
+// SetDataCentre makes each request state the daemon's data centre. It is called before the first request.
+func (c *Client) SetDataCentre(name string) { c.dataCentre = name }
+
 // OpenConnections returns the number of open connections.
 func (c *Client) OpenConnections() int { return int(c.open.Load()) }
 
@@ -194,6 +198,7 @@
 	}
 	req.ContentLength = int64(len(sub.Query))
 	setHeaders(ctx, req.Header, sub)
+	c.setOrigin(req.Header)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return SubAnswer{}, classify(ctx, err, wrote.Load())
@@ -202,6 +207,12 @@
 	return readAnswer(ctx, resp, sub)
 }
 
+func (c *Client) setOrigin(h http.Header) {
+	if c.dataCentre != "" {
+		h.Set(HeaderDataCentre, c.dataCentre)
+	}
+}
+
 func setHeaders(ctx context.Context, h http.Header, sub Sub) {
 	h.Set(HeaderService, sub.Service)
 	h.Set(HeaderRequest, sub.Request)
@@ -287,6 +298,7 @@
 	if err != nil {
 		return err
 	}
+	c.setOrigin(req.Header)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return err
--- a/backend/wire.go
+++ b/backend/wire.go
@@ -25,6 +25,8 @@
 	HeaderKey      = "Chivemill-Key"
 	// HeaderDeadline is the remaining time in milliseconds.
 	HeaderDeadline = "Chivemill-Deadline-Ms"
+	// HeaderDataCentre is the data centre of the daemon that holds the connection.
+	HeaderDataCentre = "Chivemill-Data-Centre"
 )
 
 // State is the state that a backend server reports of itself.
--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"time"
 
@@ -24,7 +25,7 @@
 func run(ctx context.Context, log *zap.Logger, set backend.Settings) error {
 	replica := backend.NewServer(set, time.Now().UnixMilli(), func() { os.Exit(crashStatus) })
 	failed := make(chan error, 1)
-	server, err := daemon.Serve(set.Listen, replica.Handler(), failed)
+	server, err := daemon.Start(set.Listen, replica.HTTPServer(), failed)
 	if err != nil {
 		return err
 	}
@@ -35,5 +36,5 @@
 	}
 	replica.Drain()
 	time.Sleep(set.DrainFor.D())
-	return server.Shutdown(context.Background())
+	return errors.Join(server.Shutdown(context.Background()), replica.WriteReport())
 }
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -121,6 +121,7 @@
 	c, ok := d.clients[r.Address]
 	if !ok {
 		c = backend.NewClient(r.Address, 0)
+		c.SetDataCentre(d.set.DataCentre)
 		d.clients[r.Address] = c
 	}
 	return c
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,11 +82,16 @@
 
 // Serve starts an HTTP server on the address. The caller shuts it down. A failure while serving is sent to failed.
 func Serve(address string, handler http.Handler, failed chan<- error) (*http.Server, error) {
+	return Start(address, &http.Server{Handler: handler}, failed)
+}
+
+// Start is Serve for a server that was set up by the caller. It sets the timeout for request headers.
+func Start(address string, server *http.Server, failed chan<- error) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	server.ReadHeaderTimeout = 5 * time.Second
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			failed <- eris.Wrapf(err, "server at %s", address)
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -41,6 +41,9 @@
 	sent       []Sent
 	drainedAt  time.Time
 	lastWork   time.Duration
+	// workAfterDrain counts arrivals by seconds after drainedAt.
+	workAfterDrain []int
+	connections    connectionCount
 }
 
 // NewServer returns a replica that calls crash for a query that holds CrashQuery.
@@ -60,8 +63,9 @@
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state = backend.StateDraining
-	s.drainedAt = time.Now()
+	if s.state != backend.StateDraining {
+		s.state, s.drainedAt = backend.StateDraining, time.Now()
+	}
 }
 
 // Handler returns the HTTP handler.
@@ -70,12 +74,12 @@
 	mux.HandleFunc("GET "+backend.PathHealth, func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprintln(w, "ok")
 	})
-	mux.HandleFunc("GET "+backend.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+backend.PathLoad, s.overLink(func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, s.load())
-	})
-	mux.HandleFunc("GET "+backend.PathMaps+"{version}", s.handleMap)
-	mux.HandleFunc("POST "+backend.PathSub, s.handleSub)
-	mux.HandleFunc("POST "+backend.PathExecute, s.handleExecute)
+	}))
+	mux.HandleFunc("GET "+backend.PathMaps+"{version}", s.overLink(s.handleMap))
+	mux.HandleFunc("POST "+backend.PathSub, s.overLink(s.handleSub))
+	mux.HandleFunc("POST "+backend.PathExecute, s.overLink(s.handleExecute))
 	mux.HandleFunc("GET "+PathExecuted, func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, s.Executed())
 	})
@@ -126,7 +130,7 @@
 func (s *Server) admit(ctx context.Context) (func(), backend.RefusalReason) {
 	s.mu.Lock()
 	if s.state == backend.StateDraining {
-		s.lastWork = time.Since(s.drainedAt)
+		s.countLateWork(time.Since(s.drainedAt))
 		s.mu.Unlock()
 		return nil, backend.RefusedDraining
 	}
@@ -231,6 +235,7 @@
 		s.writeRefusal(w, r, refusal, fault)
 		return
 	}
+	release = sync.OnceFunc(release)
 	defer release()
 	if strings.Contains(string(query), CrashQuery) {
 		s.crash()
@@ -240,6 +245,8 @@
 	if !wait(ctx, time.Duration(fault.DelayMS)*time.Millisecond) {
 		return
 	}
+	// The answer's way over the link occupies no slot.
+	release()
 	answer.Request = r.Header.Get(backend.HeaderRequest)
 	answer.Attempt = r.Header.Get(backend.HeaderAttempt)
 	answer.Replica, answer.Incarnation = s.set.Replica, s.incarnation
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/chivemill/chivemill/backend"
@@ -41,6 +42,8 @@
 	Faults []Fault `json:"faults,omitempty"`
 	// Drain makes the replica refuse new work.
 	Drain bool `json:"drain,omitempty"`
+	// ResetPeak sets the peak of open connections to the present number.
+	ResetPeak bool `json:"reset_peak,omitempty"`
 }
 
 // Execution is one execution of a non-idempotent request.
@@ -65,6 +68,11 @@
 	// LastWorkAfterDrainMS is the time between the start of draining and the latest sub-request after it, in
 	// milliseconds; 0 if there was none.
 	LastWorkAfterDrainMS int64 `json:"last_work_after_drain_ms"`
+	// WorkAfterDrain counts the sub-requests that arrived after the start of draining, by whole seconds after it.
+	WorkAfterDrain []int `json:"work_after_drain,omitempty"`
+	// Connections are the open connections of entry daemons, PeakConnections the most at one time.
+	Connections     int `json:"connections"`
+	PeakConnections int `json:"peak_connections"`
 }
 
 // Apply takes a control body.
@@ -80,6 +88,9 @@
 	if c.Drain && s.state != backend.StateDraining {
 		s.state, s.drainedAt = backend.StateDraining, time.Now()
 	}
+	if c.ResetPeak {
+		s.connections.peak = s.connections.open
+	}
 }
 
 func (s *Server) handleControl(w http.ResponseWriter, r *http.Request) {
@@ -133,16 +144,22 @@
 	defer s.mu.Unlock()
 	return Counters{
 		Executed: len(s.executions), Sent: len(s.sent), LastWorkAfterDrainMS: s.lastWork.Milliseconds(),
+		WorkAfterDrain: slices.Clone(s.workAfterDrain),
+		Connections:    s.connections.open, PeakConnections: s.connections.peak,
 	}
 }
 
 func (s *Server) logExecution(r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.executions = append(s.executions, Execution{
+	e := Execution{
 		Key: r.Header.Get(backend.HeaderKey), Request: r.Header.Get(backend.HeaderRequest),
 		Attempt: r.Header.Get(backend.HeaderAttempt),
-	})
+	}
+	s.executions = append(s.executions, e)
+	if err := appendLine(s.set.ExecutionLog, e); err != nil {
+		panic(err)
+	}
 }
 
 func (s *Server) logSent(a backend.SubAnswer) {
--- a/internal/standin/backend/settings.go
+++ b/internal/standin/backend/settings.go
@@ -30,10 +30,19 @@
 	// ColdFor is the time after the start in which requests take ColdFactor times as long.
 	ColdFor    strictyaml.Duration `yaml:"cold_for"`
 	ColdFactor float64             `yaml:"cold_factor"`
+	// Delays are one-way delays by the data centre of the entry daemon. Each request is delayed on its way in and
+	// its answer on its way out; a new connection takes one round trip more.
+	Delays map[string]strictyaml.Duration `yaml:"delays,omitempty"`
 	// ConnectionCost is the time that accepting a new connection takes.
 	ConnectionCost strictyaml.Duration `yaml:"connection_cost"`
 	// DrainFor is the time between the stop signal and the end of the process.
 	DrainFor strictyaml.Duration `yaml:"drain_for"`
+	// ControlHost is an IP address whose connections are not counted, "" for none.
+	ControlHost string `yaml:"control_host,omitempty"`
+	// ExecutionLog is a file to which each execution of a non-idempotent request is appended as a JSON line.
+	ExecutionLog string `yaml:"execution_log,omitempty"`
+	// Report is a file to which the counters are appended as a JSON line at the end of the process.
+	Report string `yaml:"report,omitempty"`
 }
 
 // Default returns the settings that apply where a file states none.
@@ -57,4 +66,8 @@
 	settings.Range(doc, "queue", s.Queue, 0, 100_000)
 	settings.Range(doc, "connections", s.Connections, 1, 10_000)
 	settings.Range(doc, "cold_factor", s.ColdFactor, 1, 100)
+	settings.Range(doc, "connection_cost", s.ConnectionCost.D(), 0, time.Second)
+	for name, delay := range s.Delays {
+		settings.Range(doc, "delays."+name, delay.D(), 0, time.Second)
+	}
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/chivemill/chivemill/deployment"
 	"github.com/chivemill/chivemill/internal/standin/backend"
 	"github.com/chivemill/chivemill/internal/standin/store"
+	"github.com/chivemill/chivemill/internal/strictyaml"
 	"github.com/chivemill/chivemill/settings"
 	"github.com/chivemill/chivemill/vmlist"
 )
@@ -122,6 +123,7 @@
 		set.Shards, set.Shard = s.Instances, instance
 	}
 	set.Slots, set.Connections, set.ConnectionCost = s.Slots, s.Connections, s.ConnectionCost
+	set.Delays = g.delaysTo(set.DataCentre)
 	g.plan.Backends = append(g.plan.Backends, set)
 	g.plan.VMs = append(g.plan.VMs, vmlist.VM{
 		ID: set.Replica, Role: vmlist.RoleBackend, Service: s.Name, DataCentre: set.DataCentre,
@@ -129,6 +131,17 @@
 	})
 }
 
+// delaysTo returns the one-way delays from the other data centres.
+func (g *generator) delaysTo(dataCentre string) map[string]strictyaml.Duration {
+	delays := make(map[string]strictyaml.Duration)
+	for _, from := range g.deployment.DataCentres {
+		if d := g.deployment.Delay(from.Name, dataCentre); d > 0 {
+			delays[from.Name] = strictyaml.Duration(d)
+		}
+	}
+	return delays
+}
+
 // Write writes the plan below dir, which must not exist or be empty: store.yaml, vms.json, entries/<node>.yaml and
 // backends/<replica>.yaml. The store's settings name vms.json by its absolute path.
 func (p Plan) Write(dir string) error {
