loadgen checks coverage and reports each request

Cause: the load generator sent to a fixed list of daemons, and a run gave counts only, so that a failed request could not be followed in the daemons' logs; records of shards that an answer does not include were not noticed.

Change: a plan may name the daemon of each request at the time of sending and observe each request with its id, key and run statement. An answer whose records contradict its coverage counts as broken. The answer of the test's fake server now states that it is complete, because the check covers that too.

Conclusion: TestClassify covers the added checks and the tests of loadgen pass.

--- a/loadgen/loadgen_test.go
+++ b/loadgen/loadgen_test.go
@@ -40,12 +40,22 @@
 		return data
 	}
 	whole := encode(func(*api.Answer) {})
-	must.Eq(t, ResultOK, classify(200, whole, "n").result)
-	must.Eq(t, ResultBroken, classify(200, whole, "other").result)
-	must.Eq(t, ResultBroken, classify(200, whole[:len(whole)-2], "n").result)
-	must.Eq(t, ResultBroken, classify(200, encode(func(a *api.Answer) { a.End = "" }), "n").result)
-	must.Eq(t, ResultBroken, classify(503, []byte("busy"), "n").result)
-	must.Eq(t, "overloaded", classify(503, []byte(`{"kind":"overloaded"}`), "n").result)
+	must.Eq(t, ResultOK, classify(200, whole, "n").Result)
+	must.Eq(t, ResultBroken, classify(200, whole, "other").Result)
+	must.Eq(t, ResultBroken, classify(200, whole[:len(whole)-2], "n").Result)
+	must.Eq(t, ResultBroken, classify(200, encode(func(a *api.Answer) { a.End = "" }), "n").Result)
+	for _, change := range []func(*api.Answer){
+		func(a *api.Answer) { a.Records = []api.Record{{Key: "k", Shard: "s"}} },
+		func(a *api.Answer) { a.Coverage.Missing = []api.MissingShard{{Shard: "s", Reason: api.MissingTimeout}} },
+		func(a *api.Answer) {
+			a.Coverage.Included = []string{"s"}
+			a.Records = []api.Record{{Key: "k", Shard: "s"}, {Key: "k", Shard: "s"}}
+		},
+	} {
+		must.Eq(t, ResultBroken, classify(200, encode(change), "n").Result)
+	}
+	must.Eq(t, ResultBroken, classify(503, []byte("busy"), "n").Result)
+	must.Eq(t, "overloaded", classify(503, []byte(`{"kind":"overloaded"}`), "n").Result)
 }
 
 // Guards against a client that waits for an answer before it sends the next request: while the first answers
@@ -62,7 +72,9 @@
 		}
 		arrived <- struct{}{}
 		<-release
-		_ = json.NewEncoder(w).Encode(api.Answer{RequestID: "r", End: "r", Nonce: q.Nonce})
+		_ = json.NewEncoder(w).Encode(api.Answer{
+			RequestID: "r", End: "r", Nonce: q.Nonce, Coverage: api.Coverage{Complete: true},
+		})
 	}))
 	defer server.Close()
 	plan.Targets[0] = server.URL
--- a/loadgen/plan.go
+++ b/loadgen/plan.go
@@ -26,6 +26,19 @@
 	// NonIdempotent marks each request as non-idempotent, with a new key.
 	NonIdempotent bool   `json:"non_idempotent"`
 	Seed          uint64 `json:"seed"`
+	// Target, if set, names the daemon of each request at the time of sending, as a load balancer does. Targets is
+	// not used then. It is safe for concurrent use.
+	Target func(i int) string `json:"-"`
+	// Observe, if set, is called with each request that ended. It is safe for concurrent use.
+	Observe func(Sample) `json:"-"`
+}
+
+// target returns the base URL of the daemon of request i.
+func (p Plan) target(i int) string {
+	if p.Target != nil {
+		return p.Target(i)
+	}
+	return p.Targets[i%len(p.Targets)]
 }
 
 // maxArrivals bounds the requests of a run.
@@ -34,7 +47,7 @@
 // Check returns an error that names the first field that is out of range.
 func (p Plan) Check() error {
 	switch {
-	case len(p.Targets) == 0:
+	case len(p.Targets) == 0 && p.Target == nil:
 		return eris.New("targets: at least one entry daemon is required")
 	case p.Service == "":
 		return eris.New("service: is required")
--- a/loadgen/result.go
+++ b/loadgen/result.go
@@ -64,20 +64,20 @@
 	}
 }
 
-func (r *recorder) add(o outcome) {
+func (r *recorder) add(o Sample) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_ = r.histogram.RecordValue(min(max(1, o.latency.Microseconds()), maxLatency.Microseconds()))
-	r.results[o.result]++
-	if o.version != "" {
-		r.snapshots[o.version]++
+	_ = r.histogram.RecordValue(min(max(1, o.Latency.Microseconds()), maxLatency.Microseconds()))
+	r.results[o.Result]++
+	if o.Version != "" {
+		r.snapshots[o.Version]++
 	}
-	if o.coverage == nil {
+	if o.Coverage == nil {
 		return
 	}
 	r.stated++
-	r.covered += o.coverage.Fraction
-	if o.coverage.Complete {
+	r.covered += o.Coverage.Fraction
+	if o.Coverage.Complete {
 		r.complete++
 	}
 }
--- a/loadgen/run.go
+++ b/loadgen/run.go
@@ -36,12 +36,26 @@
 	ResultTransport = "transport_error"
 )
 
-// outcome is what became of one request.
-type outcome struct {
-	result   string
-	latency  time.Duration
-	coverage *api.Coverage
-	version  string
+// Sample is what became of one request.
+type Sample struct {
+	Target string
+	// Sent is the planned time of sending; Latency counts from it.
+	Sent    time.Time
+	Latency time.Duration
+	// Result is ok, an error kind, broken_answer or transport_error.
+	Result string
+	// RequestID is the id that the daemon gave the request, "" if no answer arrived.
+	RequestID string
+	// Key is the idempotency key of a non-idempotent request.
+	Key string
+	// Run states whether a failed request was run; it is empty without an answer.
+	Run     api.Run
+	Message string
+
+	Coverage *api.Coverage
+	Version  string
+	// Records is the number of records of an answer.
+	Records int
 }
 
 // Run sends the load and returns its result. It ends after the last answer, or when ctx ends.
@@ -64,9 +78,12 @@
 		}
 		planned := start.Add(at)
 		wg.Go(func() {
-			o := send(ctx, client, plan, i)
-			o.latency = time.Since(planned)
-			recorder.add(o)
+			sample := send(ctx, client, plan, i)
+			sample.Sent, sample.Latency = planned, time.Since(planned)
+			recorder.add(sample)
+			if plan.Observe != nil {
+				plan.Observe(sample)
+			}
 		})
 	}
 	wg.Wait()
@@ -88,7 +105,7 @@
 	}
 }
 
-func send(ctx context.Context, client *http.Client, plan Plan, i int) outcome {
+func send(ctx context.Context, client *http.Client, plan Plan, i int) Sample {
 	timeout := defaultTimeout
 	if plan.Deadline > 0 {
 		timeout = plan.Deadline + answerSlack
@@ -96,58 +113,105 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	nonce := uuid.NewString()
+	failed := Sample{Result: ResultTransport, Target: plan.target(i)}
+	req, err := newRequest(ctx, plan, i, failed.Target, nonce)
+	if err != nil {
+		failed.Message = err.Error()
+		return failed
+	}
+	failed.Key = req.Header.Get(api.HeaderKey)
+	status, data, err := exchange(client, req)
+	if err != nil {
+		failed.Message = err.Error()
+		return failed
+	}
+	sample := classify(status, data, nonce)
+	sample.Target, sample.Key = failed.Target, failed.Key
+	return sample
+}
+
+func newRequest(ctx context.Context, plan Plan, i int, target, nonce string) (*http.Request, error) {
 	body, err := json.Marshal(api.Query{
 		Service: plan.Service, Query: plan.Queries[i%len(plan.Queries)],
 		DeadlineMS: plan.Deadline.Milliseconds(), Nonce: nonce,
 	})
 	if err != nil {
-		return outcome{result: ResultTransport}
+		return nil, err
 	}
-	url := strings.TrimRight(plan.Targets[i%len(plan.Targets)], "/") + api.QueryPath
+	url := strings.TrimRight(target, "/") + api.QueryPath
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return outcome{result: ResultTransport}
+	if err != nil || !plan.NonIdempotent {
+		return req, err
 	}
-	if plan.NonIdempotent {
-		key, err := uuid.NewV7()
-		if err != nil {
-			return outcome{result: ResultTransport}
-		}
-		req.GetBody = nil
-		req.Header.Set(api.HeaderNonIdempotent, "true")
-		req.Header.Set(api.HeaderKey, key.String())
+	key, err := uuid.NewV7()
+	if err != nil {
+		return nil, err
 	}
+	req.GetBody = nil
+	req.Header.Set(api.HeaderNonIdempotent, "true")
+	req.Header.Set(api.HeaderKey, key.String())
+	return req, nil
+}
+
+// exchange sends the request and reads the whole answer.
+func exchange(client *http.Client, req *http.Request) (int, []byte, error) {
 	resp, err := client.Do(req)
 	if err != nil {
-		return outcome{result: ResultTransport}
+		return 0, nil, err
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return outcome{result: ResultTransport}
-	}
-	return classify(resp.StatusCode, data, nonce)
+	return resp.StatusCode, data, err
 }
 
 // classify checks an answer against its request.
-func classify(status int, data []byte, nonce string) outcome {
+func classify(status int, data []byte, nonce string) Sample {
 	if status != http.StatusOK {
 		var body api.ErrorBody
-		if json.Unmarshal(data, &body) != nil || body.Kind == "" {
-			return outcome{result: ResultBroken}
+		if err := json.Unmarshal(data, &body); err != nil || body.Kind == "" {
+			return Sample{Result: ResultBroken, Message: "error body without a kind"}
+		}
+		return Sample{
+			Result: string(body.Kind), RequestID: body.RequestID, Run: body.Run, Message: body.Message,
+			Coverage: body.Coverage,
 		}
-		return outcome{result: string(body.Kind), coverage: body.Coverage}
-	}
-	var answer api.Answer
-	err := json.Unmarshal(data, &answer)
-	if err == nil && (answer.End == "" || answer.End != answer.RequestID) {
-		err = eris.New("end mark missing")
 	}
+	answer, err := api.DecodeAnswer(data)
 	if err == nil && answer.Nonce != nonce {
 		err = errors.New("answer of another request")
 	}
+	if err == nil {
+		err = checkCoverage(answer)
+	}
 	if err != nil {
-		return outcome{result: ResultBroken}
+		return Sample{Result: ResultBroken, RequestID: answer.RequestID, Message: err.Error()}
+	}
+	return Sample{
+		Result: ResultOK, RequestID: answer.RequestID, Coverage: &answer.Coverage, Version: answer.Snapshot.String(),
+		Records: len(answer.Records),
+	}
+}
+
+// checkCoverage returns an error if the records contradict the stated coverage.
+func checkCoverage(a api.Answer) error {
+	included := make(map[string]bool)
+	for _, shard := range a.Coverage.Included {
+		included[shard] = true
+	}
+	for _, m := range a.Coverage.Missing {
+		if included[m.Shard] || m.Reason == "" {
+			return eris.Errorf("shard %s is included and missing, or missing without a reason", m.Shard)
+		}
+	}
+	if a.Coverage.Complete != (len(a.Coverage.Missing) == 0) {
+		return eris.Errorf("complete is %t with %d missing shards", a.Coverage.Complete, len(a.Coverage.Missing))
+	}
+	seen := make(map[string]bool)
+	for _, r := range a.Records {
+		if seen[r.Key] || !included[r.Shard] {
+			return eris.Errorf("record %s is doubled or of a shard that is not included", r.Key)
+		}
+		seen[r.Key] = true
 	}
-	return outcome{result: ResultOK, coverage: &answer.Coverage, version: answer.Snapshot.String()}
+	return nil
 }
