make fleet measures a deployment as processes on loopback

Cause: the promises were checked with a few processes and in virtual time, but never at the sizes of the two deployments with link delays, rolling restarts and a load balancer.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo lint generate confbench
+.PHONY: build test demo fleet lint generate confbench
 
 build:
 	mkdir -p bin
@@ -11,6 +11,13 @@
 demo: build
 	go run ./demo bin
 
+# Measures a deployment as processes on loopback, such as make fleet DEPLOYMENT=examples/tutkal.
+# FLEET_FLAGS adds flags; see go run ./fleetrun --help.
+DEPLOYMENT ?= examples/gravura-canina
+fleet: build
+	go build -o bin/ ./fleetrun
+	bin/fleetrun --deployment $(DEPLOYMENT)/services.yaml $(FLEET_FLAGS)
+
 lint:
 	gofmt -l .
 	go vet ./...
--- a/loadgen/plan.go
+++ b/loadgen/plan.go
@@ -31,6 +31,8 @@
 	Target func(i int) string `json:"-"`
 	// Observe, if set, is called with each request that ended. It is safe for concurrent use.
 	Observe func(Sample) `json:"-"`
+	// Stop, if set, ends the arrivals when it is closed; requests that were sent before are still answered.
+	Stop <-chan struct{} `json:"-"`
 }
 
 // target returns the base URL of the daemon of request i.
--- a/loadgen/run.go
+++ b/loadgen/run.go
@@ -73,7 +73,7 @@
 	start := time.Now()
 	var wg sync.WaitGroup
 	for i, at := range plan.Arrivals() {
-		if !sleepUntil(ctx, start.Add(at)) {
+		if !sleepUntil(ctx, plan.Stop, start.Add(at)) {
 			break
 		}
 		planned := start.Add(at)
@@ -90,18 +90,20 @@
 	return recorder.result(plan, time.Since(start))
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
+// sleepUntil reports whether the time was reached before ctx or stop ended.
+func sleepUntil(ctx context.Context, stop <-chan struct{}, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
 	case <-ctx.Done():
+	case <-stop:
+	}
+	select {
+	case <-stop:
 		return false
+	default:
+		return ctx.Err() == nil
 	}
 }
 
