Stand-in backend servers count abandoned sub-requests by stage

Change: the stand-in counts sub-requests that ended before their answer by stage, fleetrun prints the counts, and the file of failures also lists the slowest hundredth of each phase.

--- a/fleetrun/run.go
+++ b/fleetrun/run.go
@@ -54,9 +54,12 @@
 	gauges  []series
 	peaks   map[string]int
 	// late counts sub-requests by second after the stop signal of the replica.
-	late  []int
-	notes []string
-	load  string
+	late []int
+	// abandoned counts sub-requests that ended before their answer by replica and stage, since the start of the
+	// replica.
+	abandoned map[string]string
+	notes     []string
+	load      string
 }
 
 func newRun(s *stand, dir string) (*run, error) {
@@ -188,7 +191,7 @@
 
 // readReplicas reads the counters of the running replicas and of those that ended in the phase.
 func (r *run) readReplicas(m *measured) error {
-	m.peaks = make(map[string]int)
+	m.peaks, m.abandoned = make(map[string]int), make(map[string]string)
 	reports := make(map[string][]backend.Counters)
 	for _, b := range r.stand.plan.Backends {
 		var live backend.Counters
@@ -202,6 +205,9 @@
 		reports[b.Replica] = append(all[r.reported[b.Replica]:], live)
 		r.reported[b.Replica] = len(all)
 		for _, c := range reports[b.Replica] {
+			if len(c.Abandoned) > 0 && b.Service == r.search.Name {
+				m.abandoned[b.Replica] = fmt.Sprint(c.Abandoned)
+			}
 			m.peaks[b.Replica] = max(m.peaks[b.Replica], c.PeakConnections)
 			for second, n := range c.WorkAfterDrain {
 				for len(m.late) <= second {
--- a/fleetrun/table.go
+++ b/fleetrun/table.go
@@ -74,6 +74,9 @@
 	if len(m.late) > 0 {
 		fmt.Printf("  sub-requests to leaving replicas by second after SIGTERM: %v\n", m.late)
 	}
+	if len(m.abandoned) > 0 {
+		fmt.Println("  abandoned sub-requests by replica and stage since its start:", m.abandoned)
+	}
 	if over := m.overLimit(r); over > 0 {
 		fmt.Printf("  %d replicas had more open connections than their limit\n", over)
 	}
@@ -119,7 +122,7 @@
 	}
 }
 
-// write writes each request that failed or was partial to a file.
+// write writes each request that failed, was partial or belongs to the slowest hundredth to a file.
 func (m measured) write(file string) error {
 	f, err := os.Create(file)
 	if err != nil {
@@ -127,7 +130,8 @@
 	}
 	for _, s := range append(append([]loadgen.Sample{}, m.samples...), m.orders...) {
 		partial := s.Coverage != nil && !s.Coverage.Complete
-		if s.Result == loadgen.ResultOK && !partial {
+		slow := s.Latency.Seconds()*1000 >= m.search.Latency.P99
+		if s.Result == loadgen.ResultOK && !partial && !slow {
 			continue
 		}
 		var missing any
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -44,6 +44,7 @@
 	// workAfterDrain counts arrivals by seconds after drainedAt.
 	workAfterDrain []int
 	connections    connectionCount
+	abandoned      map[Stage]int
 }
 
 // NewServer returns a replica that calls crash for a query that holds CrashQuery.
@@ -51,6 +52,7 @@
 	s := &Server{
 		set: set, incarnation: incarnation, started: time.Now(),
 		slots: make(chan struct{}, set.Slots), crash: crash, state: backend.StateReady,
+		abandoned: make(map[Stage]int),
 	}
 	if set.Shards > 0 {
 		m := snapshot.Uniform(set.MapVersion, set.Service, set.Shards)
@@ -146,6 +148,7 @@
 		s.mu.Lock()
 		s.queued--
 		s.mu.Unlock()
+		s.abandon(StageQueue)
 		return nil, backend.RefusedDeadline
 	}
 	s.mu.Lock()
@@ -243,6 +246,7 @@
 	answer := run(string(query))
 	s.work(ctx)
 	if !wait(ctx, time.Duration(fault.DelayMS)*time.Millisecond) {
+		s.abandon(StageWork)
 		return
 	}
 	// The answer's way over the link occupies no slot.
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -73,6 +74,8 @@
 	// Connections are the open connections of entry daemons, PeakConnections the most at one time.
 	Connections     int `json:"connections"`
 	PeakConnections int `json:"peak_connections"`
+	// Abandoned counts sub-requests that ended before their answer, by the stage that they had reached.
+	Abandoned map[Stage]int `json:"abandoned,omitempty"`
 }
 
 // Apply takes a control body.
@@ -146,6 +149,7 @@
 		Executed: len(s.executions), Sent: len(s.sent), LastWorkAfterDrainMS: s.lastWork.Milliseconds(),
 		WorkAfterDrain: slices.Clone(s.workAfterDrain),
 		Connections:    s.connections.open, PeakConnections: s.connections.peak,
+		Abandoned: maps.Clone(s.abandoned),
 	}
 }
 
--- a/internal/standin/backend/link.go
+++ b/internal/standin/backend/link.go
@@ -65,6 +65,7 @@
 		// The server notices that the caller is gone only after the whole body was read.
 		body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 		if err != nil || !wait(r.Context(), delay+setUp) {
+			s.abandon(StageLink)
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
@@ -72,6 +73,22 @@
 	}
 }
 
+// Stage is how far a sub-request came.
+type Stage string
+
+// Values of Stage: on its way in, waiting for a slot, and being executed.
+const (
+	StageLink  Stage = "link"
+	StageQueue Stage = "queue"
+	StageWork  Stage = "work"
+)
+
+func (s *Server) abandon(stage Stage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abandoned[stage]++
+}
+
 // setUpTime is the cost of a new connection and its round trip, or 0 for a connection that was used before.
 func (s *Server) setUpTime(ctx context.Context, delay time.Duration) time.Duration {
 	c, ok := ctx.Value(connectionKey{}).(*connection)
--- a/internal/standin/backend/link_test.go
+++ b/internal/standin/backend/link_test.go
@@ -72,6 +72,8 @@
 	s.countLateWork(400 * time.Millisecond)
 	s.countLateWork(2500 * time.Millisecond)
 	want := Counters{LastWorkAfterDrainMS: 2500, WorkAfterDrain: []int{1, 0, 1}, Connections: 1, PeakConnections: 2}
+	s.abandon(StageQueue)
+	want.Abandoned = map[Stage]int{StageQueue: 1}
 	must.NoError(t, s.WriteReport())
 	data, err := os.ReadFile(set.Report)
 	must.NoError(t, err)
