--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -49,6 +49,7 @@
 		ids := []string{"a", "b", "c"}
 		g := newRegistry(1, &now, ids...)
 		leaving, known, open := map[string]int64{}, map[string]int64{}, map[string]int{}
+		listed := map[string]vmlist.State{}
 		const share = 3
 		for _, id := range ids {
 			g.SetConnections(id, share)
@@ -81,8 +82,12 @@
 					state := vmlist.StateLive
 					if id == left && rapid.Bool().Draw(t, "leaving") {
 						state = vmlist.StateLeaving
+					}
+					// The list lags: only its change to leaving speaks of the present incarnation.
+					if state == vmlist.StateLeaving && listed[id] != state {
 						leaving[id] = max(leaving[id], known[id])
 					}
+					listed[id] = state
 					vms = append(vms, vm(id, state))
 				}
 				g.SetList(vms)
