--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -172,7 +172,12 @@
 
 // Send implements scatter.Sender. It goes through another daemon where this one holds no connections.
 func (d *Daemon) Send(ctx context.Context, id string, sub backend.Sub) (backend.SubAnswer, error) {
+	begin := time.Now()
 	answer, err := d.peers.router.Send(ctx, id, sub)
+	if entry := d.log.Check(zap.DebugLevel, "attempt"); entry != nil {
+		entry.Write(zap.String("request", sub.Request), zap.String("attempt", sub.Attempt), zap.String("replica", id),
+			zap.Duration("elapsed", time.Since(begin)), zap.Error(err))
+	}
 	var refused *backend.Error
 	if eris.As(err, &refused) && refused.Failure == backend.Refused && refused.Refusal.Reason == backend.RefusedDraining {
 		d.registry.MarkLeaving(id, refused.Refusal.Incarnation)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/chivemill/chivemill/settings"
 )
@@ -43,9 +44,9 @@
 				fmt.Fprintln(cmd.Root().Writer, "settings are valid")
 				return nil
 			}
-			log, err := zap.NewProduction()
+			log, err := newLogger(set)
 			if err != nil {
-				return eris.Wrap(err, "logger")
+				return err
 			}
 			defer func() { _ = log.Sync() }()
 			return run(ctx, log.Named(name))
@@ -53,6 +54,26 @@
 	}
 }
 
+// Leveled is implemented by settings that state a log level.
+type Leveled interface{ Level() string }
+
+// newLogger returns a JSON logger at the level of the settings, or at info.
+func newLogger(set settings.Checker) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	// Sampling would drop lines of the very requests that an operator looks for.
+	config.Sampling = nil
+	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	if l, ok := set.(Leveled); ok {
+		level, err := zap.ParseAtomicLevel(l.Level())
+		if err != nil {
+			return nil, eris.Wrap(err, "log level")
+		}
+		config.Level = level
+	}
+	log, err := config.Build()
+	return log, eris.Wrap(err, "logger")
+}
+
 // Main runs the command and exits with status 1 after an error.
 func Main(cmd *cli.Command) {
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -107,6 +107,7 @@
 	set.Listen, set.Operator, set.Peer = g.address(), g.address(), g.address()
 	url := "http://" + g.plan.Store.Listen
 	set.Store = settings.Store{Endpoints: []string{url}, VMList: url}
+	set.LinkDelays = g.delaysTo(set.DataCentre)
 	g.plan.Entries = append(g.plan.Entries, set)
 	g.plan.VMs = append(g.plan.VMs, vmlist.VM{
 		ID: set.Node, Role: vmlist.RoleEntry, DataCentre: set.DataCentre, Address: set.Peer, State: vmlist.StateLive,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap/zapcore"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/chivemill/chivemill/internal/strictyaml"
@@ -66,6 +67,8 @@
 	Poll strictyaml.Duration `yaml:"poll"`
 	// BalancerLag is how long the balancer may send new connections after the daemon turned not ready.
 	BalancerLag strictyaml.Duration `yaml:"balancer_lag"`
+	// LogLevel is debug, info, warn or error. At debug each attempt of a sub-request is logged.
+	LogLevel string `yaml:"log_level"`
 	// MaxBody is the largest accepted request body in bytes.
 	MaxBody int64 `yaml:"max_body"`
 	// MaxInFlight is the largest number of requests in flight.
@@ -86,6 +89,7 @@
 	return Entry{
 		Poll:                  strictyaml.Duration(500 * time.Millisecond),
 		BalancerLag:           strictyaml.Duration(2 * time.Second),
+		LogLevel:              "info",
 		MaxBody:               64 << 10,
 		MaxInFlight:           512,
 		ConnectionsPerReplica: 30,
@@ -94,6 +98,9 @@
 	}
 }
 
+// Level returns the log level.
+func (e *Entry) Level() string { return e.LogLevel }
+
 // Check implements Checker.
 func (e *Entry) Check(doc *strictyaml.Document) {
 	Required(doc, "node", e.Node)
@@ -114,6 +121,9 @@
 	Range(doc, "balancer_lag", e.BalancerLag.D(), 0, time.Minute)
 	Range(doc, "max_body", e.MaxBody, 1, 1<<20)
 	Range(doc, "max_in_flight", e.MaxInFlight, 1, 100_000)
+	if _, err := zapcore.ParseLevel(e.LogLevel); err != nil {
+		doc.Problemf("log_level", "%q is not one of debug, info, warn, error", e.LogLevel)
+	}
 	for name, delay := range e.LinkDelays {
 		Range(doc, "link_delays."+name, delay.D(), 0, time.Second)
 	}
