--- a/internal/bench/strategy.go
+++ b/internal/bench/strategy.go
@@ -42,7 +42,10 @@
 		shards = shards[:q.shards]
 	}
 	room, spare := d.registry.Room(st.plan.Service, st.plan.Version, shards)
-	return st.admission.Admit(q.profile, q.service.Profile.Deadline, room, spare, q.service.Profile.LeastCoverage, d.w.time())
+	return st.admission.Admit(limit.Query{
+		Profile: q.profile, Remaining: q.service.Profile.Deadline, Room: room, Spare: spare,
+		Least: q.service.Profile.LeastCoverage,
+	}, d.w.time())
 }
 
 func (s Strategy) finish(a *limit.Admission, q *query, took time.Duration, overloaded bool, now time.Time) {
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -89,22 +89,27 @@
 	return p
 }
 
-// Admit decides on one query with the remaining time. After Admitted, the caller calls Finish exactly once.
-// room and spare are the fractions of the query's shards that have room for one and for two sub-requests, least the
-// fraction it needs. While other profiles have demand, a query beyond its profile's share needs spare room.
-func (a *Admission) Admit(profile string, remaining time.Duration, room, spare, least float64, now time.Time) Refusal {
+// Query is what admission needs to know of a query.
+type Query struct {
+	Profile   string
+	Remaining time.Duration
+	// Room and Spare are the fractions of the query's shards that have room for one and for two sub-requests, and
+	// Least is the fraction that the query needs.
+	Room, Spare, Least float64
+}
+
+// Admit decides on one query. After Admitted, the caller calls Finish exactly once. While other profiles have demand, a
+// query beyond its profile's share needs spare room.
+func (a *Admission) Admit(q Query, now time.Time) Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p := a.use(profile)
-	if float64(remaining) < lateFraction*fade(float64(a.latency), now.Sub(a.latencyAt)) {
+	p := a.use(q.Profile)
+	if float64(q.Remaining) < lateFraction*fade(float64(a.latency), now.Sub(a.latencyAt)) {
 		return RefusedTooLate
 	}
 	p.want(now)
 	guaranteed := a.guaranteed(p, now)
-	if !guaranteed && a.reserved(p, now) > 0 {
-		room = spare
-	}
-	if room < least {
+	if !a.hasRoom(p, q, guaranteed, now) {
 		a.limit.Overload(a.inFlight, now)
 		return RefusedNoRoom
 	}
@@ -126,6 +131,23 @@
 	return p.inFlight+1 <= share
 }
 
+func (a *Admission) hasRoom(p *profileUse, q Query, guaranteed bool, now time.Time) bool {
+	if guaranteed || !a.contended(p, now) {
+		return q.Room >= q.Least
+	}
+	return q.Spare >= q.Least
+}
+
+// contended reports whether another profile has recent demand.
+func (a *Admission) contended(p *profileUse, now time.Time) bool {
+	for _, q := range a.order {
+		if q != p && q.faded(now) >= 0.5 {
+			return true
+		}
+	}
+	return false
+}
+
 // want counts an offered query and raises the demand to one more than the profile uses now.
 func (p *profileUse) want(now time.Time) {
 	p.rate = fade(p.rate, now.Sub(p.rateAt)) + math.Ln2/halfLife.Seconds()
--- a/limit/admission_test.go
+++ b/limit/admission_test.go
@@ -34,7 +34,7 @@
 				continue
 			}
 			offered[profile]++
-			if a.Admit(profile, time.Second, 1, 1, 1, now) == limit.Admitted {
+			if a.Admit(limit.Query{Profile: profile, Remaining: time.Second, Room: 1, Spare: 1, Least: 1}, now) == limit.Admitted {
 				admitted[profile]++
 				open = append(open, end{now.Add(queryTime), profile})
 			}
@@ -65,12 +65,12 @@
 func TestHopelessQueriesAreRefused(t *testing.T) {
 	a := limit.NewAdmission(10, 10)
 	now := time.Unix(1000, 0)
-	must.Eq(t, limit.Admitted, a.Admit("p", time.Second, 1, 1, 1, now))
+	must.Eq(t, limit.Admitted, a.Admit(limit.Query{Profile: "p", Remaining: time.Second, Room: 1, Spare: 1, Least: 1}, now))
 	a.Finish("p", 400*time.Millisecond, false, now)
-	must.Eq(t, limit.RefusedTooLate, a.Admit("p", 100*time.Millisecond, 1, 1, 1, now))
-	must.Eq(t, limit.RefusedNoRoom, a.Admit("p", time.Second, 0.6, 0.6, 0.7, now))
-	must.Eq(t, limit.Admitted, a.Admit("p", time.Second, 0.8, 0.8, 0.7, now))
-	must.Eq(t, limit.Admitted, a.Admit("p", 100*time.Millisecond, 1, 1, 1, now.Add(5*time.Second)))
+	must.Eq(t, limit.RefusedTooLate, a.Admit(limit.Query{Profile: "p", Remaining: 100 * time.Millisecond, Room: 1, Spare: 1, Least: 1}, now))
+	must.Eq(t, limit.RefusedNoRoom, a.Admit(limit.Query{Profile: "p", Remaining: time.Second, Room: 0.6, Spare: 0.6, Least: 0.7}, now))
+	must.Eq(t, limit.Admitted, a.Admit(limit.Query{Profile: "p", Remaining: time.Second, Room: 0.8, Spare: 0.8, Least: 0.7}, now))
+	must.Eq(t, limit.Admitted, a.Admit(limit.Query{Profile: "p", Remaining: 100 * time.Millisecond, Room: 1, Spare: 1, Least: 1}, now.Add(5*time.Second)))
 }
 
 // Guards against a limit that ignores overload, falls to zero, or grows while it is not in use.
