--- a/entry/search.go
+++ b/entry/search.go
@@ -84,7 +84,8 @@
 	room, spare := d.registry.Room(q.Service, version, m.Shards)
 	admission := d.policyOf(q.Service).admission
 	admission.SetWeight(p.Name, float64(p.Share))
-	switch refusal := admission.Admit(p.Name, deadline.Sub(now), room, spare, p.LeastCoverage, now); refusal {
+	query := limit.Query{Profile: p.Name, Remaining: deadline.Sub(now), Room: room, Spare: spare, Least: p.LeastCoverage}
+	switch refusal := admission.Admit(query, now); refusal {
 	case limit.Admitted:
 		return nil
 	case limit.RefusedTooLate:
