A starting daemon counts after a peer's list is read

Cause: the join delay began when the VM list was read, although a daemon that joins at the same time may be in neither list yet. Change: the delay begins after the first full reading of a peer's member list, or 20 s without one; its default is 15 s, longer than the 10 s until the second reading. Waiting for three readings was tried and reverted: two daemons were not ready within 10 s, because later readings are 10 s apart. Conclusion: daemons that start together know each other before they use shares.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -38,6 +38,8 @@
 	countInterval = 500 * time.Millisecond
 	// leaveSpread is how long the membership runs on after a planned leave, so that the announcement spreads.
 	leaveSpread = time.Second
+	// listTimeout is how long a starting daemon waits for a peer's member list before it relies on the VM list alone.
+	listTimeout = 20 * time.Second
 	// noticeQueue bounds the configuration notices that wait; the digest comparison repairs what is dropped.
 	noticeQueue = 1024
 	// seenPayloads bounds each of the two generations of payload hashes that are recognised as duplicates.
@@ -69,6 +71,7 @@
 	ranked  share.Set
 	vms     []vmlist.VM
 	joined  bool
+	started time.Time
 }
 
 // newPeers opens the peer addresses.
@@ -76,7 +79,7 @@
 	set := d.set
 	p := &peers{
 		set: set, log: d.log, notices: make(chan []byte, noticeQueue),
-		signals: signal.NewTable(), crashes: signal.NewCrashes(),
+		started: time.Now(), signals: signal.NewTable(), crashes: signal.NewCrashes(),
 		counted: share.NewCounted(set.Node, set.ConnectionHold.D(), set.JoinDelay.D()),
 		client:  peer.NewClient(set.Node),
 	}
@@ -340,6 +343,7 @@
 }
 
 func (p *peers) updateCounted(now time.Time) {
+	hasList := p.transport.HasList() || now.Sub(p.started) > listTimeout
 	live := []string{}
 	for _, m := range p.Live() {
 		live = append(live, m.ID)
@@ -352,7 +356,7 @@
 			listed = append(listed, vm.ID)
 		}
 	}
-	if !p.joined && len(p.vms) > 0 {
+	if !p.joined && len(p.vms) > 0 && (hasList || len(listed) <= 1) {
 		p.joined = true
 		p.counted.Join(now)
 	}
--- a/membership/node.go
+++ b/membership/node.go
@@ -324,6 +324,9 @@
 // Nodes that join at the same time are complete only after a further reading.
 func (n *Node) Synced() bool { return n.pull.passes >= joinPasses }
 
+// HasList reports whether the node has read the list of another member in full at least once since it started.
+func (n *Node) HasList() bool { return n.pull.passes > 0 }
+
 // NumLive returns the number of live members, the node itself included.
 func (n *Node) NumLive() int { return len(n.live) + 1 }
 
--- a/membership/transport.go
+++ b/membership/transport.go
@@ -79,6 +79,13 @@
 	return t.node.Broadcast(key, payload)
 }
 
+// HasList reports whether the node has read a member list in full at least once.
+func (t *Transport) HasList() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.node.HasList()
+}
+
 // Members is Node.Members.
 func (t *Transport) Members() []Member {
 	t.mu.Lock()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -78,7 +78,8 @@
 	// LinkDelays is the one-way delay to other data centres. A data centre that is not listed counts as near.
 	LinkDelays map[string]strictyaml.Duration `yaml:"link_delays,omitempty"`
 	// JoinDelay is how long a starting daemon opens no connections to backend servers and is not ready, until the
-	// other daemons count it. It exceeds the time in which the member list or the VM list shows the daemon to all.
+	// other daemons count it. Daemons that start together know each other after their second reading of the member
+	// list, 10 s after the first one.
 	JoinDelay strictyaml.Duration `yaml:"join_delay"`
 	// ConnectionHold is how long an ended daemon still counts for the connection shares.
 	ConnectionHold strictyaml.Duration `yaml:"connection_hold"`
@@ -93,7 +94,7 @@
 		MaxBody:               64 << 10,
 		MaxInFlight:           512,
 		ConnectionsPerReplica: 30,
-		JoinDelay:             strictyaml.Duration(10 * time.Second),
+		JoinDelay:             strictyaml.Duration(15 * time.Second),
 		ConnectionHold:        strictyaml.Duration(30 * time.Second),
 	}
 }
