--- a/limit/admission_test.go
+++ b/limit/admission_test.go
@@ -93,3 +93,18 @@
 	}
 	must.Greater(t, 5.0, l.Limit())
 }
+
+// Guards against a query beyond its profile's share that takes a shard's last room while another profile has demand.
+func TestSpareRoomIsLeftToOthers(t *testing.T) {
+	a := limit.NewAdmission(2, 2)
+	now := time.Unix(1000, 0)
+	last := limit.Query{Profile: "flood", Remaining: time.Second, Room: 1, Spare: 0.5, Least: 1}
+	must.Eq(t, limit.Admitted, a.Admit(last, now), must.Sprint("no other profile has demand"))
+	must.Eq(t, limit.Admitted, a.Admit(limit.Query{Profile: "main", Remaining: time.Second, Room: 1, Least: 1}, now))
+	a.Finish("main", queryTime, false, now)
+	for range 100 {
+		a.Admit(last, now)
+	}
+	must.Eq(t, limit.RefusedNoRoom, a.Admit(last, now))
+	must.Eq(t, limit.Admitted, a.Admit(limit.Query{Profile: "main", Remaining: time.Second, Room: 1, Least: 1}, now))
+}
