Tests of refusals before sending and of connection limits

Change: two tests over the whole decision path at 200% load and with caller retries. Conclusion: the promises are guarded in make test.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -53,3 +53,23 @@
 		must.Eq(t, 2, incarnation, must.Sprintf("replica %s has not restarted", id))
 	}
 }
+
+// Guards against an admission that refuses a query after a sub-request was sent, and against one that never refuses.
+func TestRefusalsComeBeforeSending(t *testing.T) {
+	c := shortCase(t, "load-200")
+	c.Length = time.Second
+	r := Run(Tutkal(), c, Default(), 5)
+	must.Positive(t, r.Refusals["queries"])
+	must.Zero(t, r.Refusals["queries_after_sending"])
+}
+
+// Guards against connections above a replica's limit summed over all daemons, under twice the load and caller retries.
+func TestConnectionsStayWithinLimit(t *testing.T) {
+	for _, name := range []string{"load-200", "caller-retries"} {
+		c := shortCase(t, name)
+		c.Length = time.Second
+		r := Run(Tutkal(), c, Default(), 6)
+		must.LessEq(t, r.Limit, r.Connections)
+		must.Zero(t, r.Refusals["connection_limit"], must.Sprint("a replica refused a connection of a daemon's share"))
+	}
+}
--- a/internal/bench/stats.go
+++ b/internal/bench/stats.go
@@ -37,6 +37,9 @@
 func (s *stats) refusal(q *query) {
 	if q.arrived >= warmUp {
 		s.refusals["queries"]++
+		if q.machine != nil {
+			s.refusals["queries_after_sending"]++
+		}
 	}
 }
 
