--- a/internal/standin/backend/link.go
+++ b/internal/standin/backend/link.go
@@ -65,7 +65,10 @@
 		// The server notices that the caller is gone only after the whole body was read.
 		body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 		if err != nil || !wait(r.Context(), delay+setUp) {
-			s.abandon(StageLink)
+			// An ending daemon also abandons its reading of the load endpoint, which is no sub-request.
+			if r.Method == http.MethodPost {
+				s.abandon(StageLink)
+			}
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
