make fuzz and make race

Fresh seeds were only possible package by package with RAPID_FRESH, and nothing ran the native fuzz targets for longer than their seed corpus. internal/fuzzall finds every test that reaches rapid.Check and every fuzz target, builds them once and runs them in turn until the time is over, on 3 threads.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo lint generate bench confbench
+.PHONY: build test fuzz race demo lint generate bench confbench
 
 build:
 	mkdir -p bin
@@ -7,6 +7,18 @@
 test:
 	go test ./... -count=1
 
+# Runs the stateful tests with fresh seeds and the native fuzz targets for the time FOR, on 3 cores.
+FOR ?= 10m
+fuzz:
+	go run ./internal/fuzzall -for $(FOR)
+
+# Runs the packages with concurrency under the race detector. The process tests start the binaries and are left out:
+# the detector does not see into them.
+RACE = ./backend ./confstore ./confsync ./coverage ./drain ./entry ./internal/ctl ./internal/standin/... ./kv/... \
+	./loadgen ./membership ./oncerun ./peer ./quarantine ./relay ./replica ./scatter ./share ./signal ./snapshot
+race:
+	GOMAXPROCS=4 go test -race -p 2 -count=1 $(RACE)
+
 # Starts two entry daemons and the stand-ins on loopback, injects failures and checks every answer.
 demo: build
 	go run ./demo bin
