Process tests of leaving replicas, configuration and crashing requests

Fleets now draw their own loopback IP: with 127.0.0.1, one run in three failed because another socket had taken a port.

--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -14,10 +14,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivemill/chivemill/api"
-	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/confstore"
 	standin "github.com/chivemill/chivemill/internal/standin/backend"
-	"github.com/chivemill/chivemill/internal/standin/store"
 	"github.com/chivemill/chivemill/internal/strictyaml"
 	"github.com/chivemill/chivemill/kv/etcdjson"
 	"github.com/chivemill/chivemill/settings"
@@ -33,7 +31,8 @@
 // startTimeout bounds the start of a fleet; a busy machine starts processes slowly.
 const startTimeout = 20 * time.Second
 
-const profileDocument = `name: test
+// ProfileDocument is the profile that the services run under.
+const ProfileDocument = `name: test
 deadline: 1s
 partial: return
 least_coverage: 0.1
@@ -44,6 +43,10 @@
 // Options of a fleet.
 type Options struct {
 	Shards, Replicas, Orders, Entries int
+	// Later is the number of entry daemons that the VM list names besides Entries and that StartLater starts.
+	Later int
+	// EntryList replaces the VM list's endpoint of the last entry daemon if it is not nil.
+	EntryList func(endpoint string) string
 	// EntryStore replaces the store endpoint of the first entry daemon if it is not empty.
 	EntryStore func(endpoint string) string
 	DrainFor   time.Duration
@@ -55,6 +58,8 @@
 type Member struct {
 	*Process
 	Name, Address string
+	// Operator is the operators' HTTP address of an entry daemon.
+	Operator string
 }
 
 // Fleet is a store, backend servers and entry daemons on loopback.
@@ -65,23 +70,27 @@
 
 	bin, dir string
 	http     *http.Client
+	opt      Options
+	// addresses holds three addresses for each entry daemon, the last of which is its peer address.
+	addresses []string
+	vms       []vmlist.VM
 }
 
 // StartFleet starts a fleet from the binaries in bin and waits until every entry daemon is ready and knows every
 // replica. The caller stops it, also after an error.
 func StartFleet(bin, dir string, opt Options) (*Fleet, error) {
-	f := &Fleet{bin: bin, dir: dir, http: &http.Client{Timeout: 10 * time.Second}}
+	f := &Fleet{bin: bin, dir: dir, opt: opt, http: &http.Client{Timeout: 10 * time.Second}}
 	backends := opt.Shards*opt.Replicas + opt.Orders
-	addresses, err := FreeAddresses(1 + backends + 3*opt.Entries)
+	addresses, err := FreeAddresses(1 + backends + 3*(opt.Entries+opt.Later))
 	if err != nil {
 		return f, err
 	}
-	entries := addresses[1+backends:]
-	if err := f.startStore(addresses[0], addresses[1:1+backends], entries, opt); err != nil {
+	f.addresses = addresses[1+backends:]
+	if err := f.startStore(addresses[0], addresses[1:1+backends], opt); err != nil {
 		return f, err
 	}
 	for i := range opt.Entries {
-		if err := f.startEntry(i, entries[3*i:], opt); err != nil {
+		if err := f.startEntry(i); err != nil {
 			return f, err
 		}
 	}
@@ -105,12 +114,11 @@
 }
 
 // startStore starts the backend servers and the platform's stand-in, whose VM list names them and the entry daemons.
-// entries holds three addresses for each entry daemon, the last of which is its peer address.
-func (f *Fleet) startStore(address string, backends, entries []string, opt Options) error {
+func (f *Fleet) startStore(address string, backends []string, opt Options) error {
 	vms := []vmlist.VM{}
-	for i := range opt.Entries {
+	for i := range opt.Entries + opt.Later {
 		vms = append(vms, vmlist.VM{
-			ID: entryName(i), Role: vmlist.RoleEntry, DataCentre: "dc", Address: entries[3*i+2], State: vmlist.StateLive,
+			ID: entryName(i), Role: vmlist.RoleEntry, DataCentre: "dc", Address: f.addresses[3*i+2], State: vmlist.StateLive,
 		})
 	}
 	for i, a := range backends {
@@ -129,6 +137,7 @@
 			ID: set.Replica, Role: vmlist.RoleBackend, Service: set.Service, DataCentre: "dc", Address: a, State: vmlist.StateLive,
 		})
 	}
+	f.vms = vms
 	data, err := json.Marshal(vms)
 	if err != nil {
 		return err
@@ -161,7 +170,7 @@
 	if err != nil {
 		return eris.Wrap(err, f.Store.Log())
 	}
-	if _, err := conf.Apply(ctx, "test", profileDocument, 0); err != nil {
+	if _, err := conf.Apply(ctx, "test", ProfileDocument, 0); err != nil {
 		return err
 	}
 	for _, service := range []string{SearchService, OrderService} {
@@ -174,13 +183,17 @@
 
 func entryName(i int) string { return fmt.Sprintf("entry%d", i) }
 
-func (f *Fleet) startEntry(i int, addresses []string, opt Options) error {
+func (f *Fleet) startEntry(i int) error {
+	opt, addresses := f.opt, f.addresses[3*i:]
 	set := settings.DefaultEntry()
 	set.Node, set.DataCentre, set.Region = entryName(i), "dc", "region"
 	set.Listen, set.Operator, set.Peer = addresses[0], addresses[1], addresses[2]
 	endpoint := "http://" + f.Store.Address
 	set.Store.VMList = endpoint
 	set.Store.Endpoints = []string{endpoint}
+	if i == opt.Entries-1 && opt.EntryList != nil {
+		set.Store.VMList = opt.EntryList(endpoint)
+	}
 	if i == 0 && opt.EntryStore != nil {
 		set.Store.Endpoints = []string{opt.EntryStore(endpoint)}
 	}
@@ -191,6 +204,7 @@
 		set.BalancerLag = 0
 	}
 	m, err := f.start("chivemill-entry", set.Node, set.Listen, set)
+	m.Operator = set.Operator
 	f.Entries = append(f.Entries, m)
 	return err
 }
@@ -279,72 +293,3 @@
 	resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
-
-// Executions counts the executions of each key on the backend servers that still run.
-func (f *Fleet) Executions() (map[string]int, error) {
-	counts := make(map[string]int)
-	for _, b := range f.Backends {
-		if b.Exited() {
-			continue
-		}
-		var executed []standin.Execution
-		if err := f.get(b, standin.PathExecuted, &executed); err != nil {
-			return nil, err
-		}
-		for _, e := range executed {
-			counts[e.Key]++
-		}
-	}
-	return counts, nil
-}
-
-// Counters reads the counters of a stand-in backend server.
-func (f *Fleet) Counters(b Member) (c standin.Counters, err error) {
-	return c, f.get(b, standin.PathCounters, &c)
-}
-
-// Control changes a stand-in backend server.
-func (f *Fleet) Control(b Member, c standin.Control) error {
-	return f.put("http://"+b.Address+standin.PathControl, c)
-}
-
-// Busy returns the number of sub-requests that a stand-in backend server is executing.
-func (f *Fleet) Busy(b Member) (int, error) {
-	var load backend.Load
-	err := f.get(b, backend.PathLoad, &load)
-	return load.Busy, err
-}
-
-func (f *Fleet) get(m Member, path string, out any) error {
-	resp, err := f.http.Get("http://" + m.Address + path)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(out)
-}
-
-// SetStoreFaults injects faults into the stand-in store.
-func (f *Fleet) SetStoreFaults(faults store.FaultsBody) error {
-	return f.put("http://"+f.Store.Address+store.PathFaults, faults)
-}
-
-func (f *Fleet) put(url string, in any) error {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := f.http.Do(req)
-	if err != nil {
-		return err
-	}
-	resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		return eris.Errorf("%s answered %d", url, resp.StatusCode)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/proctest/operate.go
@@ -0,0 +1,172 @@
+package proctest
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/confstore"
+	"github.com/chivemill/chivemill/entry"
+	standin "github.com/chivemill/chivemill/internal/standin/backend"
+	"github.com/chivemill/chivemill/internal/standin/store"
+	"github.com/chivemill/chivemill/kv/etcdjson"
+	"github.com/chivemill/chivemill/vmlist"
+)
+
+// StartLater starts the next entry daemon of Options.Later. It does not wait until the daemon is ready.
+func (f *Fleet) StartLater() (Member, error) {
+	err := f.startEntry(len(f.Entries))
+	return f.Entries[len(f.Entries)-1], err
+}
+
+// RestartBackend kills a backend server and starts it again at its address, as a new incarnation.
+func (f *Fleet) RestartBackend(i int) error {
+	old := f.Backends[i]
+	old.Stop()
+	p, err := StartFile(filepath.Join(f.bin, "standin-backend"), filepath.Join(f.dir, old.Name+".yaml"), old.Name)
+	if err == nil {
+		f.Backends[i].Process = p
+	}
+	return err
+}
+
+// Operator returns a client of the configuration and the function that closes it.
+func (f *Fleet) Operator(name string) (*confstore.Client, func(), error) {
+	client, err := etcdjson.New([]string{"http://" + f.Store.Address})
+	if err != nil {
+		return nil, nil, err
+	}
+	return confstore.NewClient(client, name), client.Close, nil
+}
+
+// Status reads the status of an entry daemon.
+func (f *Fleet) Status(e Member) (s entry.Status, err error) {
+	return s, f.get(Member{Address: e.Operator}, "/v1/status", &s)
+}
+
+// SetListed replaces the state of a backend server in the VM list.
+func (f *Fleet) SetListed(b Member, state vmlist.State) error {
+	for i := range f.vms {
+		if f.vms[i].ID == b.Name {
+			f.vms[i].State = state
+		}
+	}
+	return f.put("http://"+f.Store.Address+vmlist.Path, f.vms)
+}
+
+// FrozenList serves the first VM list that it reads from the endpoint, as a list that lags.
+type FrozenList struct{ server *httptest.Server }
+
+// Start starts the server and returns its endpoint.
+func (l *FrozenList) Start(endpoint string) string {
+	resp, err := http.Get(endpoint + vmlist.Path)
+	if err != nil {
+		return endpoint
+	}
+	defer resp.Body.Close()
+	var body bytes.Buffer
+	if _, err := body.ReadFrom(resp.Body); err != nil {
+		return endpoint
+	}
+	l.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(body.Bytes())
+	}))
+	return l.server.URL
+}
+
+// Close stops the server.
+func (l *FrozenList) Close() { l.server.Close() }
+
+// Crashed counts the backend servers that have ended.
+func (f *Fleet) Crashed() int {
+	return len(slices.DeleteFunc(slices.Clone(f.Backends), func(b Member) bool { return !b.Exited() }))
+}
+
+// Pause stops a process with SIGSTOP and waits until it stands still.
+func (p *Process) Pause(timeout time.Duration) error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return Until(timeout, p.Paused)
+}
+
+// Continue ends a pause.
+func (p *Process) Continue() error { return p.Signal(syscall.SIGCONT) }
+
+// Executions counts the executions of each key on the backend servers that still run.
+func (f *Fleet) Executions() (map[string]int, error) {
+	counts := make(map[string]int)
+	for _, b := range f.Backends {
+		if b.Exited() {
+			continue
+		}
+		var executed []standin.Execution
+		if err := f.get(b, standin.PathExecuted, &executed); err != nil {
+			return nil, err
+		}
+		for _, e := range executed {
+			counts[e.Key]++
+		}
+	}
+	return counts, nil
+}
+
+// Counters reads the counters of a stand-in backend server.
+func (f *Fleet) Counters(b Member) (c standin.Counters, err error) {
+	return c, f.get(b, standin.PathCounters, &c)
+}
+
+// Control changes a stand-in backend server.
+func (f *Fleet) Control(b Member, c standin.Control) error {
+	return f.put("http://"+b.Address+standin.PathControl, c)
+}
+
+// Busy returns the number of sub-requests that a stand-in backend server is executing.
+func (f *Fleet) Busy(b Member) (int, error) {
+	var load backend.Load
+	err := f.get(b, backend.PathLoad, &load)
+	return load.Busy, err
+}
+
+func (f *Fleet) get(m Member, path string, out any) error {
+	resp, err := f.http.Get("http://" + m.Address + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// SetStoreFaults injects faults into the stand-in store.
+func (f *Fleet) SetStoreFaults(faults store.FaultsBody) error {
+	return f.put("http://"+f.Store.Address+store.PathFaults, faults)
+}
+
+func (f *Fleet) put(url string, in any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return eris.Errorf("%s answered %d", url, resp.StatusCode)
+	}
+	return nil
+}
--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -54,6 +55,11 @@
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		return nil, eris.Wrap(err, "settings")
 	}
+	return StartFile(binary, file, name)
+}
+
+// StartFile starts a binary with a settings file.
+func StartFile(binary, file, name string) (*Process, error) {
 	p := &Process{cmd: exec.Command(binary, "--settings", file), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	if err := p.cmd.Start(); err != nil {
@@ -125,11 +131,13 @@
 	return p.log.String()
 }
 
-// FreeAddresses returns n addresses of loopback ports that are free at the time of the call.
+// FreeAddresses returns n addresses of the loopback range that are free. Each call draws its own IP address: on
+// 127.0.0.1, an outgoing connection or another fleet could take a port before the process that it is meant for.
 func FreeAddresses(n int) ([]string, error) {
+	ip := net.IPv4(127, byte(1+rand.IntN(254)), byte(rand.IntN(256)), byte(1+rand.IntN(254)))
 	var addresses []string
 	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 		if err != nil {
 			return nil, eris.Wrap(err, "free port")
 		}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -33,12 +33,14 @@
 
 	mu         sync.Mutex
 	state      backend.State
+	reported   backend.State
 	busy       int
 	queued     int
 	held       []Held
 	faults     []Fault
 	executions []Execution
 	sent       []Sent
+	received   int64
 	drainedAt  time.Time
 	lastWork   time.Duration
 }
@@ -93,6 +95,9 @@
 		Replica: s.set.Replica, Service: s.set.Service, Incarnation: s.incarnation, State: s.state,
 		Slots: s.set.Slots, Busy: s.busy, Queued: s.queued, Connections: s.set.Connections,
 	}
+	if s.reported != "" {
+		load.State = s.reported
+	}
 	for _, h := range s.held {
 		load.Holdings = append(load.Holdings, snapshot.Holding{Version: h.Version(), Shard: h.Shard})
 	}
@@ -125,6 +130,7 @@
 // admit waits for a slot. It reports a refusal reason, or "" with a release function.
 func (s *Server) admit(ctx context.Context) (func(), backend.RefusalReason) {
 	s.mu.Lock()
+	s.received++
 	if s.state == backend.StateDraining {
 		s.lastWork = time.Since(s.drainedAt)
 		s.mu.Unlock()
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -41,6 +41,9 @@
 	Faults []Fault `json:"faults,omitempty"`
 	// Drain makes the replica refuse new work.
 	Drain bool `json:"drain,omitempty"`
+	// ReportState is the state that the load endpoint reports from now on, whatever the replica does, as an endpoint
+	// whose information is out of date.
+	ReportState backend.State `json:"report_state,omitempty"`
 }
 
 // Execution is one execution of a non-idempotent request.
@@ -62,6 +65,8 @@
 type Counters struct {
 	Executed int `json:"executed"`
 	Sent     int `json:"sent"`
+	// Received counts the sub-requests that arrived, refused ones included.
+	Received int64 `json:"received"`
 	// LastWorkAfterDrainMS is the time between the start of draining and the latest sub-request after it, in
 	// milliseconds; 0 if there was none.
 	LastWorkAfterDrainMS int64 `json:"last_work_after_drain_ms"`
@@ -77,6 +82,9 @@
 	if c.Faults != nil {
 		s.faults = c.Faults
 	}
+	if c.ReportState != "" {
+		s.reported = c.ReportState
+	}
 	if c.Drain && s.state != backend.StateDraining {
 		s.state, s.drainedAt = backend.StateDraining, time.Now()
 	}
@@ -132,7 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Counters{
-		Executed: len(s.executions), Sent: len(s.sent), LastWorkAfterDrainMS: s.lastWork.Milliseconds(),
+		Executed: len(s.executions), Sent: len(s.sent), Received: s.received, LastWorkAfterDrainMS: s.lastWork.Milliseconds(),
 	}
 }
 
