--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -41,8 +41,10 @@
 		d.log.Warn("VM list not available", zap.Error(err))
 		return
 	}
-	d.registry.SetList(vms)
 	d.peers.setList(vms)
+	for _, m := range d.registry.SetList(vms) {
+		d.peers.raise(m.Replica, m.Incarnation, signal.Leaving)
+	}
 }
 
 func (d *Daemon) pollLoads(ctx context.Context) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -121,11 +121,19 @@
 	}
 }
 
+// Mark names the incarnation of a replica that is leaving.
+type Mark struct {
+	Replica     string
+	Incarnation int64
+}
+
 // SetList takes the platform's list: new replicas are added, and replicas that are no longer listed are removed
-// unless they still answer. A leaving VM marks the replica's present incarnation.
-func (g *Registry) SetList(vms []vmlist.VM) {
+// unless they still answer. A VM that the list calls leaving for the first time marks the replica's present
+// incarnation; these marks are returned, so that the other daemons can be told.
+func (g *Registry) SetList(vms []vmlist.VM) []Mark {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var marks []Mark
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		if vm.Role != vmlist.RoleBackend {
@@ -138,7 +146,9 @@
 			g.replicas[vm.ID] = r
 			g.holders = nil
 		}
-		r.setListed(vm.State)
+		if r.setListed(vm.State) {
+			marks = append(marks, Mark{Replica: r.ID, Incarnation: r.Load.Incarnation})
+		}
 	}
 	for id, r := range g.replicas {
 		if !listed[id] && r.Failures > 0 {
@@ -146,6 +156,7 @@
 			g.holders = nil
 		}
 	}
+	return marks
 }
 
 func (g *Registry) newReplica(vm vmlist.VM) *Replica {
@@ -158,16 +169,20 @@
 }
 
 // setListed takes the state in the platform's list. Only the change to leaving marks the incarnation: the list lags,
-// and a mark from each reading would also mark the next incarnation.
-func (r *Replica) setListed(state vmlist.State) {
-	if state == vmlist.StateLeaving && r.listed != vmlist.StateLeaving {
-		r.Leaving = max(r.Leaving, r.Load.Incarnation)
-		r.listUnsure = r.Load.Incarnation == 0
-	}
+// and a mark from each reading would also mark the next incarnation. It reports whether it marked a known incarnation.
+func (r *Replica) setListed(state vmlist.State) bool {
+	changed := r.listed != state
+	r.listed = state
 	if state != vmlist.StateLeaving {
 		r.listUnsure = false
+		return false
 	}
-	r.listed = state
+	if !changed {
+		return false
+	}
+	r.Leaving = max(r.Leaving, r.Load.Incarnation)
+	r.listUnsure = r.Load.Incarnation == 0
+	return !r.listUnsure
 }
 
 // SetLoad takes an answer of the load endpoint. An answer of an older incarnation is ignored. A new incarnation
