--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -40,6 +40,8 @@
 	total    *limit.Admission
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// polled is set once the load endpoints were read with a share of the connections.
+	polled atomic.Bool
 
 	mu         sync.Mutex
 	clients    map[string]*backend.Client
@@ -79,13 +81,14 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { d.peers.run(ctx) })
 	wg.Go(func() { d.pollReplicas(ctx) })
+	wg.Go(func() { d.chooseSnapshots(ctx) })
 	wg.Wait()
 }
 
-// Ready reports whether the daemon takes requests: it has a configuration and a share of the connections, and it
-// does not drain.
+// Ready reports whether the daemon takes requests: it has a configuration and a share of the connections, it has
+// read the load endpoints, and it does not drain.
 func (d *Daemon) Ready() bool {
-	return !d.draining.Load() && d.peers.active() && d.peers.runner.Status().Ready
+	return !d.draining.Load() && d.polled.Load() && d.peers.active() && d.peers.runner.Status().Ready
 }
 
 // StartDraining makes the daemon report that it is not ready. Requests are still served.
--- a/entry/order.go
+++ b/entry/order.go
@@ -19,8 +19,13 @@
 // hardly answer it, and its outcome would be unknown.
 const minDispatchTime = 5 * time.Millisecond
 
-// maxOrderAttempts bounds the replicas that are tried, so that load that one replica sheds is not offered to all.
-const maxOrderAttempts = 3
+const (
+	// maxOrderSheds bounds the replicas that shed an order, so that load that one replica sheds is not offered to all.
+	maxOrderSheds = 3
+	// maxOrderAttempts bounds the replicas that are tried. It is larger, because during a mass restart many replicas
+	// refuse while they drain, which costs them nothing.
+	maxOrderAttempts = 16
+)
 
 // releaseTimeout bounds the release of a claim, which continues when the caller is gone.
 const releaseTimeout = 2 * time.Second
@@ -107,6 +112,7 @@
 func (o *orderPath) dispatch(caller, ctx context.Context, sub backend.Sub, sender scatter.Sender) (backend.SubAnswer, error) {
 	var tried []string
 	var last error
+	sheds := 0
 	for {
 		if err := caller.Err(); err != nil && len(tried) == 0 {
 			return backend.SubAnswer{}, api.Wrap(api.StoreUnavailable, err, "the request ended during its claim and was not dispatched")
@@ -115,7 +121,7 @@
 			return backend.SubAnswer{}, api.Wrap(api.BackendRefused, lastOr(last, context.DeadlineExceeded),
 				"no time is left; no backend server executed the request")
 		}
-		if len(tried) == maxOrderAttempts {
+		if sheds == maxOrderSheds || len(tried) == maxOrderAttempts {
 			return backend.SubAnswer{}, api.Wrap(api.BackendRefused, last, "no backend server accepted the request")
 		}
 		target, ok := o.picker.Pick(sub.Service, snapshot.Version{}, "", tried)
@@ -133,10 +139,19 @@
 		if mayHaveRun(err) {
 			return backend.SubAnswer{}, api.Wrap(api.OutcomeUnknown, err, "the request was dispatched and its outcome is not known")
 		}
+		if isShed(err) {
+			sheds++
+		}
 		last = err
 	}
 }
 
+// isShed reports whether the replica refused because of its load.
+func isShed(err error) bool {
+	var e *backend.Error
+	return errors.As(err, &e) && e.Refusal.Reason == backend.RefusedShedding
+}
+
 var errNoReplica = errors.New("no replica accepts work")
 
 func lastOr(err, other error) error {
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -19,6 +19,9 @@
 const (
 	// loadTimeout bounds one call of a load endpoint.
 	loadTimeout = time.Second
+	// catalogueInterval is the interval at which the snapshots in use are chosen. A catalogue counts its updates before
+	// it returns to a snapshot that it left.
+	catalogueInterval = 500 * time.Millisecond
 	// warmConnections is the number of idle connections kept to each replica, within the daemon's share.
 	warmConnections = 2
 )
@@ -47,14 +50,38 @@
 	}
 }
 
+// pollLoads reads every load endpoint once. The daemon is not ready before a round that began with a share of the
+// connections, because until then it knows no snapshot.
 func (d *Daemon) pollLoads(ctx context.Context) {
+	active := d.peers.active()
 	var wg sync.WaitGroup
-	services := make(map[string]bool)
 	for _, r := range d.registry.All() {
-		services[r.Service] = true
 		wg.Go(func() { d.pollLoad(ctx, r) })
 	}
 	wg.Wait()
+	if active && !d.polled.Load() {
+		d.updateCatalogues()
+		d.polled.Store(true)
+	}
+}
+
+// chooseSnapshots keeps the snapshots in use up to date between the rounds of polls, which a replica that does not
+// answer can delay.
+func (d *Daemon) chooseSnapshots(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.updateCatalogues()
+		select {
+		case <-ctx.Done():
+		case <-time.After(catalogueInterval):
+		}
+	}
+}
+
+func (d *Daemon) updateCatalogues() {
+	services := make(map[string]bool)
+	for _, r := range d.registry.All() {
+		services[r.Service] = true
+	}
 	for service := range services {
 		d.updateCatalogue(service)
 	}
--- a/entry/search.go
+++ b/entry/search.go
@@ -138,8 +138,7 @@
 	if err != nil && !mayHaveRun(err) {
 		a.unrefused.Add(-1)
 	}
-	var failed *backend.Error
-	if errors.As(err, &failed) && failed.Refusal.Reason == backend.RefusedShedding {
+	if isShed(err) {
 		a.sheds.Add(1)
 	}
 	return answer, err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -63,7 +63,8 @@
 	// Peer is the address for other entry daemons, TCP and UDP.
 	Peer  string `yaml:"peer"`
 	Store Store  `yaml:"store"`
-	// Poll is the interval of the VM list and of load endpoints.
+	// Poll is the interval of the VM list and of load endpoints. Over 135 replicas an interval of 500 ms cost a daemon
+	// about 4% of a core, more than control may use.
 	Poll strictyaml.Duration `yaml:"poll"`
 	// BalancerLag is how long the balancer may send new connections after the daemon turned not ready.
 	BalancerLag strictyaml.Duration `yaml:"balancer_lag"`
@@ -88,7 +89,7 @@
 // DefaultEntry returns the settings that apply where a file states none.
 func DefaultEntry() Entry {
 	return Entry{
-		Poll:                  strictyaml.Duration(500 * time.Millisecond),
+		Poll:                  strictyaml.Duration(time.Second),
 		BalancerLag:           strictyaml.Duration(2 * time.Second),
 		LogLevel:              "info",
 		MaxBody:               64 << 10,
