--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -41,6 +41,7 @@
 	executions []Execution
 	sent       []Sent
 	received   int64
+	ran        int64
 	drainedAt  time.Time
 	lastWork   time.Duration
 }
@@ -238,6 +239,9 @@
 		return
 	}
 	defer release()
+	s.mu.Lock()
+	s.ran++
+	s.mu.Unlock()
 	if strings.Contains(string(query), CrashQuery) {
 		s.crash()
 	}
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -67,6 +67,8 @@
 	Sent     int `json:"sent"`
 	// Received counts the sub-requests that arrived, refused ones included.
 	Received int64 `json:"received"`
+	// Ran counts the sub-requests that were executed, whatever became of the answer.
+	Ran int64 `json:"ran"`
 	// LastWorkAfterDrainMS is the time between the start of draining and the latest sub-request after it, in
 	// milliseconds; 0 if there was none.
 	LastWorkAfterDrainMS int64 `json:"last_work_after_drain_ms"`
@@ -140,7 +142,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Counters{
-		Executed: len(s.executions), Sent: len(s.sent), Received: s.received, LastWorkAfterDrainMS: s.lastWork.Milliseconds(),
+		Executed: len(s.executions), Sent: len(s.sent), Received: s.received, Ran: s.ran,
+		LastWorkAfterDrainMS: s.lastWork.Milliseconds(),
 	}
 }
 
