--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -41,6 +41,7 @@
 	executions []Execution
 	sent       []Sent
 	received   int64
+	ran        int64
 	drainedAt  time.Time
 	lastWork   time.Duration
 	// workAfterDrain counts arrivals by seconds after drainedAt.
@@ -246,6 +247,9 @@
 	}
 	release = sync.OnceFunc(release)
 	defer release()
+	s.mu.Lock()
+	s.ran++
+	s.mu.Unlock()
 	if strings.Contains(string(query), CrashQuery) {
 		s.crash()
 	}
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -71,6 +71,8 @@
 	Sent     int `json:"sent"`
 	// Received counts the sub-requests that arrived, refused ones included.
 	Received int64 `json:"received"`
+	// Ran counts the sub-requests that were executed, whatever became of the answer.
+	Ran int64 `json:"ran"`
 	// LastWorkAfterDrainMS is the time between the start of draining and the latest sub-request after it, in
 	// milliseconds; 0 if there was none.
 	LastWorkAfterDrainMS int64 `json:"last_work_after_drain_ms"`
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -194,7 +194,11 @@
 		return nil
 	}
 	var out outbox
-	for _, m := range n.randomLive(pushFanout, nil) {
+	targets := n.live
+	if len(targets) > pushFanout {
+		targets = n.randomLive(pushFanout, nil)
+	}
+	for _, m := range targets {
 		if n.tokens <= 2*MaxDatagram {
 			break
 		}
--- a/share/counted.go
+++ b/share/counted.go
@@ -70,9 +70,17 @@
 	return fits
 }
 
-// Active reports whether the join delay has passed. Before that the daemon's share is 0.
+// leastStale keeps short join delays, as tests use them, from stopping the use of a share between two updates.
+const leastStale = time.Second
+
+// stale is how long after its last update a daemon still uses its share. A daemon that was paused may not have seen
+// another one join, which uses its share a join delay after its start; a third of the join delay leaves the rest for
+// the lag of the lists.
+func (c *Counted) stale() time.Duration { return max(c.joinDelay/3, leastStale) }
+
+// Active reports whether the daemon may use its share: the join delay has passed, and the last update is recent.
 func (c *Counted) Active(now time.Time) bool {
-	return !c.joined.IsZero() && now.Sub(c.joined) >= c.joinDelay && now.Sub(c.updated) < c.hold
+	return !c.joined.IsZero() && now.Sub(c.joined) >= c.joinDelay && now.Sub(c.updated) < c.stale()
 }
 
 // Members returns the counted members, self included, sorted.
