One place fixes the seeds of the stateful tests

Change: internal/testseed serves all of them; a failing scenario prints its seed and writes no file. Conclusion: no test changed what it checks.

--- a/confstore/main_test.go
+++ b/confstore/main_test.go
@@ -2,25 +2,15 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/kv/kvtest"
 )
 
-// TestMain fixes the seed of rapid unless RAPID_FRESH is set.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.nofailfile", "true")
-	if os.Getenv("RAPID_FRESH") == "" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "50")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Main(m, 50) }
 
 // testClient returns a client that does not wait between attempts.
 func testClient(store *kvtest.Memory, author string) *Client {
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -1,8 +1,6 @@
 package hedge_test
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -10,17 +8,11 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/hedge"
 )
 
-// TestMain fixes the seed of rapid, unless RAPID_FRESH asks for a new one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("RAPID_FRESH") == "" {
-		_ = flag.Set("rapid.seed", "20250303")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Main(m, 100) }
 
 // Guards against a hedge delay off the quantile: at most one bucket (5%) above the exact value, and not below it.
 func TestQuantileIsWithinOneBucket(t *testing.T) {
--- a/membership/main_test.go
+++ b/membership/main_test.go
@@ -1,17 +1,9 @@
 package membership_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/chivemill/chivemill/internal/testseed"
 )
 
-// TestMain fixes the seed of the rapid tests unless fresh seeds are asked for.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("RAPID_FRESH") == "" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "60")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Main(m, 60) }
