--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -8,8 +8,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/hedge"
+	"github.com/chivemill/chivemill/internal/testseed"
 )
 
 func TestMain(m *testing.M) { testseed.Main(m, 100) }
