--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,7 +32,7 @@
 // startTimeout bounds the start of a fleet; a busy machine starts processes slowly.
 const startTimeout = 20 * time.Second
 
-// ProfileDocument is the profile that the services run under.
+// ProfileDocument is the profile that the services run under, with a deadline of 1 s.
 const ProfileDocument = `name: test
 deadline: 1s
 partial: return
@@ -50,6 +51,8 @@
 	// EntryStore replaces the store endpoint of the first entry daemon if it is not empty.
 	EntryStore func(endpoint string) string
 	DrainFor   time.Duration
+	// Deadline replaces the profile's deadline if it is not 0.
+	Deadline time.Duration
 	// NoBalancerLag makes the entry daemons stop accepting requests at once after a stop signal.
 	NoBalancerLag bool
 }
@@ -170,7 +173,11 @@
 	if err != nil {
 		return eris.Wrap(err, f.Store.Log())
 	}
-	if _, err := conf.Apply(ctx, "test", ProfileDocument, 0); err != nil {
+	document := ProfileDocument
+	if f.opt.Deadline > 0 {
+		document = strings.Replace(document, "deadline: 1s", "deadline: "+f.opt.Deadline.String(), 1)
+	}
+	if _, err := conf.Apply(ctx, "test", document, 0); err != nil {
 		return err
 	}
 	for _, service := range []string{SearchService, OrderService} {
