Shard maps of replicas that disagree, at the entry daemon

Five stand-ins, one of which holds other contents under the same version, are polled through pollLoad in order, and the odd one takes each place once.

--- a/entry/search_run_test.go
+++ b/entry/search_run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chivemill/chivemill/api"
+	client "github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/internal/standin/backend"
 	"github.com/chivemill/chivemill/internal/standin/memfleet"
 	"github.com/chivemill/chivemill/internal/testseed"
@@ -179,3 +181,35 @@
 		must.Positive(t, kinds[kind], must.Sprint(kind))
 	}
 }
+
+// Guards against a shard map that is taken from the first replica that answers: one of five replicas holds other
+// contents under the same map version, and the daemon has to bind queries to the contents of the majority.
+func TestMapIsCollectedFromEachReplica(t *testing.T) {
+	for odd := range 5 {
+		d := searchDaemon(t, nil)
+		d.clients, d.set.ConnectionsPerReplica = make(map[string]*client.Client), 10
+		var vms []vmlist.VM
+		for i := range 5 {
+			set := backend.Default()
+			set.Replica, set.Service, set.Shards, set.Shard = fmt.Sprint("r", i), "shop", searchShards, i%searchShards
+			if i == odd {
+				set.Shards = searchShards + 1
+			}
+			server := httptest.NewServer(backend.NewServer(set, 1, func() {}).Handler())
+			defer server.Close()
+			address := server.Listener.Addr().String()
+			vms = append(vms, vmlist.VM{ID: set.Replica, Role: vmlist.RoleBackend, Service: "shop", Address: address, State: vmlist.StateLive})
+		}
+		d.registry.SetList(vms)
+		for _, vm := range vms {
+			d.pollLoad(t.Context(), replica.Replica{ID: vm.ID, Service: vm.Service, Address: vm.Address})
+		}
+		d.updateCatalogue("shop")
+		_, bound, err := d.bind(api.Query{Service: "shop"}, activeProfile{})
+		must.NoError(t, err, must.Sprint("odd replica ", odd))
+		must.SliceLen(t, searchShards, bound.Shards, must.Sprint("odd replica ", odd))
+		for _, c := range d.clients {
+			c.Close()
+		}
+	}
+}
