Profile field partial_after

Cause: a query under partial: return waited for its slowest shard until the deadline, although its least coverage was reached long before.

The decision is the scatter machine's.

--- a/cmd/chivemill-bench/main.go
+++ b/cmd/chivemill-bench/main.go
@@ -29,6 +29,8 @@
 			&cli.IntFlag{Name: "workers", Value: 4, Usage: "runs at the same time"},
 			&cli.StringFlag{Name: "cases", Usage: "comma-separated case names; empty runs all"},
 			&cli.StringFlag{Name: "profile", Usage: "write a CPU profile to this file"},
+			&cli.DurationFlag{Name: "partial-after", Usage: "replace the partial_after of profiles that return partial answers; 0s turns it off"},
+			&cli.FloatFlag{Name: "least-coverage", Usage: "replace the least_coverage of the same profiles, from 0 to 1"},
 			&cli.StringFlag{Name: "deployments", Usage: "comma-separated deployment names; empty runs all"},
 		},
 		Action: run,
@@ -55,6 +57,12 @@
 func run(_ context.Context, cmd *cli.Command) error {
 	var jobs []bench.Job
 	for _, dep := range []bench.Deployment{bench.Gravura(), bench.Tutkal()} {
+		if cmd.IsSet("partial-after") {
+			dep.SetPartialAfter(cmd.Duration("partial-after"))
+		}
+		if cmd.IsSet("least-coverage") {
+			dep.SetLeastCoverage(cmd.Float("least-coverage"))
+		}
 		for _, c := range bench.Cases() {
 			if !selected(cmd.String("deployments"), dep.Name) || !selected(cmd.String("cases"), c.Name) {
 				continue
--- a/entry/search.go
+++ b/entry/search.go
@@ -53,7 +53,8 @@
 	plan := scatter.Plan{
 		Service: q.Service, Request: id, Query: q.Query, Version: version, Map: shardMap,
 		HedgeDelay: policy.hedgeDelay(p, begin), MaxAttempts: p.Retry.MaxAttempts,
-		Wait:   p.Partial != profile.PartialReturn,
+		Wait:         p.Partial != profile.PartialReturn,
+		PartialAfter: p.AnswerAfter(), PartialLeast: p.LeastCoverage,
 		Hedges: budget.Hedges(), Retries: budget.Retries(),
 	}
 	attempts := &attemptLog{next: run.Watch(d)}
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -35,12 +35,32 @@
 	Deadline      time.Duration
 	LeastCoverage float64
 	Wait          bool
+	PartialAfter  time.Duration
 	Quantile      float64
 	HedgeBudget   float64
 	RetryBudget   float64
 	MaxAttempts   int
 }
 
+// SetPartialAfter replaces the time after which a partial answer is returned, where the profile returns partial
+// answers; 0 turns it off.
+func (d Deployment) SetPartialAfter(after time.Duration) {
+	for i := range d.Services {
+		if !d.Services[i].Profile.Wait {
+			d.Services[i].Profile.PartialAfter = after
+		}
+	}
+}
+
+// SetLeastCoverage replaces the least coverage, from 0 to 1, where the profile returns partial answers.
+func (d Deployment) SetLeastCoverage(least float64) {
+	for i := range d.Services {
+		if !d.Services[i].Profile.Wait {
+			d.Services[i].Profile.LeastCoverage = least
+		}
+	}
+}
+
 const replicasPerShard = 3
 
 // Service times: log-normal around the median, and a tail of rare requests that take tailFactor times as long.
@@ -68,7 +88,7 @@
 func Gravura() Deployment {
 	p := Profile{
 		Deadline: 300 * time.Millisecond, LeastCoverage: 0.7, Quantile: 0.97,
-		HedgeBudget: 0.03, RetryBudget: 0.015, MaxAttempts: 3,
+		PartialAfter: 65 * time.Millisecond, HedgeBudget: 0.03, RetryBudget: 0.015, MaxAttempts: 3,
 	}
 	return Deployment{
 		Name: "gravura", DataCentres: []string{"braga-a", "coimbra-a", "lisboa-a"},
--- a/internal/bench/query.go
+++ b/internal/bench/query.go
@@ -9,6 +9,7 @@
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/limit"
 	"github.com/chivemill/chivemill/scatter"
+	"github.com/chivemill/chivemill/snapshot"
 )
 
 // lost is the cause that a machine gives to Done for an attempt that another one beat.
@@ -82,6 +83,8 @@
 	q.plan = st.plan
 	if q.shards > 0 {
 		q.plan.Map.Shards = q.plan.Map.Shards[:q.shards]
+		// The machine counts coverage in the whole key space, of which these shards are a part.
+		q.plan.PartialLeast *= float64(q.plan.Map.Shards[q.shards-1].High) / float64(snapshot.KeySpace)
 	}
 	if b := st.budget(q.profile, q.w.strategy); b != nil {
 		q.plan.Hedges, q.plan.Retries = b.Hedges(), b.Retries()
--- a/internal/bench/strategy.go
+++ b/internal/bench/strategy.go
@@ -12,8 +12,8 @@
 type Strategy struct {
 	Name    string
 	Replica replica.Policy
-	// Hedges, Budgets, Shares, Wait and Admission turn on the parts of that name.
-	Hedges, Budgets, Shares, Wait, Admission bool
+	// Hedges, Budgets, Shares, Wait, Partial and Admission turn on the parts of that name.
+	Hedges, Budgets, Shares, Wait, Partial, Admission bool
 	// Attempts overrides the profile's number of attempts; 0 keeps it.
 	Attempts int
 	// WarmConnections is the number of idle connections that a daemon keeps to each replica, within its share.
@@ -31,7 +31,7 @@
 func Default() Strategy {
 	return Strategy{
 		Name: "policy", Replica: replica.DefaultPolicy(),
-		Hedges: true, Budgets: true, Shares: true, Wait: true, Admission: true,
+		Hedges: true, Budgets: true, Shares: true, Wait: true, Partial: true, Admission: true,
 		WarmConnections: 2,
 	}
 }
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -145,9 +145,12 @@
 		admission: limit.NewAdmission(admissionStart, admissionCeiling),
 		plan: scatter.Plan{
 			Service: svc.Name, Version: benchVersion, Map: svc.shardMap(), MaxAttempts: p.MaxAttempts,
-			Wait: p.Wait && strategy.Wait, Hedges: unlimited{}, Retries: unlimited{},
+			Wait: p.Wait && strategy.Wait, PartialLeast: p.LeastCoverage, Hedges: unlimited{}, Retries: unlimited{},
 		},
 	}
+	if strategy.Partial {
+		st.plan.PartialAfter = p.PartialAfter
+	}
 	if strategy.Attempts > 0 {
 		st.plan.MaxAttempts = strategy.Attempts
 	}
--- a/profile/profile.go
+++ b/profile/profile.go
@@ -59,13 +59,24 @@
 	Partial  PartialPolicy       `yaml:"partial" json:"partial"`
 	// LeastCoverage is the least fraction of the key space in an answer, from 0 to 1.
 	LeastCoverage float64 `yaml:"least_coverage" json:"least_coverage"`
-	Hedge         Hedge   `yaml:"hedge" json:"hedge"`
-	Retry         Retry   `yaml:"retry" json:"retry"`
+	// PartialAfter is the time after which a query that has reached the least coverage is answered without its
+	// last shards; nil waits for them until the deadline.
+	PartialAfter *strictyaml.Duration `yaml:"partial_after,omitempty" json:"partial_after,omitempty"`
+	Hedge        Hedge                `yaml:"hedge" json:"hedge"`
+	Retry        Retry                `yaml:"retry" json:"retry"`
 	// Share is the weight of the profile in admission, from 1 to 1000.
 	Share    int          `yaml:"share" json:"share"`
 	Snapshot SnapshotRule `yaml:"snapshot" json:"snapshot"`
 }
 
+// AnswerAfter returns the time after which a partial answer with the least coverage is returned, or 0 for none.
+func (p Profile) AnswerAfter() time.Duration {
+	if p.PartialAfter == nil {
+		return 0
+	}
+	return p.PartialAfter.D()
+}
+
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 // MaxDocumentBytes is the largest accepted document.
@@ -133,10 +144,24 @@
 	if p.Share < 1 || p.Share > maxShare {
 		doc.Problemf("share", "%d is outside 1 to %d", p.Share, maxShare)
 	}
+	checkPartialAfter(doc, p)
 	checkEnums(doc, p)
 	checkContradictions(doc, p)
 }
 
+func checkPartialAfter(doc *strictyaml.Document, p Profile) {
+	if p.PartialAfter == nil {
+		return
+	}
+	after := p.PartialAfter.D()
+	if after <= 0 || after >= p.Deadline.D() {
+		doc.Problemf("partial_after", "%s is not above 0s and below the deadline of %s", after, p.Deadline.D())
+	}
+	if p.Partial == PartialWait || p.Partial == PartialRefuse {
+		doc.Problemf("partial_after", "%s contradicts partial: %s, which needs the whole deadline", after, p.Partial)
+	}
+}
+
 func checkRange(doc *strictyaml.Document, field string, v, low, high float64) {
 	if !(v >= low && v <= high) {
 		doc.Problemf(field, "%g is outside %g to %g", v, low, high)
--- a/profile/profile_test.go
+++ b/profile/profile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -34,6 +35,15 @@
 			"p.yaml:2: hedge: \"maybe\" is not true or false\np.yaml:2: hedge.bogus: unknown field"},
 		"delay past deadline": {"name: a\ndeadline: 10ms\nhedge: {min_delay: 10ms}\n",
 			"p.yaml:3: hedge.min_delay: 10ms is not between 0s and the deadline of 10ms"},
+		"partial after zero":     {"name: a\npartial_after: 0s\n", "p.yaml:2: partial_after: 0s is not above 0s and below the deadline of 1s"},
+		"partial after negative": {"name: a\npartial_after: -1ms\n", "p.yaml:2: partial_after: -1ms is not above 0s and below the deadline of 1s"},
+		"partial after deadline": {"name: a\ndeadline: 80ms\npartial_after: 80ms\n",
+			"p.yaml:3: partial_after: 80ms is not above 0s and below the deadline of 80ms"},
+		"partial after, no unit": {"name: a\npartial_after: 80\n", `p.yaml:2: partial_after: "80" is not a duration with a unit, such as 250ms`},
+		"partial after, waits": {"name: a\npartial: wait\npartial_after: 80ms\n",
+			"p.yaml:3: partial_after: 80ms contradicts partial: wait, which needs the whole deadline"},
+		"partial after, refuses": {"name: a\npartial: refuse\nleast_coverage: 1\npartial_after: 80ms\n",
+			"p.yaml:4: partial_after: 80ms contradicts partial: refuse, which needs the whole deadline"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -43,6 +53,16 @@
 	}
 }
 
+// Guards against a document whose partial time is lost, and against one that is set where the document has none.
+func TestDecodePartialAfter(t *testing.T) {
+	p, err := profile.Decode("p.yaml", []byte("name: a\npartial_after: 80ms\n"))
+	must.NoError(t, err)
+	must.Eq(t, 80*time.Millisecond, p.AnswerAfter())
+	p, err = profile.Decode("p.yaml", []byte("name: a\n"))
+	must.NoError(t, err)
+	must.Zero(t, p.AnswerAfter())
+}
+
 // Guards against documents that crash the decoder, and against accepted profiles outside the documented ranges.
 func FuzzDecode(f *testing.F) {
 	for _, seed := range []string{
--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/snapshot"
 )
 
 const (
@@ -42,9 +43,13 @@
 	shards   []shardState
 	pending  int
 	hedgeAt  time.Time
-	waiting  int
-	actions  []Action
-	exclude  []string
+	// partialAt is when a partial answer is first allowed, zero for never; covered is the answered part of the key
+	// space.
+	partialAt time.Time
+	covered   uint64
+	waiting   int
+	actions   []Action
+	exclude   []string
 
 	// sent, hedges and retries count attempts; sent includes the other two.
 	sent, hedges, retries int
@@ -95,16 +100,24 @@
 	if m.plan.HedgeDelay > 0 && m.plan.MaxAttempts > 1 {
 		m.hedgeAt = now.Add(m.plan.HedgeDelay)
 	}
+	if m.plan.PartialAfter > 0 {
+		m.partialAt = now.Add(m.plan.PartialAfter)
+	}
 	return m.actions
 }
 
-// Tick handles the times that have passed: the deadline, the hedge delay and the pauses of waiting shards.
+// Tick handles the times that have passed: the deadline, the time of a partial answer, the hedge delay and the
+// pauses of waiting shards.
 func (m *Machine) Tick(now time.Time) []Action {
 	m.actions = m.actions[:0]
 	if !m.deadline.IsZero() && !now.Before(m.deadline) {
 		m.finish(now, context.DeadlineExceeded)
 		return m.actions
 	}
+	if m.partialDue(now) {
+		m.finish(now, context.Canceled)
+		return m.actions
+	}
 	if !m.hedgeAt.IsZero() && !now.Before(m.hedgeAt) {
 		m.hedge(now)
 	}
@@ -132,7 +145,11 @@
 	m.close(s, number, err, now)
 	if err == nil {
 		s.answered = true
+		m.covered += width(m.plan.Map.Shards[shard])
 		m.complete(shard, now, context.Canceled)
+		if m.partialDue(now) {
+			m.finish(now, context.Canceled)
+		}
 		return m.actions, true
 	}
 	s.reason = Reason(err)
@@ -149,6 +166,10 @@
 	}
 	at = m.deadline
 	at = earlier(at, m.hedgeAt)
+	if m.isCovered() {
+		// Without enough coverage the next answer decides, not the time.
+		at = earlier(at, m.partialAt)
+	}
 	if m.waiting > 0 {
 		for i := range m.shards {
 			if m.shards[i].waiting {
@@ -170,6 +191,19 @@
 // Counts returns the numbers of sub-requests; sent includes hedges and retries.
 func (m *Machine) Counts() (sent, hedges, retries int) { return m.sent, m.hedges, m.retries }
 
+func width(s snapshot.Shard) uint64 { return s.High - s.Low }
+
+// partialDue reports whether the query may end with the answers that it has.
+func (m *Machine) partialDue(now time.Time) bool {
+	return !m.partialAt.IsZero() && !now.Before(m.partialAt) && m.isCovered()
+}
+
+// isCovered reports whether the answered shards reach the plan's least fraction. It computes the fraction as the
+// coverage does, so that an answer is never below it through rounding.
+func (m *Machine) isCovered() bool {
+	return float64(m.covered)/float64(snapshot.KeySpace) >= m.plan.PartialLeast
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
 		return b
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -49,7 +49,12 @@
 	MaxAttempts int
 	// Wait keeps a shard without a usable replica or budget open until the deadline instead of giving it up.
 	// MaxAttempts and the budgets still hold.
-	Wait    bool
+	Wait bool
+	// PartialAfter is the time after the start from which the query ends as soon as the answered shards cover
+	// PartialLeast of the key space, a fraction from 0 to 1; 0 waits for all shards until the deadline.
+	PartialAfter time.Duration
+	PartialLeast float64
+
 	Hedges  Budget
 	Retries Budget
 }
