Cost of shedding replicas

The daemons near a shedding replica kept preferring it and used up their own budget, while the mean over all daemons was half of it.

Change: the cost is divided by the fourth power of the fraction served instead of the square.

--- a/replica/pick.go
+++ b/replica/pick.go
@@ -25,6 +25,9 @@
 	shedPause = 50 * time.Millisecond
 	// leastServed bounds the cost of a replica that sheds everything, so that it is still tried at times.
 	leastServed = 0.2
+	// shedPower is the power of the served fraction that divides the cost. With 2, the nearest replica that shed half
+	// of its requests still got so many that their retries used up the retry budget.
+	shedPower = 4
 	// assumedSlots is used while a replica has not reported its slots.
 	assumedSlots = 4
 )
@@ -176,8 +179,8 @@
 	}
 	reported := float64(r.Load.Busy+r.Load.Queued) * halved(now.Sub(r.LoadAt), g.policy.ReportHalfLife)
 	cost := own*(1+(float64(r.InFlight)+reported)/slots) + 2*float64(r.linkDelay)
-	served := max(leastServed, 1-r.shedRate)
-	return cost * float64(1+r.Failures) / (g.ramp(r, now) * served * served)
+	served := math.Pow(max(leastServed, 1-r.shedRate), shedPower)
+	return cost * float64(1+r.Failures) / (g.ramp(r, now) * served)
 }
 
 func halved(age, halfLife time.Duration) float64 {
