One shard may wait for room under a flood

Change: while other profiles have demand, a query within its profile's share is admitted with one shard without room, if the profile waits for missing shards.

--- a/entry/search.go
+++ b/entry/search.go
@@ -85,7 +85,10 @@
 	room, spare := d.registry.Room(q.Service, version, m.Shards)
 	admission := d.policyOf(q.Service).admission
 	admission.SetWeight(p.Name, float64(p.Share))
-	query := limit.Query{Profile: p.Name, Remaining: deadline.Sub(now), Room: room, Spare: spare, Least: p.LeastCoverage}
+	query := limit.Query{
+		Profile: p.Name, Remaining: deadline.Sub(now), Room: room, Spare: spare, Least: p.LeastCoverage,
+		Waits: limit.Waits(p.Partial != profile.PartialReturn, len(m.Shards)),
+	}
 	switch refusal := admission.Admit(query, now); refusal {
 	case limit.Admitted:
 		return nil
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -31,6 +31,8 @@
 	lateFraction = 0.5
 	// burstFactor times its share is what a profile with a demand within its share may use for a moment.
 	burstFactor = 3
+	// rounding is below the part of one shard and above the error of a sum of two fractions.
+	rounding = 1e-9
 	// overloadPause is the least time between two reductions: the effect of one must be seen before the next.
 	overloadPause = 100 * time.Millisecond
 )
@@ -96,10 +98,22 @@
 	// Room and Spare are the fractions of the query's shards that have room for one and for two sub-requests, and
 	// Least is the fraction that the query needs.
 	Room, Spare, Least float64
+	// Waits is the fraction of the shards that may wait for room after the start. It counts for a query within its
+	// profile's share while other profiles have demand.
+	Waits float64
+}
+
+// Waits returns the value of Query.Waits: one shard may wait for room if the profile waits for missing shards. Under a
+// flood, most queries that find no room lack it in a single shard, whose slow replicas hold all connections.
+func Waits(waits bool, shards int) float64 {
+	if !waits || shards == 0 {
+		return 0
+	}
+	return 1 / float64(shards)
 }
 
 // Admit decides on one query. After Admitted, the caller calls Finish exactly once. While other profiles have demand, a
-// query beyond its profile's share needs spare room.
+// query beyond its profile's share needs spare room, and one within it needs room in all shards but those that wait.
 func (a *Admission) Admit(q Query, now time.Time) Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -132,7 +146,11 @@
 }
 
 func (a *Admission) hasRoom(p *profileUse, q Query, guaranteed bool, now time.Time) bool {
-	if guaranteed || !a.contended(p, now) {
+	contended := a.contended(p, now)
+	switch {
+	case guaranteed && contended:
+		return q.Room+q.Waits >= q.Least-rounding
+	case !contended:
 		return q.Room >= q.Least
 	}
 	return q.Spare >= q.Least
--- a/limit/admission_test.go
+++ b/limit/admission_test.go
@@ -108,3 +108,28 @@
 	must.Eq(t, limit.RefusedNoRoom, a.Admit(last, now))
 	must.Eq(t, limit.Admitted, a.Admit(limit.Query{Profile: "main", Remaining: time.Second, Room: 1, Least: 1}, now))
 }
+
+// Guards against a flood that keeps the other profile out through one full shard, and against queries beyond their share,
+// with two full shards or of a profile that does not wait that are admitted without room.
+func TestOneShardMayWaitUnderFlood(t *testing.T) {
+	now := time.Unix(1000, 0)
+	admit := func(profile string, shards, full int, waits, flooded bool) limit.Refusal {
+		a := limit.NewAdmission(4, 4)
+		if flooded {
+			for range 4 {
+				a.Admit(limit.Query{Profile: "flood", Remaining: time.Second, Room: 1, Spare: 1, Least: 1}, now)
+			}
+		}
+		room := float64(shards-full) / float64(shards)
+		return a.Admit(limit.Query{
+			Profile: profile, Remaining: time.Second, Room: room, Spare: room, Least: 1, Waits: limit.Waits(waits, shards),
+		}, now)
+	}
+	for shards := 1; shards < 200; shards++ {
+		must.Eq(t, limit.Admitted, admit("main", shards, 1, true, true), must.Sprintf("%d shards", shards))
+	}
+	must.Eq(t, limit.RefusedNoRoom, admit("main", 10, 2, true, true))
+	must.Eq(t, limit.RefusedNoRoom, admit("main", 10, 1, false, true))
+	must.Eq(t, limit.RefusedNoRoom, admit("main", 10, 1, true, false))
+	must.Eq(t, limit.RefusedNoRoom, admit("flood", 10, 1, true, true))
+}
