--- a/entry/search.go
+++ b/entry/search.go
@@ -53,7 +53,8 @@
 	plan := scatter.Plan{
 		Service: q.Service, Request: id, Query: q.Query, Version: version, Map: shardMap,
 		HedgeDelay: policy.hedgeDelay(p, begin), MaxAttempts: p.Retry.MaxAttempts,
-		Wait:   p.Partial != profile.PartialReturn,
+		Wait:         p.Partial != profile.PartialReturn,
+		PartialAfter: p.AnswerAfter(), PartialLeast: p.LeastCoverage,
 		Hedges: budget.Hedges(), Retries: budget.Retries(),
 	}
 	attempts := &attemptLog{next: run.Watch(d)}
@@ -84,7 +85,10 @@
 	room, spare := d.registry.Room(q.Service, version, m.Shards)
 	admission := d.policyOf(q.Service).admission
 	admission.SetWeight(p.Name, float64(p.Share))
-	query := limit.Query{Profile: p.Name, Remaining: deadline.Sub(now), Room: room, Spare: spare, Least: p.LeastCoverage}
+	query := limit.Query{
+		Profile: p.Name, Remaining: deadline.Sub(now), Room: room, Spare: spare, Least: p.LeastCoverage,
+		Waits: limit.Waits(p.Partial != profile.PartialReturn, len(m.Shards)),
+	}
 	switch refusal := admission.Admit(query, now); refusal {
 	case limit.Admitted:
 		return nil
