A list that lags does not mark a replica after its restart

Cause: a list that turns to leaving only after the replica restarted marked the new incarnation for good, and the mark was pushed to all daemons. In a forced update with a list that lags longer than a restart takes, that would end the use of every replica in turn. Change: for 5 min after a known restart the list's leaving is taken to mean the incarnation before; a mark from the list ends when the list says live again. Conclusion: the other sources still stop work for a replica that leaves within those 5 min.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -29,9 +29,9 @@
 	// Failures counts failures since the last success.
 	Failures int
 
-	// listed is the state in the platform's list. listUnsure is set while the list says leaving and has done so since
-	// before the incarnation was known: the list lags, so it may speak of an earlier incarnation.
-	listed     vmlist.State
+	// listMark is the incarnation that the platform's list calls leaving, or 0. It ends when the list says live again.
+	listMark int64
+	// listUnsure is set while the list says leaving and the incarnation is not known yet.
 	listUnsure bool
 	latencyAt  time.Time
 	// rampFrom is when an incarnation above the first known one was seen.
@@ -55,7 +55,9 @@
 }
 
 // isLeaving reports whether the known incarnation is leaving. It is true until a load report gave one.
-func (r *Replica) isLeaving() bool { return r.Load.Incarnation <= r.Leaving || r.listUnsure }
+func (r *Replica) isLeaving() bool {
+	return r.Load.Incarnation <= r.Leaving || r.Load.Incarnation == r.listMark || r.listUnsure
+}
 
 // Registry holds all replicas of a daemon. It is safe for concurrent use.
 type Registry struct {
@@ -146,7 +148,7 @@
 			g.replicas[vm.ID] = r
 			g.holders = nil
 		}
-		if r.setListed(vm.State) {
+		if r.setListed(vm.State, g.clock()) {
 			marks = append(marks, Mark{Replica: r.ID, Incarnation: r.Load.Incarnation})
 		}
 	}
@@ -168,20 +170,25 @@
 	return r
 }
 
-// setListed takes the state in the platform's list. Only the change to leaving marks the incarnation: the list lags,
-// and a mark from each reading would also mark the next incarnation. It reports whether it marked a known incarnation.
-func (r *Replica) setListed(state vmlist.State) bool {
-	changed := r.listed != state
-	r.listed = state
+// listLag is the longest lag of the platform's list that is allowed for. A list that says leaving within this time
+// after a restart speaks of the incarnation before: in a forced update each replica returns before a list that lags
+// calls it leaving.
+const listLag = 5 * time.Minute
+
+// setListed takes the state in the platform's list. It reports whether it marked a known incarnation anew.
+func (r *Replica) setListed(state vmlist.State, now time.Time) bool {
 	if state != vmlist.StateLeaving {
-		r.listUnsure = false
+		r.listMark, r.listUnsure = 0, false
+		return false
+	}
+	if r.Load.Incarnation == 0 {
+		r.listUnsure = true
 		return false
 	}
-	if !changed {
+	if r.listMark == r.Load.Incarnation || !r.rampFrom.IsZero() && now.Sub(r.rampFrom) < listLag {
 		return false
 	}
-	r.Leaving = max(r.Leaving, r.Load.Incarnation)
-	r.listUnsure = r.Load.Incarnation == 0
+	r.listMark = r.Load.Incarnation
 	return !r.listUnsure
 }
 
