entry: one job a file; clients of gone replicas are closed

Change: payloads.go and shares.go are split off, plan and checkCoverage are functions of their own, and clients of unused addresses are closed at each reading of the VM list.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -17,7 +15,6 @@
 	"github.com/chivemill/chivemill/confsync"
 	"github.com/chivemill/chivemill/kv"
 	"github.com/chivemill/chivemill/membership"
-	"github.com/chivemill/chivemill/oncerun"
 	"github.com/chivemill/chivemill/peer"
 	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/relay"
@@ -93,7 +90,7 @@
 	p.crashed = func(n quarantine.Notice) { d.guard.Learn(n) }
 	direct := directSender{d}
 	p.router = relay.NewRouter(p, direct, p.client)
-	if err := p.listen(direct); err != nil {
+	if err := p.listen(); err != nil {
 		return nil, err
 	}
 	self := confsync.Member{ID: set.Node, Address: set.Peer, DataCentre: set.DataCentre}
@@ -107,7 +104,7 @@
 }
 
 // listen opens the UDP and TCP sockets of the peer address.
-func (p *peers) listen(direct relay.Sender) error {
+func (p *peers) listen() error {
 	listener, err := net.Listen("tcp", p.set.Peer)
 	if err != nil {
 		return eris.Wrap(err, "peer address")
@@ -198,196 +195,3 @@
 	}
 	return live
 }
-
-// Broadcast implements confsync.Broadcaster.
-func (p *peers) Broadcast(payload []byte) {
-	tagged := append([]byte{payloadConfig}, payload...)
-	p.mu.Lock()
-	p.seen.add(xxhash.Sum64(tagged))
-	p.mu.Unlock()
-	p.transport.Broadcast(configKey(tagged), tagged)
-}
-
-func configKey(tagged []byte) string {
-	return "c" + strconv.FormatUint(xxhash.Sum64(tagged), 16)
-}
-
-// deliver takes a payload of the membership. The transport's lock is held, so it hands configuration notices to
-// another goroutine.
-func (p *peers) deliver(payload []byte) (key string, fresh bool) {
-	if len(payload) < 2 {
-		return "", false
-	}
-	if payload[0] == payloadSignal {
-		return p.deliverSignal(payload[1:])
-	}
-	if payload[0] != payloadConfig {
-		return "", false
-	}
-	p.mu.Lock()
-	fresh = p.seen.add(xxhash.Sum64(payload))
-	p.mu.Unlock()
-	if fresh {
-		select {
-		case p.notices <- append([]byte(nil), payload[1:]...):
-		default:
-		}
-	}
-	return configKey(payload), fresh
-}
-
-func (p *peers) deliverSignal(payload []byte) (string, bool) {
-	s, crash, err := signal.Decode(payload)
-	if err != nil {
-		return "", false
-	}
-	p.mu.Lock()
-	key, fresh, err := signal.Deliver(time.Now(), p.signals, p.crashes, payload)
-	p.mu.Unlock()
-	if err != nil || !fresh {
-		return key, false
-	}
-	if crash != nil {
-		p.crashed(quarantine.Notice{
-			Fingerprint: formatFingerprint(crash.Fingerprint), Until: time.Unix(int64(crash.Until), 0),
-		})
-		return key, true
-	}
-	p.learned(*s)
-	return key, true
-}
-
-func (p *peers) passNotices(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case n := <-p.notices:
-			p.runner.Notice(n)
-		}
-	}
-}
-
-// raise tells the peers what this daemon observed of a replica.
-func (p *peers) raise(replica string, incarnation int64, state signal.State) {
-	p.mu.Lock()
-	s, changed, err := p.signals.Raise(time.Now(), replica, uint64(incarnation), state)
-	p.mu.Unlock()
-	if err != nil || !changed {
-		return
-	}
-	key, payload, err := signal.Encode(s)
-	if err == nil {
-		p.transport.Push(key, append([]byte{payloadSignal}, payload...))
-	}
-}
-
-// Publish implements quarantine.Publisher.
-func (p *peers) Publish(n quarantine.Notice) {
-	fingerprint, err := parseFingerprint(n.Fingerprint)
-	if err != nil {
-		return
-	}
-	crash := signal.Crash{Fingerprint: fingerprint, Until: uint64(n.Until.Unix())}
-	p.mu.Lock()
-	_, err = p.crashes.Merge(time.Now(), crash)
-	p.mu.Unlock()
-	if err != nil {
-		return
-	}
-	if key, payload, err := signal.EncodeCrash(crash); err == nil {
-		p.transport.Push(key, append([]byte{payloadSignal}, payload...))
-	}
-}
-
-// A fingerprint travels as the first 64 bits of the request's hash.
-func formatFingerprint(f uint64) string { return fmt.Sprintf("%016x", f) }
-
-func parseFingerprint(s string) (uint64, error) { return strconv.ParseUint(s, 16, 64) }
-
-// crashFingerprint identifies a request for the quarantine.
-func crashFingerprint(service, query string) string {
-	return oncerun.Fingerprint(service, query)[:16]
-}
-
-// Direct implements relay.Owners.
-func (p *peers) Direct(replica string) bool { return p.connections(p.limits(replica), replica) > 0 }
-
-// Owners implements relay.Owners: the live daemons that hold connections to the replica.
-func (p *peers) Owners(replica string) []relay.Peer {
-	addresses := make(map[string]string)
-	for _, m := range p.Live() {
-		addresses[m.ID] = m.Address
-	}
-	p.mu.Lock()
-	ids := p.ranked.Owners(p.limits(replica), replica)
-	p.mu.Unlock()
-	var owners []relay.Peer
-	for _, id := range ids {
-		if address, ok := addresses[id]; ok && id != p.set.Node {
-			owners = append(owners, relay.Peer{ID: id, Address: address})
-		}
-	}
-	return owners
-}
-
-// countMembers keeps the counted members up to date, which the connection shares are computed from.
-func (p *peers) countMembers(ctx context.Context) {
-	for ctx.Err() == nil {
-		p.updateCounted(time.Now())
-		select {
-		case <-ctx.Done():
-		case <-time.After(countInterval):
-		}
-	}
-}
-
-func (p *peers) updateCounted(now time.Time) {
-	hasList := p.transport.HasList() || now.Sub(p.started) > listTimeout
-	live := []string{}
-	for _, m := range p.Live() {
-		live = append(live, m.ID)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	listed := []string{}
-	for _, vm := range p.vms {
-		if vm.Role == vmlist.RoleEntry {
-			listed = append(listed, vm.ID)
-		}
-	}
-	if !p.joined && len(p.vms) > 0 && (hasList || len(listed) <= 1) {
-		p.joined = true
-		p.counted.Join(now)
-	}
-	p.counted.Update(now, live, listed)
-	p.ranked = share.NewSet(p.counted.Members())
-}
-
-// connections returns this daemon's share of a replica's connections.
-func (p *peers) connections(limit int, replica string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.counted.Active(time.Now()) {
-		return 0
-	}
-	return p.ranked.Connections(limit, replica, p.set.Node)
-}
-
-// seenSet recognises hashes that were added among the last ones, in two generations.
-type seenSet struct{ young, old map[uint64]struct{} }
-
-// add reports whether the hash is new.
-func (s *seenSet) add(h uint64) bool {
-	if _, ok := s.young[h]; ok {
-		return false
-	}
-	if _, ok := s.old[h]; ok {
-		return false
-	}
-	if s.young == nil || len(s.young) >= seenPayloads {
-		s.old, s.young = s.young, make(map[uint64]struct{}, seenPayloads)
-	}
-	s.young[h] = struct{}{}
-	return true
-}
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -48,6 +48,23 @@
 	for _, m := range d.registry.SetList(vms) {
 		d.peers.raise(m.Replica, m.Incarnation, signal.Leaving)
 	}
+	d.closeUnused()
+}
+
+// closeUnused forgets the clients of addresses that no replica has any more.
+func (d *Daemon) closeUnused() {
+	used := make(map[string]bool)
+	for _, r := range d.registry.All() {
+		used[r.Address] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, c := range d.clients {
+		if !used[address] {
+			delete(d.clients, address)
+			c.Close()
+		}
+	}
 }
 
 // pollLoads reads every load endpoint once. The daemon is not ready before a round that began with a share of the
--- a/entry/search.go
+++ b/entry/search.go
@@ -44,22 +44,14 @@
 		return nil, err
 	}
 	defer run.Done()
-	policy := d.policyOf(q.Service)
 	begin := time.Now()
 	if err := d.admit(ctx, q, p, version, shardMap); err != nil {
 		return nil, err
 	}
-	budget := d.budgetOf(q.Service, p)
-	plan := scatter.Plan{
-		Service: q.Service, Request: id, Query: q.Query, Version: version, Map: shardMap,
-		HedgeDelay: policy.hedgeDelay(p, begin), MaxAttempts: p.Retry.MaxAttempts,
-		Wait:         p.Partial != profile.PartialReturn,
-		PartialAfter: p.AnswerAfter(), PartialLeast: p.LeastCoverage,
-		Hedges: budget.Hedges(), Retries: budget.Retries(),
-	}
+	plan := d.plan(id, q, p, version, shardMap)
 	attempts := &attemptLog{next: run.Watch(d)}
 	result := scatter.Run(runCtx, plan, d, attempts)
-	policy.admission.Finish(p.Name, time.Since(begin), overloaded(result.Coverage, attempts), time.Now())
+	d.policyOf(q.Service).admission.Finish(p.Name, time.Since(begin), overloaded(result.Coverage, attempts), time.Now())
 	d.metrics.attempts(q.Service, result)
 	if errors.Is(context.Cause(runCtx), quarantine.ErrQuarantined) {
 		markQuarantined(&result.Coverage)
@@ -68,14 +60,32 @@
 		RequestID: id, Nonce: q.Nonce, Service: q.Service, Profile: p.Name, Revision: p.revision,
 		Snapshot: version, Coverage: result.Coverage, Records: result.Records,
 	}
-	if result.Coverage.Fraction < p.LeastCoverage && !attempts.mayHaveRun() {
-		return answer, api.Errorf(api.BackendRefused, "every backend server contacted refused before execution")
+	return answer, checkCoverage(result.Coverage, p, attempts)
+}
+
+// plan binds a query to its snapshot and to what the profile allows.
+func (d *Daemon) plan(id string, q api.Query, p activeProfile, version snapshot.Version, m snapshot.Map) scatter.Plan {
+	budget := d.budgetOf(q.Service, p)
+	return scatter.Plan{
+		Service: q.Service, Request: id, Query: q.Query, Version: version, Map: m,
+		HedgeDelay: d.policyOf(q.Service).hedgeDelay(p, time.Now()), MaxAttempts: p.Retry.MaxAttempts,
+		Wait:         p.Partial != profile.PartialReturn,
+		PartialAfter: p.AnswerAfter(), PartialLeast: p.LeastCoverage,
+		Hedges: budget.Hedges(), Retries: budget.Retries(),
 	}
-	if result.Coverage.Fraction < p.LeastCoverage {
-		return answer, api.Errorf(api.CoverageTooLow, "coverage %.3f is below the profile's least coverage %.3f",
-			result.Coverage.Fraction, p.LeastCoverage)
+}
+
+// checkCoverage returns the error of an answer below the least coverage. It says that the request was not run only if
+// no attempt can have been executed.
+func checkCoverage(c api.Coverage, p activeProfile, attempts *attemptLog) error {
+	switch {
+	case c.Fraction >= p.LeastCoverage:
+		return nil
+	case !attempts.mayHaveRun():
+		return api.Errorf(api.BackendRefused, "every backend server contacted refused before execution")
+	default:
+		return api.Errorf(api.CoverageTooLow, "coverage %.3f is below the profile's least coverage %.3f", c.Fraction, p.LeastCoverage)
 	}
-	return answer, nil
 }
 
 // admit admits a query or refuses it before anything is sent.
