--- a/entry/handler.go
+++ b/entry/handler.go
@@ -73,7 +73,7 @@
 	err := httpjson.Read(r.Body, d.set.MaxBody, &q)
 	switch {
 	case errors.Is(err, httpjson.ErrTooLarge):
-		return q, api.Errorf(api.TooLarge, "body is longer than %d bytes", d.set.MaxBody)
+		return q, api.FieldErrorf(api.TooLarge, "body", "is longer than %d bytes", d.set.MaxBody)
 	case err != nil:
 		return q, api.FieldErrorf(api.BadRequest, "body", "%v", err)
 	case q.Service == "":
@@ -102,6 +102,9 @@
 	if err != nil {
 		return q, nil, err
 	}
+	if mark.order && q.Query == "" {
+		return q, nil, api.FieldErrorf(api.BadRequest, "query", "is required for a non-idempotent request")
+	}
 	answer, err := d.answer(r, id, q, mark)
 	return q, answer, err
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -73,6 +73,8 @@
 	gauge("chivemill_config_watching", "1 while the daemon watches the store itself.", func(o metric.Int64Observer) {
 		o.Observe(bit(d.peers.runner.Status().Watching))
 	})
+	gauge("chivemill_budget_needed", "Needed sub-requests that earned extra ones, by service and profile, since the start.", d.observeBudget(func(needed, _ int64) int64 { return needed }))
+	gauge("chivemill_budget_extra", "Hedges and retries taken from the budget, by service and profile, since the start.", d.observeBudget(func(_, extra int64) int64 { return extra }))
 	gauge("chivemill_members", "Known entry daemons by state.", d.observeMembers)
 	gauge("chivemill_quarantined", "Requests that are refused because they crash backend servers.", func(o metric.Int64Observer) {
 		o.Observe(int64(len(d.guard.Notices())))
@@ -107,6 +109,18 @@
 	o.Observe(status.Age.Milliseconds())
 }
 
+func (d *Daemon) observeBudget(pick func(needed, extra int64) int64) func(metric.Int64Observer) {
+	return func(o metric.Int64Observer) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for service, policy := range d.policies {
+			for name, b := range policy.budgets {
+				o.Observe(pick(b.Counts()), metric.WithAttributes(attribute.String("service", service), attribute.String("profile", name)))
+			}
+		}
+	}
+}
+
 func (d *Daemon) observeMembers(o metric.Int64Observer) {
 	counts := make(map[string]int64)
 	for _, m := range d.peers.transport.Members() {
