Overload cuts only a limit in use

One shard without room cut the admission limit to 0.9 of the few queries in flight instead of the limit.

Change: a limit of which less than half is in use is not cut, as it does not grow either.

--- a/limit/admission.go
+++ b/limit/admission.go
@@ -214,10 +214,13 @@
 func (a *Admission) Finish(profile string, latency time.Duration, overloaded bool, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if overloaded {
-		a.limit.Overload(a.inFlight, now)
-	} else {
+	switch {
+	case !overloaded:
 		a.limit.Good(a.inFlight)
+	case a.inFlight*2 >= a.limit.Limit():
+		// A limit that is not in use has not caused the overload. Replicas that restart leave shards without room under
+		// little load, and cutting the limit to the few queries in flight would refuse the next ones.
+		a.limit.Overload(a.inFlight, now)
 	}
 	a.inFlight--
 	a.use(profile).inFlight--
--- a/limit/admission_test.go
+++ b/limit/admission_test.go
@@ -133,3 +133,20 @@
 	must.Eq(t, limit.RefusedNoRoom, admit("main", 10, 1, true, false))
 	must.Eq(t, limit.RefusedNoRoom, admit("flood", 10, 1, true, true))
 }
+
+// Guards against a limit that falls to the little load of the moment when single shards lose their replicas, and against
+// one that does not fall while it is in use.
+func TestOverloadCutsOnlyLimitInUse(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limitAfter := func(inFlight int) float64 {
+		a := limit.NewAdmission(10, 10)
+		for range inFlight {
+			a.Admit(limit.Query{Profile: "main", Remaining: time.Second, Room: 1, Spare: 1, Least: 1}, now)
+		}
+		a.Finish("main", queryTime, true, now)
+		return a.Limit()
+	}
+	must.Eq(t, 10, limitAfter(4))
+	must.Less(t, 10, limitAfter(5))
+	must.Less(t, 10, limitAfter(10))
+}
