Rounding of the least coverage

Cause: equal shards differ by one hash value, so some sets of 7 of 10 shards cover 0.69999999995 of the key space and counted as below 0.7. A query with partial_after waited for an eighth shard, and the entry daemon answered coverage_too_low.

Change: both comparisons allow 1e-6 of the key space, far below one shard. The test's own expectation used the same rounded fraction; it now counts shards of equal size, which is as strict and independent of the rounding.

--- a/entry/search.go
+++ b/entry/search.go
@@ -68,10 +68,11 @@
 		RequestID: id, Nonce: q.Nonce, Service: q.Service, Profile: p.Name, Revision: p.revision,
 		Snapshot: version, Coverage: result.Coverage, Records: result.Records,
 	}
-	if result.Coverage.Fraction < p.LeastCoverage && !attempts.mayHaveRun() {
+	enough := scatter.Reaches(result.Coverage.Fraction, p.LeastCoverage)
+	if !enough && !attempts.mayHaveRun() {
 		return answer, api.Errorf(api.BackendRefused, "every backend server contacted refused before execution")
 	}
-	if result.Coverage.Fraction < p.LeastCoverage {
+	if !enough {
 		return answer, api.Errorf(api.CoverageTooLow, "coverage %.3f is below the profile's least coverage %.3f",
 			result.Coverage.Fraction, p.LeastCoverage)
 	}
--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -198,12 +198,19 @@
 	return !m.partialAt.IsZero() && !now.Before(m.partialAt) && m.isCovered()
 }
 
-// isCovered reports whether the answered shards reach the plan's least fraction. It computes the fraction as the
-// coverage does, so that an answer is never below it through rounding.
+// isCovered reports whether the answered shards reach the plan's least fraction.
 func (m *Machine) isCovered() bool {
-	return float64(m.covered)/float64(snapshot.KeySpace) >= m.plan.PartialLeast
+	return Reaches(float64(m.covered)/float64(snapshot.KeySpace), m.plan.PartialLeast)
 }
 
+// coverageRounding is above the rounding of the bounds of a few thousand shards to whole hash values, and far below the
+// part of one shard.
+const coverageRounding = 1e-6
+
+// Reaches reports whether a fraction of the key space reaches the least one. Shards of equal size differ by one hash
+// value: without the allowance, some sets of 7 of 10 shards would be below 0.7.
+func Reaches(fraction, least float64) bool { return fraction >= least-coverageRounding }
+
 func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
 		return b
--- a/scatter/partial_test.go
+++ b/scatter/partial_test.go
@@ -111,19 +111,20 @@
 // expect computes the end of the query and its answered shards from the events alone: the first moment at which all
 // shards have ended, or the partial time has passed with enough coverage, or the deadline is reached.
 func expect(plan *scatter.Plan, events []event) (time.Duration, []bool) {
+	// Shards of equal size: the number of answered shards states the fraction without rounding.
 	answeredAt := func(at time.Duration) (answered []bool, fraction float64, ended int) {
 		answered = make([]bool, len(events))
-		var covered uint64
+		covered := 0
 		for i, e := range events {
 			if e.at > at {
 				continue
 			}
 			ended++
 			if answered[i] = !e.failed; answered[i] {
-				covered += plan.Map.Shards[i].High - plan.Map.Shards[i].Low
+				covered++
 			}
 		}
-		return answered, float64(covered) / float64(snapshot.KeySpace), ended
+		return answered, float64(covered) / float64(len(events)), ended
 	}
 	end := partialDeadline
 	moments := []time.Duration{partialAfter}
@@ -139,3 +140,19 @@
 	answered, _, _ := answeredAt(end)
 	return end, answered
 }
+
+// Guards against an answer with 7 of 10 shards that counts as below 0.7, and against one with a shard less that does not.
+func TestReachesAllowsRounding(t *testing.T) {
+	for n := 1; n <= 1700; n += 7 {
+		m := snapshot.Uniform(1, "s", n)
+		for k := 1; k <= n; k += 1 + n/9 {
+			fraction := float64(m.Shards[k-1].High) / float64(snapshot.KeySpace)
+			if least := float64(k) / float64(n); !scatter.Reaches(fraction, least) {
+				t.Fatalf("%d of %d shards do not reach %g", k, n, least)
+			}
+			if least := float64(k+1) / float64(n); scatter.Reaches(fraction, least) {
+				t.Fatalf("%d of %d shards reach %g", k, n, least)
+			}
+		}
+	}
+}
