--- a/entry/search.go
+++ b/entry/search.go
@@ -79,7 +79,7 @@
 // no attempt can have been executed.
 func checkCoverage(c api.Coverage, p activeProfile, attempts *attemptLog) error {
 	switch {
-	case c.Fraction >= p.LeastCoverage:
+	case scatter.Reaches(c.Fraction, p.LeastCoverage):
 		return nil
 	case !attempts.mayHaveRun():
 		return api.Errorf(api.BackendRefused, "every backend server contacted refused before execution")
