Admission allows for the rounding of shard ranges

Change: all three checks of room allow 1e-6. Measured: TestRoomAllowsRounding failed by reading of the condition before and passes now; 0.69 is still refused.

--- a/limit/admission.go
+++ b/limit/admission.go
@@ -31,8 +31,9 @@
 	lateFraction = 0.5
 	// burstFactor times its share is what a profile with a demand within its share may use for a moment.
 	burstFactor = 3
-	// rounding is below the part of one shard and above the error of a sum of two fractions.
-	rounding = 1e-9
+	// rounding is above the rounding of the bounds of a few thousand shards to whole hash values, and far below the part
+	// of one shard.
+	rounding = 1e-6
 	// overloadPause is the least time between two reductions: the effect of one must be seen before the next.
 	overloadPause = 100 * time.Millisecond
 )
@@ -151,9 +152,9 @@
 	case guaranteed && contended:
 		return q.Room+q.Waits >= q.Least-rounding
 	case !contended:
-		return q.Room >= q.Least
+		return q.Room >= q.Least-rounding
 	}
-	return q.Spare >= q.Least
+	return q.Spare >= q.Least-rounding
 }
 
 // contended reports whether another profile has recent demand.
--- a/limit/admission_test.go
+++ b/limit/admission_test.go
@@ -150,3 +150,13 @@
 	must.Less(t, 10, limitAfter(5))
 	must.Less(t, 10, limitAfter(10))
 }
+
+// Guards against a refusal by rounding: ranges of equal shards are whole numbers, so 7 of 10 cover 0.69999999995.
+func TestRoomAllowsRounding(t *testing.T) {
+	a := limit.NewAdmission(10, 10)
+	now := time.Unix(1000, 0)
+	query := limit.Query{Profile: "p", Remaining: time.Second, Room: 0.69999999995, Spare: 0.69999999995, Least: 0.7}
+	must.Eq(t, limit.Admitted, a.Admit(query, now))
+	query.Room = 0.69
+	must.Eq(t, limit.RefusedNoRoom, a.Admit(query, now))
+}
