Leaving marks are repeated for daemons that join or return

Cause: a mark is gossiped for seconds only, so a daemon that joins afterwards, or was cut off, never heard it.

--- a/entry/payloads.go
+++ b/entry/payloads.go
@@ -84,15 +84,31 @@
 
 // raise tells the peers what this daemon observed of a replica.
 func (p *peers) raise(replica string, incarnation int64, state signal.State) {
+	now := time.Now()
 	p.mu.Lock()
-	s, changed, err := p.signals.Raise(time.Now(), replica, uint64(incarnation), state)
+	s, changed, err := p.signals.Raise(now, replica, uint64(incarnation), state)
 	p.mu.Unlock()
 	if err != nil || !changed {
 		return
 	}
 	key, payload, err := signal.Encode(s)
-	if err == nil {
-		p.transport.Push(key, append([]byte{payloadSignal}, payload...))
+	if err != nil {
+		return
+	}
+	tagged := append([]byte{payloadSignal}, payload...)
+	p.mu.Lock()
+	p.repeater.add(now, key, tagged)
+	p.mu.Unlock()
+	p.transport.Push(key, tagged)
+}
+
+// repeatMarks sends the marks that this daemon raised lately again.
+func (p *peers) repeatMarks(now time.Time) {
+	p.mu.Lock()
+	due := p.repeater.due(now)
+	p.mu.Unlock()
+	for _, m := range due {
+		p.transport.Broadcast(m.key, m.payload)
 	}
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -64,11 +64,13 @@
 	signals *signal.Table
 	crashes *signal.Crashes
 	seen    seenSet
-	counted *share.Counted
-	ranked  share.Set
-	vms     []vmlist.VM
-	joined  bool
-	started time.Time
+	// repeater holds the leaving marks that this daemon raised.
+	repeater repeater
+	counted  *share.Counted
+	ranked   share.Set
+	vms      []vmlist.VM
+	joined   bool
+	started  time.Time
 }
 
 // newPeers opens the peer addresses.
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -9,10 +9,12 @@
 	"github.com/chivemill/chivemill/vmlist"
 )
 
-// countMembers keeps the counted members up to date, which the connection shares are computed from.
+// countMembers keeps the counted members up to date, which the connection shares are computed from, and repeats the
+// marks of this daemon.
 func (p *peers) countMembers(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.updateCounted(time.Now())
+		p.repeatMarks(time.Now())
 		select {
 		case <-ctx.Done():
 		case <-time.After(countInterval):
