Default retry budget of 2%

Cause: a profile that states no budgets could send 13% extra sub-requests, above the 5% that the users accept. Change: the default retry budget is 0.02 beside hedges of 0.03. Measured: tests of profile, ctl, confstore and entry pass. Conclusion: the defaults stay within 5%.

--- a/profile/profile.go
+++ b/profile/profile.go
@@ -101,7 +101,7 @@
 		Partial:       PartialReturn,
 		LeastCoverage: 0.5,
 		Hedge:         Hedge{Enabled: true, Quantile: 0.95, MinDelay: strictyaml.Duration(time.Millisecond), Budget: 0.03},
-		Retry:         Retry{MaxAttempts: 3, Budget: 0.1},
+		Retry:         Retry{MaxAttempts: 3, Budget: 0.02},
 		Share:         100,
 		Snapshot:      SnapshotNewestComplete,
 	}
