The demo starts its processes as the process tests do; virtual waits in drain tests

Cause: the demo had its own copy of starting processes and of finding free ports, the latter with the collisions that the process tests had mended; drain tests used time.Sleep, in virtual time. Change: the demo uses internal/proctest and prints the log of a process that does not exit with 0; drain tests use testseed.Wait. Conclusion: one place starts processes for both. A process that ended by itself with another status still fails the demo.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chivemill/chivemill/internal/proctest"
 	"github.com/chivemill/chivemill/vmlist"
 )
 
@@ -28,9 +28,9 @@
 
 // process is a started process.
 type process struct {
-	name string
-	cmd  *exec.Cmd
-	done chan error
+	*proctest.Process
+	name   string
+	killed bool
 }
 
 // fleet is all processes of the demonstration.
@@ -43,54 +43,24 @@
 	storeURL  string
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "free port")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
-func (f *fleet) addresses(n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range addresses {
-		a, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		addresses[i] = a
-	}
-	return addresses, nil
-}
-
 // spawn writes the settings of a process and starts it.
 func (f *fleet) spawn(binary, name, settings string) (*process, error) {
 	file := filepath.Join(f.dir, name+".yaml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return nil, eris.Wrap(err, "settings")
 	}
-	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	started, err := proctest.StartFile(filepath.Join(f.bin, binary), file, name)
 	if err != nil {
-		return nil, eris.Wrap(err, "log")
-	}
-	defer log.Close()
-	cmd := exec.Command(filepath.Join(f.bin, binary), "--settings", file)
-	cmd.Stderr = log
-	cmd.Stdout = log
-	if err := cmd.Start(); err != nil {
-		return nil, eris.Wrap(err, name)
+		return nil, err
 	}
-	p := &process{name: name, cmd: cmd, done: make(chan error, 1)}
-	go func() { p.done <- cmd.Wait() }()
+	p := &process{Process: started, name: name}
 	f.processes = append(f.processes, p)
 	return p, nil
 }
 
 // start starts the stand-ins and the entry daemons.
 func (f *fleet) start() error {
-	addresses, err := f.addresses(1 + shards*replicas + 3*entries)
+	addresses, err := proctest.FreeAddresses(1 + shards*replicas + 3*entries)
 	if err != nil {
 		return err
 	}
@@ -184,27 +154,26 @@
 }
 
 // kill ends a process at once.
-func (p *process) kill() error {
-	if err := p.cmd.Process.Kill(); err != nil {
-		return eris.Wrap(err, p.name)
-	}
-	<-p.done
-	p.done <- nil
-	return nil
+func (p *process) kill() {
+	p.killed = true
+	p.Stop()
 }
 
-// stop ends a process with SIGTERM and returns an error unless it exits with status 0 in time.
+// stop ends a process with SIGTERM and returns an error unless it exits with status 0 in time, or has done so already.
 func (p *process) stop() error {
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil && !eris.Is(err, os.ErrProcessDone) {
-		return eris.Wrap(err, p.name)
+	if p.killed {
+		return nil
+	}
+	if !p.Exited() {
+		if err := p.Signal(syscall.SIGTERM); err != nil {
+			return eris.Wrap(err, p.name)
+		}
 	}
-	select {
-	case err := <-p.done:
-		p.done <- nil
-		return eris.Wrapf(err, "%s did not stop cleanly", p.name)
-	case <-time.After(stopTimeout):
-		return eris.Errorf("%s did not stop within %s", p.name, stopTimeout)
+	status, err := p.Wait(stopTimeout)
+	if err == nil && status != 0 {
+		err = eris.Errorf("exit status %d: %s", status, p.Log())
 	}
+	return eris.Wrap(err, p.name)
 }
 
 // stopAll stops the entry daemons first, so that no request loses its backend server. Each group stops at once.
@@ -234,6 +203,6 @@
 // killAll ends whatever still runs; it is the last resort after an error.
 func (f *fleet) killAll() {
 	for _, p := range f.processes {
-		_ = p.cmd.Process.Kill()
+		p.kill()
 	}
 }
--- a/demo/main.go
+++ b/demo/main.go
@@ -79,16 +79,13 @@
 
 func crash(f *fleet, c *checker) error {
 	step("kill backend server %s-0-0", service)
-	if err := f.backends[service+"-0-0"].kill(); err != nil {
-		return err
-	}
+	f.backends[service+"-0-0"].kill()
 	return c.query("one replica was killed", 12)
 }
 
 func drainBackend(f *fleet, c *checker) error {
 	step("drain backend server %s-1-0", service)
-	p := f.backends[service+"-1-0"]
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+	if err := f.backends[service+"-1-0"].Signal(syscall.SIGTERM); err != nil {
 		return eris.Wrap(err, "drain")
 	}
 	return c.query("one replica drains", 12)
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/internal/testseed"
 )
 
 // daemon is a daemon with requests that the load balancer sends until it notices.
@@ -53,7 +55,7 @@
 		return
 	}
 	d.inFlight.Add(1)
-	time.Sleep(takes)
+	testseed.Wait(takes)
 	d.inFlight.Add(-1)
 	if d.seq.Phase() == Stopped {
 		return
@@ -71,7 +73,7 @@
 		// The balancer sends a request each 100 ms for 4.9 s after the daemon stopped being ready.
 		for range 49 {
 			go d.request(3 * time.Second)
-			time.Sleep(100 * time.Millisecond)
+			testseed.Wait(100 * time.Millisecond)
 			if d.seq.Phase() == Ready {
 				go func() { must.NoError(t, d.seq.Run(t.Context())) }()
 			}
@@ -95,14 +97,14 @@
 		d.seq.Signal()
 		go func() {
 			for range 20 {
-				time.Sleep(500 * time.Millisecond)
+				testseed.Wait(500 * time.Millisecond)
 				d.seq.Signal()
 			}
 		}()
 		must.NoError(t, d.seq.Run(t.Context()))
 		must.GreaterEq(t, 9*time.Second, time.Since(start))
 		must.Eq(t, 1, d.finished.Load())
-		time.Sleep(2 * time.Second)
+		testseed.Wait(2 * time.Second)
 		must.Eq(t, 20, d.ignored.Load())
 		must.Eq(t, 1, len(slices.DeleteFunc(d.phases, func(p Phase) bool { return p != Stopped })))
 	})
