One check of an answer for callers, load client and demo

Cause: the load client and the demo checked nonce, coverage and records with the same lines, and the process tests and the fleet runs shared the code that reaches the stand-ins' control endpoints. Change: api.Answer.Check next to DecodeAnswer, proctest.PutJSON. Conclusion: callers that embed the library get the same check.

--- a/api/api.go
+++ b/api/api.go
@@ -98,3 +98,31 @@
 	}
 	return a, nil
 }
+
+// Check returns an error if the answer is not that of the request with the nonce, or if its records contradict the
+// coverage that it states. A caller that shares connections runs it on each answer.
+func (a Answer) Check(nonce string) error {
+	if a.Nonce != nonce {
+		return errors.New("answer of another request")
+	}
+	included := make(map[string]bool)
+	for _, shard := range a.Coverage.Included {
+		included[shard] = true
+	}
+	for _, m := range a.Coverage.Missing {
+		if included[m.Shard] || m.Reason == "" {
+			return fmt.Errorf("shard %s is included and missing, or missing without a reason", m.Shard)
+		}
+	}
+	if a.Coverage.Complete != (len(a.Coverage.Missing) == 0) {
+		return fmt.Errorf("complete is %t with %d missing shards", a.Coverage.Complete, len(a.Coverage.Missing))
+	}
+	seen := make(map[string]bool)
+	for _, r := range a.Records {
+		if seen[r.Key] || !included[r.Shard] {
+			return fmt.Errorf("record %s is doubled or of a shard that is not included", r.Key)
+		}
+		seen[r.Key] = true
+	}
+	return nil
+}
--- a/demo/check.go
+++ b/demo/check.go
@@ -140,39 +140,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("status %d: %s", resp.StatusCode, data)
 	}
-	var answer api.Answer
-	if err := json.Unmarshal(data, &answer); err != nil {
-		return nil, err
-	}
-	return &answer, checkAnswer(&answer, nonce)
-}
-
-// checkAnswer returns an error if the answer breaks a promise.
-func checkAnswer(a *api.Answer, nonce string) error {
-	if a.End == "" || a.End != a.RequestID {
-		return eris.New("answer without its end mark")
-	}
-	if a.Nonce != nonce {
-		return eris.New("answer of another request")
+	answer, err := api.DecodeAnswer(data)
+	if err == nil {
+		err = answer.Check(nonce)
 	}
-	included := make(map[string]bool)
-	for _, s := range a.Coverage.Included {
-		included[s] = true
+	if named := len(answer.Coverage.Included) + len(answer.Coverage.Missing); err == nil && named != shards {
+		err = eris.Errorf("coverage names %d of %d shards", named, shards)
 	}
-	for _, m := range a.Coverage.Missing {
-		if included[m.Shard] || m.Reason == "" {
-			return eris.Errorf("shard %s is included and missing, or missing without a reason", m.Shard)
-		}
-	}
-	if len(included)+len(a.Coverage.Missing) != shards {
-		return eris.Errorf("coverage names %d of %d shards", len(included)+len(a.Coverage.Missing), shards)
-	}
-	seen := make(map[string]bool)
-	for _, r := range a.Records {
-		if seen[r.Key] || !included[r.Shard] {
-			return eris.Errorf("record %s is doubled or of a missing shard", r.Key)
-		}
-		seen[r.Key] = true
-	}
-	return nil
+	return &answer, err
 }
--- a/fleetrun/fleet.go
+++ b/fleetrun/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -17,6 +16,7 @@
 
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/deployment"
+	"github.com/chivemill/chivemill/internal/proctest"
 	standin "github.com/chivemill/chivemill/internal/standin/backend"
 	"github.com/chivemill/chivemill/internal/standin/fleet"
 	"github.com/chivemill/chivemill/internal/standin/store"
@@ -231,25 +231,7 @@
 	return json.NewDecoder(resp.Body).Decode(out)
 }
 
-func (s *stand) put(url string, in any) error {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := s.control.Do(req)
-	if err != nil {
-		return err
-	}
-	resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		return eris.Errorf("%s answered %d", url, resp.StatusCode)
-	}
-	return nil
-}
+func (s *stand) put(url string, in any) error { return proctest.PutJSON(s.control, url, in) }
 
 func (s *stand) storeDown(down bool) error {
 	return s.put("http://"+s.plan.Store.Listen+store.PathFaults, store.FaultsBody{Down: down})
--- a/internal/proctest/operate.go
+++ b/internal/proctest/operate.go
@@ -151,7 +151,10 @@
 	return f.put("http://"+f.Store.Address+store.PathFaults, faults)
 }
 
-func (f *Fleet) put(url string, in any) error {
+func (f *Fleet) put(url string, in any) error { return PutJSON(f.http, url, in) }
+
+// PutJSON sends a value to a control endpoint of a stand-in.
+func PutJSON(client *http.Client, url string, in any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return err
@@ -160,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := f.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/loadgen/run.go
+++ b/loadgen/run.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -13,7 +12,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 
 	"github.com/chivemill/chivemill/api"
 )
@@ -179,11 +177,8 @@
 		}
 	}
 	answer, err := api.DecodeAnswer(data)
-	if err == nil && answer.Nonce != nonce {
-		err = errors.New("answer of another request")
-	}
 	if err == nil {
-		err = checkCoverage(answer)
+		err = answer.Check(nonce)
 	}
 	if err != nil {
 		return Sample{Result: ResultBroken, RequestID: answer.RequestID, Message: err.Error()}
@@ -193,27 +188,3 @@
 		Records: len(answer.Records),
 	}
 }
-
-// checkCoverage returns an error if the records contradict the stated coverage.
-func checkCoverage(a api.Answer) error {
-	included := make(map[string]bool)
-	for _, shard := range a.Coverage.Included {
-		included[shard] = true
-	}
-	for _, m := range a.Coverage.Missing {
-		if included[m.Shard] || m.Reason == "" {
-			return eris.Errorf("shard %s is included and missing, or missing without a reason", m.Shard)
-		}
-	}
-	if a.Coverage.Complete != (len(a.Coverage.Missing) == 0) {
-		return eris.Errorf("complete is %t with %d missing shards", a.Coverage.Complete, len(a.Coverage.Missing))
-	}
-	seen := make(map[string]bool)
-	for _, r := range a.Records {
-		if seen[r.Key] || !included[r.Shard] {
-			return eris.Errorf("record %s is doubled or of a shard that is not included", r.Key)
-		}
-		seen[r.Key] = true
-	}
-	return nil
-}
