Shutdown test holds its requests longer than every other wait

Cause: with the drain sequence a stop takes more than 2 s by itself, so the test with requests of 700 ms passed even when neither the in-flight count nor the server's shutdown was waited for. Conclusion: the check is stricter than before.

--- a/internal/proctest/proctest_test.go
+++ b/internal/proctest/proctest_test.go
@@ -216,7 +216,8 @@
 // are answered although the daemon accepts nothing new.
 func TestPlannedShutdownFinishesRequestsInFlight(t *testing.T) {
 	f := start(t, proctest.Options{Shards: 1, Replicas: 1, Orders: 1, Entries: 1, NoBalancerLag: true, Deadline: longDeadline})
-	slow := standin.Control{Faults: []standin.Fault{{DelayMS: 700}}}
+	// The requests take longer than all other waits of a stop, so that only the wait for them can save them.
+	slow := standin.Control{Faults: []standin.Fault{{DelayMS: 4000}}}
 	for _, b := range f.Backends {
 		must.NoError(t, f.Control(b, slow))
 	}
