A joining daemon that was paused starts its join delay again

Change: during the join delay a gap between updates above a third of it starts the delay again; after the delay it still takes a gap of the hold time. Conclusion: the delay counts only while the daemon watches the lists.

--- a/share/counted.go
+++ b/share/counted.go
@@ -45,10 +45,11 @@
 
 // Update takes the live members of the member list and the entry VMs that the platform lists, leaving ones
 // included. A member is dropped when both lists have been without it for the hold time. It reports whether all
-// members fit MaxCounted. A daemon that was paused for longer than the hold time starts its join delay again,
-// because others may have dropped it meanwhile.
+// members fit MaxCounted. A daemon that was paused starts its join delay again: after the hold time, because others
+// may have dropped it, and during the join delay already after a shorter time, because it has to have seen the lists
+// throughout the delay.
 func (c *Counted) Update(now time.Time, live, listed []string) bool {
-	if !c.joined.IsZero() && now.Sub(c.updated) >= c.hold && !c.updated.IsZero() {
+	if !c.joined.IsZero() && now.Sub(c.lastSeen()) >= c.longestGap() {
 		c.joined = now
 	}
 	c.updated = now
@@ -78,6 +79,22 @@
 // the lag of the lists.
 func (c *Counted) stale() time.Duration { return max(c.joinDelay/3, leastStale) }
 
+// lastSeen returns the time of the last update, or of the join if there was none since.
+func (c *Counted) lastSeen() time.Time {
+	if c.updated.Before(c.joined) {
+		return c.joined
+	}
+	return c.updated
+}
+
+// longestGap is the time between two updates after which the join delay starts again.
+func (c *Counted) longestGap() time.Duration {
+	if c.lastSeen().Before(c.joined.Add(c.joinDelay)) {
+		return min(c.stale(), c.hold)
+	}
+	return c.hold
+}
+
 // Active reports whether the daemon may use its share: the join delay has passed, and the last update is recent.
 func (c *Counted) Active(now time.Time) bool {
 	return !c.joined.IsZero() && now.Sub(c.joined) >= c.joinDelay && now.Sub(c.updated) < c.stale()
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -237,3 +237,19 @@
 	c.Update(now, []string{"a", "b"}, nil)
 	must.Zero(t, c.Connections(now, 40, "r"))
 }
+
+// TestPausedJoinerWaitsAgain guards against a daemon that is paused during its join delay and then uses a share
+// without having seen the lists, which may have shown a member that still runs.
+func TestPausedJoinerWaitsAgain(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := share.NewCounted("a", 0, 0)
+	c.Join(now)
+	now = now.Add(share.DefaultJoinDelay)
+	c.Update(now, []string{"a"}, nil)
+	must.Zero(t, c.Connections(now, 40, "r"))
+	for range int(share.DefaultJoinDelay / time.Second) {
+		now = now.Add(time.Second)
+		c.Update(now, []string{"a"}, nil)
+	}
+	must.Eq(t, 40, c.Connections(now, 40, "r"))
+}
