--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -76,6 +76,8 @@
 	gauge("chivemill_budget_needed", "Needed sub-requests that earned extra ones, by service and profile, since the start.", d.observeBudget(func(needed, _ int64) int64 { return needed }))
 	gauge("chivemill_budget_extra", "Hedges and retries taken from the budget, by service and profile, since the start.", d.observeBudget(func(_, extra int64) int64 { return extra }))
 	gauge("chivemill_members", "Known entry daemons by state.", d.observeMembers)
+	gauge("chivemill_membership_events", "Events of the membership since the start, by event.", d.observeMembership)
+	gauge("chivemill_membership_bytes", "Bytes of membership datagrams since the start, by direction.", d.observeMembershipBytes)
 	gauge("chivemill_quarantined", "Requests that are refused because they crash backend servers.", func(o metric.Int64Observer) {
 		o.Observe(int64(len(d.guard.Notices())))
 	})
@@ -131,6 +133,26 @@
 	}
 }
 
+func (d *Daemon) observeMembership(o metric.Int64Observer) {
+	stats := d.peers.transport.Stats()
+	var invalid uint64
+	for _, n := range stats.Invalid {
+		invalid += n
+	}
+	for event, n := range map[string]uint64{
+		"suspicion": stats.Suspicions, "failure": stats.Failures, "refutation": stats.Refutations,
+		"full": stats.Full, "invalid": invalid,
+	} {
+		o.Observe(int64(n), metric.WithAttributes(attribute.String("event", event)))
+	}
+}
+
+func (d *Daemon) observeMembershipBytes(o metric.Int64Observer) {
+	stats := d.peers.transport.Stats()
+	o.Observe(int64(stats.SentBytes), metric.WithAttributes(attribute.String("direction", "sent")))
+	o.Observe(int64(stats.ReceivedBytes), metric.WithAttributes(attribute.String("direction", "received")))
+}
+
 func (d *Daemon) observeConnections(o metric.Int64Observer) {
 	open := make(map[string]int64)
 	for _, r := range d.registry.All() {
