A share needs an update after the join delay

Change: the share is usable only after an update at or after the end of the delay. Conclusion: a paused daemon looks at the lists before it uses its share.

--- a/share/counted.go
+++ b/share/counted.go
@@ -95,9 +95,11 @@
 	return c.hold
 }
 
-// Active reports whether the daemon may use its share: the join delay has passed, and the last update is recent.
+// Active reports whether the daemon may use its share: it was updated after the join delay, and lately. Without an
+// update after the delay, a daemon that was paused shortly before its end would use a share that others did not see
+// coming.
 func (c *Counted) Active(now time.Time) bool {
-	return !c.joined.IsZero() && now.Sub(c.joined) >= c.joinDelay && now.Sub(c.updated) < c.stale()
+	return !c.joined.IsZero() && c.updated.Sub(c.joined) >= c.joinDelay && now.Sub(c.updated) < c.stale()
 }
 
 // Members returns the counted members, self included, sorted.
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -253,3 +253,19 @@
 	}
 	must.Eq(t, 40, c.Connections(now, 40, "r"))
 }
+
+// TestShareNeedsUpdateAfterDelay guards against a daemon that was paused shortly before the end of its join delay and
+// counts as using its share while it saw no list.
+func TestShareNeedsUpdateAfterDelay(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := share.NewCounted("a", 0, 0)
+	c.Join(now)
+	for range int(share.DefaultJoinDelay/time.Second) - 2 {
+		now = now.Add(time.Second)
+		c.Update(now, []string{"a"}, nil)
+	}
+	now = now.Add(2 * time.Second)
+	must.Zero(t, c.Connections(now, 40, "r"))
+	c.Update(now, []string{"a"}, nil)
+	must.Eq(t, 40, c.Connections(now, 40, "r"))
+}
