Read-through of the shares and payloads of the entry daemon

Cause: the kind byte of a payload was written out three times, lastSeen of the counted members had nothing to do with the map seen beside it, and Owners asked the registry for a limit while it held the lock of the peers. Change: tag, lastUpdate, and the limit is read before the lock. Measured: tests of entry and share pass; no check was changed. Conclusion: no behaviour changed.

--- a/entry/payloads.go
+++ b/entry/payloads.go
@@ -15,13 +15,16 @@
 
 // Broadcast implements confsync.Broadcaster.
 func (p *peers) Broadcast(payload []byte) {
-	tagged := append([]byte{payloadConfig}, payload...)
+	tagged := tag(payloadConfig, payload)
 	p.mu.Lock()
 	p.seen.add(xxhash.Sum64(tagged))
 	p.mu.Unlock()
 	p.transport.Broadcast(configKey(tagged), tagged)
 }
 
+// tag puts the kind of a payload before it.
+func tag(kind byte, payload []byte) []byte { return append([]byte{kind}, payload...) }
+
 func configKey(tagged []byte) string {
 	return "c" + strconv.FormatUint(xxhash.Sum64(tagged), 16)
 }
@@ -95,7 +98,7 @@
 	if err != nil {
 		return
 	}
-	tagged := append([]byte{payloadSignal}, payload...)
+	tagged := tag(payloadSignal, payload)
 	p.mu.Lock()
 	p.repeater.add(now, key, tagged)
 	p.mu.Unlock()
@@ -126,7 +129,7 @@
 		return
 	}
 	if key, payload, err := signal.EncodeCrash(crash); err == nil {
-		p.transport.Push(key, append([]byte{payloadSignal}, payload...))
+		p.transport.Push(key, tag(payloadSignal, payload))
 	}
 }
 
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -63,8 +63,9 @@
 	for _, m := range p.Live() {
 		addresses[m.ID] = m.Address
 	}
+	limit := p.limits(replica)
 	p.mu.Lock()
-	ids := p.ranked.Owners(p.limits(replica), replica)
+	ids := p.ranked.Owners(limit, replica)
 	p.mu.Unlock()
 	var owners []relay.Peer
 	for _, id := range ids {
--- a/share/counted.go
+++ b/share/counted.go
@@ -49,7 +49,7 @@
 // may have dropped it, and during the join delay already after a shorter time, because it has to have seen the lists
 // throughout the delay.
 func (c *Counted) Update(now time.Time, live, listed []string) bool {
-	if !c.joined.IsZero() && now.Sub(c.lastSeen()) >= c.longestGap() {
+	if !c.joined.IsZero() && now.Sub(c.lastUpdate()) >= c.longestGap() {
 		c.joined = now
 	}
 	c.updated = now
@@ -79,8 +79,8 @@
 // the lag of the lists.
 func (c *Counted) stale() time.Duration { return max(c.joinDelay/3, leastStale) }
 
-// lastSeen returns the time of the last update, or of the join if there was none since.
-func (c *Counted) lastSeen() time.Time {
+// lastUpdate returns the time of the last update, or of the join if there was none since.
+func (c *Counted) lastUpdate() time.Time {
 	if c.updated.Before(c.joined) {
 		return c.joined
 	}
@@ -89,7 +89,7 @@
 
 // longestGap is the time between two updates after which the join delay starts again.
 func (c *Counted) longestGap() time.Duration {
-	if c.lastSeen().Before(c.joined.Add(c.joinDelay)) {
+	if c.lastUpdate().Before(c.joined.Add(c.joinDelay)) {
 		return min(c.stale(), c.hold)
 	}
 	return c.hold
