Thin path on the users' platform: routes, topology, balancer, gateway, platform adapter

Cause: the users run chivemill on their platform, whose wire, store and operator differ from the product's own interface. Change: packages routing (routes), topology (copy of the store, one reader per data centre, the others follow it), balancer (choice of a replica from own traffic), gateway (composition), platform (translation only) and cmd/chivemill-edge. The scatter machine takes one budget per shard, requests that run at most once, and an early end when the coverage is out of reach; its driver serves both paths. Before: no path.

--- a/api/errors.go
+++ b/api/errors.go
@@ -32,6 +32,11 @@
 	DeadlineExceeded  Kind = "deadline_exceeded"
 	OutcomeUnknown    Kind = "outcome_unknown"
 	Internal          Kind = "internal"
+	NoRoute           Kind = "no_route"
+	NoConfiguration   Kind = "no_configuration"
+	NoReplica         Kind = "no_replica"
+	Stopping          Kind = "stopping"
+	ReplicasFailed    Kind = "replicas_failed"
 )
 
 // Run states whether the request that an error answers was executed by a backend server.
@@ -81,6 +86,11 @@
 	DeadlineExceeded:  {http.StatusGatewayTimeout, RunMaybe, RetryIdempotent},
 	OutcomeUnknown:    {http.StatusBadGateway, RunMaybe, RetryNo},
 	Internal:          {http.StatusInternalServerError, RunMaybe, RetryIdempotent},
+	NoRoute:           {http.StatusNotFound, RunNever, RetryNo},
+	NoConfiguration:   {http.StatusServiceUnavailable, RunNever, RetryLater},
+	NoReplica:         {http.StatusServiceUnavailable, RunNever, RetryLater},
+	Stopping:          {http.StatusServiceUnavailable, RunNever, RetryLater},
+	ReplicasFailed:    {http.StatusBadGateway, RunMaybe, RetryIdempotent},
 }
 
 // Kinds returns every error kind of the closed list.
--- a/backend/wire.go
+++ b/backend/wire.go
@@ -86,6 +86,8 @@
 	RefusedWrongSnapshot RefusalReason = "wrong_snapshot"
 	RefusedDeadline      RefusalReason = "deadline"
 	RefusedBadRequest    RefusalReason = "bad_request"
+	// RefusedMisdirected says that another replica has the address now.
+	RefusedMisdirected RefusalReason = "misdirected"
 )
 
 // Refusal is the body of a refusal with status 503. Ran is "never".
--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,454 @@
+// Package balancer picks replicas from what a daemon learns of them in its own traffic: answers, refusals, broken
+// connections and silence. It sends no probes and does no I/O.
+package balancer
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Distance is how far a replica is from this daemon.
+type Distance int
+
+// Values of Distance.
+const (
+	SameDataCentre Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// State is what the platform's list says of a replica.
+type State int
+
+// Values of State.
+const (
+	Ready State = iota
+	Draining
+)
+
+// Server is one replica as the platform's list has it.
+type Server struct {
+	ID      string
+	Service string
+	Address string
+	// DataCentre is the data centre of the replica, Distance its distance from this daemon.
+	DataCentre string
+	Distance   Distance
+	State      State
+	// Slots is the number of requests that the replica executes at the same time.
+	Slots int
+	// ColdFor is how much longer the replica is slow after its start.
+	ColdFor time.Duration
+	// Born is the time of the replica's start in Unix milliseconds; 0 if unknown. Another value under the same ID is a
+	// new start.
+	Born int64
+}
+
+// Load is what a replica reports of itself with an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// Values of Outcome.
+const (
+	// Answered is a valid answer of the replica.
+	Answered Outcome = iota
+	// Refused is a refusal without execution.
+	Refused
+	// Failed is an error that the replica answered, or an answer that could not be used.
+	Failed
+	// Broken is a connection that could not be opened or that broke.
+	Broken
+	// Abandoned is an attempt that was cancelled, or open at its deadline.
+	Abandoned
+	// Gone is a replica that is not at its address any more.
+	Gone
+)
+
+const (
+	// linkSame, linkRegion and linkFar are the assumed round trips of the distances. They only order replicas; the
+	// learned slowness corrects them.
+	linkSame   = 500 * time.Microsecond
+	linkRegion = 8 * time.Millisecond
+	linkFar    = 25 * time.Millisecond
+
+	// assumedLatency is the expected time of a kind of work before its first answer.
+	assumedLatency = 30 * time.Millisecond
+	// expectedWeight is the weight of a new sample in the expected time of a kind of work.
+	expectedWeight = 0.05
+	// slownessWeight is the weight of a new sample in a replica's slowness.
+	slownessWeight = 0.25
+	// slownessHalfLife is how fast a replica without samples is taken as normal again.
+	slownessHalfLife = 2 * time.Second
+	// mostSlowness bounds the slowness, so that a replica returns from it within a few half-lives.
+	mostSlowness = 20
+
+	// refusalWeight is the weight of a new sample in the fraction of refused attempts.
+	refusalWeight = 0.2
+	// refusalHalfLife is how fast a refusal is forgotten without samples.
+	refusalHalfLife = 1500 * time.Millisecond
+	// leastServed bounds the cost of a replica that refuses everything, so that it is still tried at times.
+	leastServed = 0.05
+
+	// reportHalfLife is how fast a reported load loses its weight.
+	reportHalfLife = 150 * time.Millisecond
+
+	// silenceFactor times the expected time is the age of an attempt from which its replica counts as silent.
+	silenceFactor = 3
+	// leastSilence is the least such age; jitter and short queues stay below it.
+	leastSilence = 45 * time.Millisecond
+	// firstPause is how long a replica is passed over after it broke a connection or fell silent; the pause doubles with
+	// each further failure up to longestPause.
+	firstPause   = 150 * time.Millisecond
+	longestPause = 1600 * time.Millisecond
+	// coldCost multiplies the expected time of a replica that has just started.
+	coldCost = 2
+
+	// assumedSlots is used for a replica whose number of slots is not known.
+	assumedSlots = 4
+	// connectionHeadroom is the part of a replica's connections that the daemons share; the rest is for connections that
+	// are being closed and for daemons that are not counted yet.
+	connectionHeadroom = 0.8
+)
+
+// replica is what is known of one replica. The balancer's lock protects it.
+type replica struct {
+	Server
+	// cap is the largest number of attempts in flight of this daemon.
+	cap int
+	// open holds the begin of each attempt in flight, the oldest first.
+	open []time.Time
+
+	load      Load
+	loadAt    time.Time
+	slowness  float64
+	sampledAt time.Time
+	refused   float64
+	refusedAt time.Time
+	coldUntil time.Time
+
+	failures    int
+	pausedUntil time.Time
+	gone        bool
+}
+
+// Balancer holds all replicas. It is safe for concurrent use.
+type Balancer struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	daemons  int
+	limits   map[string]int
+	replicas map[string]*replica
+	services map[string][]*replica
+	// expected is the expected time per kind of work without the link, in nanoseconds.
+	expected map[string]float64
+}
+
+// New returns a balancer without replicas. Its random choices follow the seed.
+func New(seed uint64) *Balancer {
+	return &Balancer{
+		rng: rand.New(rand.NewPCG(seed, seed)), daemons: 1, limits: make(map[string]int),
+		replicas: make(map[string]*replica), services: make(map[string][]*replica), expected: make(map[string]float64),
+	}
+}
+
+// SetServers takes the platform's list. What was learned of a replica is kept while its ID, address and start stay.
+func (b *Balancer) SetServers(servers []Server, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.replicas
+	b.replicas = make(map[string]*replica, len(servers))
+	b.services = make(map[string][]*replica)
+	for _, s := range servers {
+		r := old[s.ID]
+		if r == nil || r.Address != s.Address || r.Born != s.Born || r.Service != s.Service {
+			r = &replica{slowness: 1}
+			if s.ColdFor > 0 {
+				r.coldUntil = now.Add(s.ColdFor)
+			}
+		}
+		r.Server = s
+		r.cap = b.capOf(s)
+		b.replicas[s.ID] = r
+		b.services[s.Service] = append(b.services[s.Service], r)
+	}
+}
+
+// SetShares takes the number of daemons that share the replicas' connections, and the connections that a replica of
+// each service accepts from all of them.
+func (b *Balancer) SetShares(daemons int, connections map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.daemons, b.limits = max(1, daemons), connections
+	for _, r := range b.replicas {
+		r.cap = b.capOf(r.Server)
+	}
+}
+
+// unknownConnections is the share of a replica's connections when the configuration states no limit.
+const unknownConnections = 8
+
+func (b *Balancer) capOf(s Server) int {
+	limit := b.limits[s.Service]
+	if limit == 0 {
+		return unknownConnections
+	}
+	return max(1, int(float64(limit)*connectionHeadroom)/b.daemons)
+}
+
+// Choice is a replica that was picked.
+type Choice struct {
+	Server
+	// Cap is the largest number of connections of this daemon to the replica.
+	Cap int
+	// Suspect is set if the replica is tried although its last attempts failed or fell silent.
+	Suspect bool
+}
+
+// Pick chooses a replica of the service for a kind of work and counts an attempt in flight. Replicas in exclude and
+// those without room are not chosen. ok is false if none is left. Done must be called once per choice.
+func (b *Balancer) Pick(service, kind string, exclude []string, now time.Time) (c Choice, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	expected := b.expectedTime(kind)
+	var best *replica
+	var bestCost float64
+	bestSuspect := true
+	list := b.services[service]
+	start := 0
+	if len(list) > 1 {
+		start = b.rng.IntN(len(list))
+	}
+	for i := range list {
+		r := list[(start+i)%len(list)]
+		if !r.usable() || slices.Contains(exclude, r.ID) {
+			continue
+		}
+		suspect := r.isSuspect(expected, now)
+		cost := r.cost(expected, now)
+		if best == nil || bestSuspect && !suspect || bestSuspect == suspect && cost < bestCost {
+			best, bestCost, bestSuspect = r, cost, suspect
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	trial := bestSuspect || best.failures > 0
+	if best.failures > 0 {
+		// One attempt tries the replica again; the others pass it over until that one is answered.
+		best.pausedUntil = now.Add(best.pause())
+	}
+	best.open = append(best.open, now)
+	return Choice{Server: best.Server, Cap: best.cap, Suspect: trial}, true
+}
+
+// Lookup returns a replica that was picked; ok is false if the list no longer has it.
+func (b *Balancer) Lookup(id string) (c Choice, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return Choice{}, false
+	}
+	return Choice{Server: r.Server, Cap: r.cap}, true
+}
+
+// Room returns the number of the services that have a replica with room.
+func (b *Balancer) Room(services []string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, s := range services {
+		if slices.ContainsFunc(b.services[s], (*replica).usable) {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *replica) usable() bool {
+	return r.State == Ready && !r.gone && len(r.open) < r.cap
+}
+
+// isSuspect reports whether the replica is in a pause after a failure, or has kept an attempt for so long that it is
+// likely paused or gone.
+func (r *replica) isSuspect(expected time.Duration, now time.Time) bool {
+	if now.Before(r.pausedUntil) {
+		return true
+	}
+	return len(r.open) > 0 && now.Sub(r.open[0]) > r.silence(expected)
+}
+
+func (r *replica) silence(expected time.Duration) time.Duration {
+	return max(leastSilence, time.Duration(silenceFactor*float64(expected)))
+}
+
+func (r *replica) pause() time.Duration {
+	return min(longestPause, firstPause<<min(r.failures-1, 10))
+}
+
+func (r *replica) link() time.Duration {
+	switch r.Distance {
+	case SameDataCentre:
+		return linkSame
+	case SameRegion:
+		return linkRegion
+	default:
+		return linkFar
+	}
+}
+
+// cost estimates the time of one more attempt in nanoseconds.
+func (r *replica) cost(expected time.Duration, now time.Time) float64 {
+	slots := r.Slots
+	if r.load.Slots > 0 {
+		slots = r.load.Slots
+	}
+	if slots <= 0 {
+		slots = assumedSlots
+	}
+	reported := float64(r.load.Running+r.load.Waiting) * halved(now.Sub(r.loadAt), reportHalfLife)
+	busy := max(float64(len(r.open)), reported)
+	work := float64(expected) * r.slownessAt(now)
+	if now.Before(r.coldUntil) {
+		work *= coldCost
+	}
+	// A small part of the load counts below the number of slots too, so that equal replicas share the work.
+	queue := 0.15*busy/float64(slots) + max(0, busy+1-float64(slots))/float64(slots)
+	served := max(leastServed, 1-r.refusedFraction(now))
+	return (float64(r.link()) + work*(1+queue)) / (served * served)
+}
+
+func (r *replica) slownessAt(now time.Time) float64 {
+	return 1 + (r.slowness-1)*halved(now.Sub(r.sampledAt), slownessHalfLife)
+}
+
+func (r *replica) refusedFraction(now time.Time) float64 {
+	return r.refused * halved(now.Sub(r.refusedAt), refusalHalfLife)
+}
+
+func (b *Balancer) expectedTime(kind string) time.Duration {
+	if e := b.expected[kind]; e > 0 {
+		return time.Duration(e)
+	}
+	return assumedLatency
+}
+
+// Expected returns the expected time of an attempt of the kind, without the link.
+func (b *Balancer) Expected(kind string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.expectedTime(kind)
+}
+
+// Report takes the load that a replica sent with an answer.
+func (b *Balancer) Report(id string, load Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil {
+		r.load, r.loadAt = load, now
+	}
+}
+
+// Done ends an attempt that Pick chose at begin.
+func (b *Balancer) Done(id, kind string, begin time.Time, outcome Outcome, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	if r == nil {
+		return
+	}
+	if i := slices.IndexFunc(r.open, begin.Equal); i >= 0 {
+		r.open = slices.Delete(r.open, i, i+1)
+	}
+	expected := b.expectedTime(kind)
+	switch outcome {
+	case Answered:
+		own := max(time.Millisecond, now.Sub(begin)-r.link())
+		r.sample(float64(own)/float64(expected), now)
+		r.refused, r.refusedAt = r.refusedFraction(now)*(1-refusalWeight), now
+		r.recovered()
+		b.learn(kind, own)
+	case Refused, Failed:
+		r.refused, r.refusedAt = r.refusedFraction(now)*(1-refusalWeight)+refusalWeight, now
+		r.recovered()
+	case Broken:
+		r.failed(now)
+	case Abandoned:
+		if took := now.Sub(begin); took > r.silence(expected) {
+			r.failed(now)
+			if ratio := float64(took) / float64(expected); ratio > r.slownessAt(now) {
+				r.sample(ratio, now)
+			}
+		}
+	case Gone:
+		r.gone = true
+	}
+}
+
+func (r *replica) recovered() { r.failures, r.pausedUntil = 0, time.Time{} }
+
+func (r *replica) failed(now time.Time) {
+	if now.Before(r.pausedUntil) && r.failures > 0 {
+		// Attempts that were in flight together fail together; they count once.
+		return
+	}
+	r.failures++
+	r.pausedUntil = now.Add(r.pause())
+}
+
+func (r *replica) sample(ratio float64, now time.Time) {
+	ratio = min(mostSlowness, ratio)
+	r.slowness = r.slownessAt(now)*(1-slownessWeight) + ratio*slownessWeight
+	r.sampledAt = now
+}
+
+// learn updates the expected time of a kind of work. An outlier counts at most twice the present value, so that an
+// incident does not become the norm.
+func (b *Balancer) learn(kind string, own time.Duration) {
+	e := b.expected[kind]
+	if e == 0 {
+		b.expected[kind] = float64(own)
+		return
+	}
+	b.expected[kind] = e*(1-expectedWeight) + min(float64(own), 2*e)*expectedWeight
+}
+
+// halved returns the factor by which something of the age has faded.
+func halved(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	n := float64(age) / float64(halfLife)
+	if n > 30 {
+		return 0
+	}
+	return math.Exp2(-n)
+}
+
+// Status is what a balancer knows of one replica, for status pages and metrics.
+type Status struct {
+	Server
+	InFlight int
+	Slowness float64
+	Refused  float64
+	Paused   bool
+}
+
+// Statuses returns what is known of each replica.
+func (b *Balancer) Statuses(now time.Time) []Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make([]Status, 0, len(b.replicas))
+	for _, r := range b.replicas {
+		all = append(all, Status{
+			Server: r.Server, InFlight: len(r.open), Slowness: r.slownessAt(now), Refused: r.refusedFraction(now),
+			Paused: now.Before(r.pausedUntil),
+		})
+	}
+	return all
+}
--- /dev/null
+++ b/cmd/chivemill-edge/main.go
@@ -0,0 +1,136 @@
+// Command chivemill-edge is the daemon on the users' platform: it serves callers' requests by the operator's routes.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/gateway"
+	"github.com/chivemill/chivemill/platform"
+	"github.com/chivemill/chivemill/topology"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "chivemill-edge",
+		Usage: "serve callers on the platform; the settings file is named by " + platform.SettingsVariable,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			set, err := platform.LoadSettings(cmd.String("settings"))
+			if err != nil {
+				return err
+			}
+			if cmd.Bool("check") {
+				fmt.Fprintln(cmd.Root().Writer, "settings are valid")
+				return nil
+			}
+			return run(ctx, set)
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, set platform.Settings) error {
+	log, err := zap.NewProduction()
+	if err != nil {
+		return eris.Wrap(err, "logger")
+	}
+	debug.SetMemoryLimit(set.MemoryBytes * 7 / 10)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	dir := topology.NewDirectory()
+	store := platform.NewStoreClient(set.Store, set.LeastLease, nil)
+	self := topology.Self{Node: set.Node, DataCentre: set.DataCentre, Address: set.Peers, Distance: set.Distance}
+	feed := topology.NewFeed(dir, store, platform.Decoder{}, platform.Keys(), self, set.Contacts, log)
+	b := balancer.New(xxhash.Sum64String(set.Node))
+	replicas := platform.NewReplicas(b.Report)
+	g := gateway.New(gateway.Options{
+		BudgetRatio: set.BudgetRatio, BudgetFixed: set.BudgetFixed, BudgetSpan: set.BudgetSpan,
+	}, dir, b, replicas, rand.Float64, log)
+
+	failed := make(chan error, 3)
+	draining := make(chan struct{})
+	isDraining := func() bool {
+		select {
+		case <-draining:
+			return true
+		default:
+			return false
+		}
+	}
+	callers := &http.Server{Handler: platform.NewCallers(g, isDraining)}
+	ready := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() || isDraining() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	mux := http.NewServeMux()
+	mux.Handle(topology.PathPull, feed.Handler())
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{{callers, set.Callers}, {ready, set.Ready}, {&http.Server{Handler: mux}, set.Peers}} {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return eris.Wrap(err, "listen")
+		}
+		go func() {
+			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	go feed.Run(ctx)
+	go g.Run(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			view, changed := dir.View()
+			replicas.Keep(view.Servers)
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	log.Info("started", zap.String("node", set.Node), zap.String("data_centre", set.DataCentre))
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case err := <-failed:
+		return err
+	case <-signals:
+	}
+	log.Info("stopping")
+	close(draining)
+	stopAt := time.Now().Add(set.StopGrace * 5 / 6)
+	time.Sleep(set.StopGrace / 2)
+	g.Stop()
+	stopCtx, stopCancel := context.WithDeadline(context.Background(), stopAt)
+	defer stopCancel()
+	err = callers.Shutdown(stopCtx)
+	log.Info("stopped", zap.Int64("in_flight", g.InFlight()), zap.Error(err))
+	return nil
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,240 @@
+// Package gateway answers callers' requests by the operator's routes: a query over shards or a request to one replica.
+// It composes the decisions of the other packages and knows no wire format.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/hedge"
+	"github.com/chivemill/chivemill/routing"
+	"github.com/chivemill/chivemill/topology"
+)
+
+// Request is one caller's request. It is not changed after Serve began.
+type Request struct {
+	// ID is the caller's identifier of this attempt.
+	ID string
+	// Method, Host, Target and Header are passed on unchanged. Target is the path with the query, Path the path alone.
+	Method, Host, Target, Path string
+	Header                     http.Header
+	Body                       []byte
+	// Received is when the request's head was read, Wait how long the caller waits from then; 0 if unknown.
+	Received time.Time
+	Wait     time.Duration
+}
+
+// Answer is what a replica answered.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Signature proves that the replica gave this answer to this request.
+	Signature string
+}
+
+// OK reports whether the answer is a success.
+func (a Answer) OK() bool { return a.Status >= 200 && a.Status < 300 }
+
+// Reply is what the caller gets: the answer of a replica, the merged answer of a query, or an error.
+type Reply struct {
+	// Answer is the answer of one replica, passed through.
+	Answer *Answer
+	// Query is set for the answer of a query over shards.
+	Query *QueryAnswer
+	// Err is set if there is neither.
+	Err *api.Error
+}
+
+// QueryAnswer is the merged answer of a query.
+type QueryAnswer struct {
+	// Records is the body: the greatest records of the included shards.
+	Records []byte
+	// Signatures holds one signature per included shard, Missing the number of shards that are not included.
+	Signatures []string
+	Missing    int
+}
+
+// Sender sends a request to a replica and returns its answer. A failure is a *backend.Error, whose class states whether
+// the replica may have executed the request; an answer of status 500 and above that may have been executed is returned
+// together with such an error. left is how long the caller still waits. Implementations are safe for concurrent use.
+type Sender interface {
+	Send(ctx context.Context, replica balancer.Choice, request *Request, left time.Duration) (Answer, error)
+}
+
+// Options are the parameters of a gateway.
+type Options struct {
+	// BudgetRatio, BudgetFixed and BudgetSpan bound the extra sub-requests to a service of all daemons together.
+	BudgetRatio, BudgetFixed float64
+	BudgetSpan               time.Duration
+}
+
+// Gateway answers requests. It is safe for concurrent use.
+type Gateway struct {
+	opts     Options
+	dir      *topology.Directory
+	balancer *balancer.Balancer
+	sender   Sender
+	log      *zap.Logger
+	draw     func() float64
+
+	inFlight atomic.Int64
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	daemons int
+	budgets map[string]*hedge.Window
+}
+
+// New returns a gateway. draw returns random numbers from [0, 1) and is safe for concurrent use.
+func New(opts Options, dir *topology.Directory, b *balancer.Balancer, sender Sender, draw func() float64, log *zap.Logger) *Gateway {
+	return &Gateway{
+		opts: opts, dir: dir, balancer: b, sender: sender, draw: draw, log: log, budgets: make(map[string]*hedge.Window),
+	}
+}
+
+const (
+	// assumedDaemons is used for shares until the number of daemons is known. It is high, since a start of the whole
+	// fleet is when unknown shares would hurt most.
+	assumedDaemons = 10
+	// budgetMargin is the part of the fleet's budget that is used. The rest covers that sub-requests arrive at other
+	// times than they are sent.
+	budgetMargin = 0.9
+	// fixedMargin is the part of the fixed budget that is used: daemons learn late how many they are.
+	fixedMargin = 0.7
+)
+
+// Run passes each new view to the balancer and the budgets until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	var generation uint64
+	for ctx.Err() == nil {
+		view, changed := g.dir.View()
+		now := time.Now()
+		if view.Generation != generation {
+			generation = view.Generation
+			g.balancer.SetServers(view.Servers, now)
+		}
+		daemons := view.Daemons
+		if daemons == 0 {
+			daemons = assumedDaemons
+		}
+		connections := make(map[string]int)
+		if view.Table != nil {
+			for _, s := range view.Table.Config().Services {
+				connections[s.Name] = s.Connections
+			}
+		}
+		g.balancer.SetShares(daemons, connections)
+		g.setDaemons(daemons)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (g *Gateway) setDaemons(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.daemons = n
+	for _, w := range g.budgets {
+		w.SetFixed(g.fixed())
+	}
+}
+
+func (g *Gateway) fixed() float64 {
+	return g.opts.BudgetFixed * fixedMargin / float64(max(1, g.daemons))
+}
+
+// budget returns the budget of the extra sub-requests to a service.
+func (g *Gateway) budget(service string) *hedge.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.budgets[service]
+	if w == nil {
+		w = hedge.NewWindow(g.opts.BudgetSpan, g.opts.BudgetRatio*budgetMargin, g.fixed())
+		g.budgets[service] = w
+	}
+	return w
+}
+
+// Ready reports whether the gateway takes requests.
+func (g *Gateway) Ready() bool {
+	view, _ := g.dir.View()
+	return view.Known() && !g.stopping.Load()
+}
+
+// Stop makes the gateway refuse new requests.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// InFlight returns the number of requests that are being answered.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// retryAfterStart is the advised wait while the daemon learns the configuration.
+const retryAfterStart = 300 * time.Millisecond
+
+// Limits returns the operator's limits on requests; ok is false while no configuration is known.
+func (g *Gateway) Limits() (limits routing.Limits, ok bool) {
+	view, _ := g.dir.View()
+	if view.Table == nil {
+		return routing.Limits{}, false
+	}
+	return view.Table.Config().Limits, true
+}
+
+// Serve answers a request. The end of ctx means that the caller left.
+func (g *Gateway) Serve(ctx context.Context, request *Request) Reply {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	reply := g.serve(ctx, request)
+	if reply.Err != nil && ctx.Err() == nil {
+		g.log.Info("request failed", zap.String("request", request.ID), zap.String("kind", string(reply.Err.Kind)),
+			zap.String("reason", reply.Err.Message), zap.Duration("after", time.Since(request.Received)))
+	}
+	return reply
+}
+
+func (g *Gateway) serve(ctx context.Context, request *Request) Reply {
+	view, _ := g.dir.View()
+	if !view.Known() {
+		return refuse(api.NoConfiguration, retryAfterStart, "this daemon has no configuration yet")
+	}
+	if g.stopping.Load() {
+		return refuse(api.Stopping, 0, "this daemon is stopping")
+	}
+	if request.ID == "" {
+		return Reply{Err: api.Errorf(api.BadRequest, "the request has no identifier")}
+	}
+	route := view.Table.Match(request.Host, request.Path)
+	if route == nil {
+		return Reply{Err: api.Errorf(api.NoRoute, "no route for host %q and path %q in version %d", request.Host,
+			request.Path, view.Table.Version())}
+	}
+	wait := route.Timeout
+	if request.Wait > 0 {
+		wait = min(wait, request.Wait)
+	}
+	if route.Safety == routing.Once {
+		// The caller's leaving does not end what must not run again.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, request.Received.Add(wait))
+	defer cancel()
+	if route.IsQuery() {
+		return g.query(ctx, request, route)
+	}
+	return g.single(ctx, request, route)
+}
+
+func refuse(kind api.Kind, retryAfter time.Duration, message string) Reply {
+	err := api.Errorf(kind, "%s", message)
+	err.RetryAfter = retryAfter
+	return Reply{Err: err}
+}
--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/snapshot"
 )
 
@@ -88,16 +90,14 @@
 // Start sends the first attempt of every shard.
 func (m *Machine) Start(now time.Time) []Action {
 	m.actions = m.actions[:0]
-	earn(m.plan.Hedges, len(m.shards))
-	if m.plan.Retries != m.plan.Hedges {
-		earn(m.plan.Retries, len(m.shards))
-	}
+	m.earn()
 	for i := range m.shards {
 		if !m.send(i, now) {
 			m.settle(i, api.MissingNoReplica, now)
 		}
 	}
-	if m.plan.HedgeDelay > 0 && m.plan.MaxAttempts > 1 {
+	m.giveUpUncovered(now)
+	if m.plan.HedgeDelay > 0 && m.plan.MaxAttempts > 1 && !m.plan.Once {
 		m.hedgeAt = now.Add(m.plan.HedgeDelay)
 	}
 	if m.plan.PartialAfter > 0 {
@@ -153,12 +153,67 @@
 		return m.actions, true
 	}
 	s.reason = Reason(err)
-	if s.open == 0 {
+	switch {
+	case s.open > 0:
+	case m.plan.Once && mayHaveRun(err):
+		m.giveUp(shard, s.reason, now)
+	default:
 		m.retry(shard, now)
 	}
+	m.giveUpUncovered(now)
 	return m.actions, false
 }
 
+// mayHaveRun reports whether the replica may have executed the attempt that ended with err.
+func mayHaveRun(err error) bool {
+	var e *backend.Error
+	return !errors.As(err, &e) || e.Executed()
+}
+
+// giveUpUncovered ends the query if it cannot reach the coverage that the plan requires any more.
+func (m *Machine) giveUpUncovered(now time.Time) {
+	if m.plan.GiveUpBelow == 0 || m.pending == 0 || Reaches(m.reachable(), m.plan.GiveUpBelow) {
+		return
+	}
+	m.finish(now, context.Canceled)
+}
+
+// reachable returns the fraction of the key space of the shards that are answered or still open.
+func (m *Machine) reachable() float64 {
+	var sum uint64
+	for i := range m.shards {
+		if s := &m.shards[i]; s.answered || !s.done {
+			sum += width(m.plan.Map.Shards[i])
+		}
+	}
+	return float64(sum) / float64(snapshot.KeySpace)
+}
+
+// budgets returns the budgets of the extra attempts for a shard.
+func (m *Machine) budgets(shard int) ShardBudget {
+	if m.plan.ShardBudgets != nil {
+		return m.plan.ShardBudgets[shard]
+	}
+	return ShardBudget{Hedges: m.plan.Hedges, Retries: m.plan.Retries}
+}
+
+// earn reports the needed sub-requests to the budgets; a budget that serves hedges and retries gets them once.
+func (m *Machine) earn() {
+	if m.plan.ShardBudgets == nil {
+		earn(m.plan.Hedges, len(m.shards))
+		if m.plan.Retries != m.plan.Hedges {
+			earn(m.plan.Retries, len(m.shards))
+		}
+		return
+	}
+	for _, b := range m.plan.ShardBudgets {
+		earn(b.Hedges, 1)
+		if b.Retries != b.Hedges {
+			earn(b.Retries, 1)
+		}
+	}
+}
+
 // Wake returns when Tick is due next; ok is false if it is not needed.
 func (m *Machine) Wake() (at time.Time, ok bool) {
 	if m.pending == 0 {
@@ -285,11 +340,12 @@
 			continue
 		}
 		m.hedgeAt = now.Add(m.plan.HedgeDelay)
-		if m.plan.Hedges.Take() {
+		budget := m.budgets(i).Hedges
+		if budget.Take() {
 			if m.send(i, now) {
 				m.hedges++
 			} else {
-				refund(m.plan.Hedges)
+				refund(budget)
 			}
 		}
 	}
@@ -320,7 +376,8 @@
 func (m *Machine) retryNow(shard int, now time.Time) {
 	s := &m.shards[shard]
 	again := len(s.attempts) > 0
-	if again && !m.plan.Retries.Take() {
+	budget := m.budgets(shard).Retries
+	if again && !budget.Take() {
 		m.settle(shard, api.MissingBudget, now)
 		return
 	}
@@ -331,7 +388,7 @@
 		return
 	}
 	if again {
-		refund(m.plan.Retries)
+		refund(budget)
 	}
 	if s.reason == "" {
 		s.reason = api.MissingNoReplica
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -57,8 +57,19 @@
 
 	Hedges  Budget
 	Retries Budget
+	// ShardBudgets, if set, holds one pair of budgets per shard in place of Hedges and Retries.
+	ShardBudgets []ShardBudget
+	// Once is set if the request may be executed at most once: there are no hedges, and a retry follows only an
+	// attempt that certainly was not executed.
+	Once bool
+	// GiveUpBelow ends the query as soon as the shards that are answered or still open cover less than this fraction
+	// of the key space; 0 never does.
+	GiveUpBelow float64
 }
 
+// ShardBudget holds the budgets of the extra attempts for one shard.
+type ShardBudget struct{ Hedges, Retries Budget }
+
 // Result is the gathered answer of a query.
 type Result struct {
 	Records  []api.Record
@@ -80,17 +91,13 @@
 // Run sends the query to every shard of the plan and returns when each shard is answered or given up, or when
 // ctx ends. Attempts that lost are cancelled before it returns. The decisions are those of a Machine.
 func Run(ctx context.Context, plan Plan, picker Picker, sender Sender) Result {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	deadline, _ := ctx.Deadline()
 	r := &run{
-		plan: &plan, sender: sender, ctx: ctx,
+		plan: &plan, sender: sender,
 		machine: NewMachine(&plan, picker, deadline),
 		merge:   coverage.NewMerge(plan.Version, plan.Map),
-		results: make(chan settled),
-		lanes:   make([]lane, len(plan.Map.Shards)),
 	}
-	r.loop()
+	Drive(ctx, r.machine, r.attempt)
 	var result Result
 	for i, s := range plan.Map.Shards {
 		if ok, reason := r.machine.Answered(i); !ok {
@@ -102,75 +109,15 @@
 	return result
 }
 
-// run drives a Machine with goroutines and the real clock. Only the goroutine of loop touches it, apart from the
-// channel.
+// run binds the attempts of Run to its merge.
 type run struct {
 	plan    *Plan
 	sender  Sender
-	ctx     context.Context
 	machine *Machine
 	merge   *coverage.Merge
-	results chan settled
-	lanes   []lane
-}
-
-// lane is the context that all attempts of one shard share: they all end when the shard is answered.
-type lane struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
-type settled struct {
-	shard, attempt int
-	result         coverage.Result
-	err            error
-}
-
-func (r *run) loop() {
-	r.perform(r.machine.Start(time.Now()))
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
-	for !r.machine.Done() {
-		var wake <-chan time.Time
-		if at, ok := r.machine.Wake(); ok {
-			timer.Reset(time.Until(at))
-			wake = timer.C
-		}
-		select {
-		case <-r.ctx.Done():
-			r.perform(r.machine.Stop(time.Now(), r.ctx.Err()))
-		case <-wake:
-			r.perform(r.machine.Tick(time.Now()))
-		case got := <-r.results:
-			r.settle(got)
-		}
-	}
-}
-
-func (r *run) settle(got settled) {
-	actions, taken := r.machine.Settled(got.shard, got.attempt, got.err, time.Now())
-	if taken {
-		got.result.Add()
-		r.lanes[got.shard].cancel()
-	}
-	r.perform(actions)
-}
-
-func (r *run) perform(actions []Action) {
-	for _, a := range actions {
-		l := &r.lanes[a.Shard]
-		if a.Kind == ActionCancel {
-			l.cancel()
-			continue
-		}
-		if l.ctx == nil {
-			l.ctx, l.cancel = context.WithCancel(r.ctx)
-		}
-		go r.attempt(l.ctx, a)
-	}
 }
 
-func (r *run) attempt(ctx context.Context, a Action) {
+func (r *run) attempt(ctx context.Context, a Action) (func(), error) {
 	shard := r.plan.Map.Shards[a.Shard].ID
 	sub := backend.Sub{
 		Service: r.plan.Service,
@@ -181,14 +128,14 @@
 		Query:   r.plan.Query,
 	}
 	answer, err := r.sender.Send(ctx, a.Replica, sub)
-	got := settled{shard: a.Shard, attempt: a.Attempt, err: err}
-	if err == nil {
-		got.result, got.err = r.merge.Ticket(shard).Check(answer)
+	if err != nil {
+		return nil, err
 	}
-	select {
-	case r.results <- got:
-	case <-r.ctx.Done():
+	result, err := r.merge.Ticket(shard).Check(answer)
+	if err != nil {
+		return nil, err
 	}
+	return func() { result.Add() }, nil
 }
 
 // Reason maps the error of an attempt to the reason that the coverage states.
