--- a/cmd/chivemill-edge/main.go
+++ b/cmd/chivemill-edge/main.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -42,7 +43,7 @@
 				fmt.Fprintln(cmd.Root().Writer, "settings are valid")
 				return nil
 			}
-			return run(ctx, set)
+			return run(ctx, cmd.String("settings"), set)
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
@@ -51,7 +52,21 @@
 	}
 }
 
-func run(ctx context.Context, set platform.Settings) error {
+// reloadSettings reads the settings again. Addresses and the place of a process do not change while it runs; a change
+// is logged and takes effect at the next start.
+func reloadSettings(file string, running platform.Settings, log *zap.Logger) {
+	set, err := platform.LoadSettings(file)
+	switch {
+	case err != nil:
+		log.Error("settings cannot be read; the running ones stay", zap.Error(err))
+	case !reflect.DeepEqual(set, running):
+		log.Warn("settings changed; they take effect at the next start")
+	default:
+		log.Info("settings read again without a change")
+	}
+}
+
+func run(ctx context.Context, file string, set platform.Settings) error {
 	log, err := zap.NewProduction()
 	if err != nil {
 		return eris.Wrap(err, "logger")
@@ -118,10 +133,17 @@
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	select {
-	case err := <-failed:
-		return err
-	case <-signals:
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	for stopping := false; !stopping; {
+		select {
+		case err := <-failed:
+			return err
+		case <-reload:
+			reloadSettings(file, set, log)
+		case <-signals:
+			stopping = true
+		}
 	}
 	log.Info("stopping")
 	close(draining)
