One daemon reads the store for the fleet, one relay per data centre follows it

Change: places of two levels, claimed by leased keys; starts and claims use reads that may be stale; a stale follower asks another data centre's reader before the store; a pull returns after each confirmation; claims are given up at a planned stop.

--- a/kv/kv.go
+++ b/kv/kv.go
@@ -91,3 +91,28 @@
 	// compacted.
 	Watch(ctx context.Context, prefix string, from int64, fn func(WatchBatch)) error
 }
+
+// StaleReader is implemented by stores that serve cheaper reads which may be seconds old. The errors are those of
+// Store.
+type StaleReader interface {
+	// GetStale is Store.Get on a state that may be seconds old.
+	GetStale(ctx context.Context, key string) (item Item, found bool, err error)
+	// ListStale is Store.List on a state that may be seconds old.
+	ListStale(ctx context.Context, prefix string) (items []Item, revision int64, err error)
+}
+
+// GetStale reads one key, from a state that may be seconds old if the store has such reads.
+func GetStale(ctx context.Context, store Store, key string) (Item, bool, error) {
+	if s, ok := store.(StaleReader); ok {
+		return s.GetStale(ctx, key)
+	}
+	return store.Get(ctx, key)
+}
+
+// ListStale lists a prefix, from a state that may be seconds old if the store has such reads.
+func ListStale(ctx context.Context, store Store, prefix string) ([]Item, int64, error) {
+	if s, ok := store.(StaleReader); ok {
+		return s.ListStale(ctx, prefix)
+	}
+	return store.List(ctx, prefix)
+}
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -29,8 +29,9 @@
 	// Servers is the list of replicas, sorted by ID; Generation grows with each change of it and is 0 until it is known.
 	Servers    []balancer.Server
 	Generation uint64
-	// ReadAt is when the store confirmed the list last.
-	ReadAt time.Time
+	// ReadAt is when the store confirmed the list last; Confirmed counts these confirmations.
+	ReadAt    time.Time
+	Confirmed uint64
 	// Daemons is the number of daemons of the fleet, 0 if unknown.
 	Daemons int
 }
@@ -42,13 +43,16 @@
 type Directory struct {
 	mu   sync.Mutex
 	view View
-	// missing holds since when an entry has been missing from the lists after an outage.
+	// outageEnd is when the store was read again after its last outage.
 	outageEnd time.Time
-	changed   chan struct{}
+	// changed is closed at a change of the view, confirmed at a confirmation too.
+	changed, confirmed chan struct{}
 }
 
 // NewDirectory returns a directory that knows nothing.
-func NewDirectory() *Directory { return &Directory{changed: make(chan struct{})} }
+func NewDirectory() *Directory {
+	return &Directory{changed: make(chan struct{}), confirmed: make(chan struct{})}
+}
 
 // View returns the newest view and a channel that is closed at its next change.
 func (d *Directory) View() (View, <-chan struct{}) {
@@ -57,9 +61,22 @@
 	return d.view, d.changed
 }
 
+// Confirmation returns the newest view and a channel that is closed at its next change or confirmation.
+func (d *Directory) Confirmation() (View, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view, d.confirmed
+}
+
 func (d *Directory) publish() {
 	close(d.changed)
 	d.changed = make(chan struct{})
+	d.confirm()
+}
+
+func (d *Directory) confirm() {
+	close(d.confirmed)
+	d.confirmed = make(chan struct{})
 }
 
 // SetConfig takes a configuration. A version that is not above the present one changes nothing; applied reports
@@ -104,6 +121,7 @@
 		d.outageEnd = readAt
 	}
 	d.view.ReadAt = readAt
+	d.view.Confirmed++
 	listed := make(map[string]balancer.Server, len(servers))
 	for _, s := range servers {
 		listed[s.ID] = s
@@ -129,6 +147,7 @@
 		differs = differs || !ok || !same(old, s)
 	}
 	if !differs {
+		d.confirm()
 		return change, true
 	}
 	change.Added = len(listed) - (len(d.view.Servers) - change.Removed)
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/balancer"
@@ -17,34 +16,31 @@
 )
 
 const (
-	// readInterval is the time between two reads of the list by the daemon that reads for its data centre. A leaving
-	// replica has to be known everywhere within 3 s: one interval, one call and one hop to the followers.
+	// readInterval is the time between two reads of the list by the daemon that reads for the fleet. A leaving replica has
+	// to be known everywhere within 3 s: one interval, one call and two hops.
 	readInterval = 1000 * time.Millisecond
-	// callTimeout bounds a call to the store. A call that takes longer than that is lost or meets a slow store.
+	// callTimeout bounds a call to the store. A call that takes longer is lost or meets a slow store.
 	callTimeout = 1500 * time.Millisecond
-	// staleAfter is the age of the list from which a follower reads the store itself: its reader may be cut off.
-	staleAfter = 1900 * time.Millisecond
-	// ownReadInterval is the least time between two such reads of a follower.
-	ownReadInterval = 1500 * time.Millisecond
-	// leaseTime is the time to live of a reader's claim, renewInterval the time between renewals.
-	leaseTime     = 4 * time.Second
-	renewInterval = 1300 * time.Millisecond
-	// electionSpread is the span over which daemons spread their claims, so that one claim usually stands before the
+	// staleFleet and staleCentre are the ages of the list from which a follower of the fleet's reader or of its data
+	// centre's looks elsewhere. They exceed the interval by the delays of the hops before.
+	staleFleet  = 1500 * time.Millisecond
+	staleCentre = 1900 * time.Millisecond
+	// firstOwnRead is the least time between two reads of the store by a follower without a fresh source. While its
+	// reader answers, and so most likely the store is away, the time doubles up to lastOwnRead.
+	firstOwnRead = 1300 * time.Millisecond
+	lastOwnRead  = 6 * time.Second
+	// electionSpread is the span over which daemons spread their first claims, so that one claim usually stands before the
 	// next daemon looks.
 	electionSpread = 400 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 1500 * time.Millisecond
-	// countInterval is the time between two looks at the other data centres' readers.
-	countInterval = 3 * time.Second
-	// followerHold is how long a follower that asks no more still counts as a daemon. It covers a restart.
-	followerHold = 8 * time.Second
 )
 
 // Keys names what the daemons read and write in the store.
 type Keys struct {
 	// Config is the key of the configuration, Servers the prefix of the replicas' entries, Readers the prefix under which
-	// readers claim their data centre.
+	// readers claim their place.
 	Config, Servers, Readers string
 }
 
@@ -66,106 +62,224 @@
 	Distance func(dataCentre string) balancer.Distance
 }
 
-// Feed keeps a Directory up to date from the store and from other daemons. Run may be called once; the other methods
-// are safe for concurrent use.
+// Feed keeps a Directory up to date. Run may be called once; the other methods are safe for concurrent use.
+//
+// The daemons form a tree of three levels: one daemon of each data centre claims to read for it and the others follow
+// it; one of these claims to read for the fleet, and the rest of them follow it. A claim is a leased key of the store.
+// Two daemons with the same claim, and none, cost calls and no correctness: versions never go back, and an older list
+// is not taken.
 type Feed struct {
 	dir     *Directory
 	store   kv.Store
 	decoder Decoder
 	keys    Keys
 	self    Self
-	// seeds are addresses of daemons that are asked while the store does not answer.
-	seeds []string
-	log   *zap.Logger
-	peers peerClient
-
-	mu sync.Mutex
-	// reader is the address of the daemon that reads for this data centre, "" if unknown and self.Address for this one.
-	reader string
-	// lease, claimRevision and claimed belong to this daemon's claim; claimed is the number of daemons in it.
-	lease         kv.LeaseID
-	claimRevision int64
-	claimed       int
-	// followers holds when a daemon of the data centre asked last.
-	followers map[string]time.Time
+	// contacts are addresses of daemons that are asked while the store does not answer.
+	contacts []string
+	log      *zap.Logger
+	peers    peerClient
+	levels   []*place
+	// following holds the daemons that follow this one as the reader of their data centre.
+	following followers
+	stopped   atomic.Bool
+
+	mu        sync.Mutex
+	readers   []string
 	unread    map[string]int64
 	storeLost time.Time
 }
 
-// NewFeed returns a feed. seeds may be empty.
-func NewFeed(dir *Directory, store kv.Store, decoder Decoder, keys Keys, self Self, seeds []string, log *zap.Logger) *Feed {
-	return &Feed{
-		dir: dir, store: store, decoder: decoder, keys: keys, self: self, seeds: seeds, log: log,
-		peers: newPeerClient(), followers: make(map[string]time.Time), unread: make(map[string]int64),
+// NewFeed returns a feed. contacts may be empty.
+func NewFeed(dir *Directory, store kv.Store, decoder Decoder, keys Keys, self Self, contacts []string, log *zap.Logger) *Feed {
+	f := &Feed{
+		dir: dir, store: store, decoder: decoder, keys: keys, self: self, contacts: contacts, log: log,
+		peers: newPeerClient(), following: newFollowers(), unread: make(map[string]int64),
 	}
+	f.levels = []*place{
+		{scope: self.DataCentre, key: keys.Readers + centrePrefix + self.DataCentre, stale: staleCentre},
+		{scope: fleetScope, key: keys.Readers + fleetScope, stale: staleFleet},
+	}
+	return f
 }
 
-// Run keeps the directory up to date until ctx ends.
+// Run keeps the directory up to date until ctx ends. Then it gives up its claims.
 func (f *Feed) Run(ctx context.Context) {
 	f.start(ctx)
-	for ctx.Err() == nil {
-		if f.isReader() {
-			f.read(ctx)
-		} else {
-			f.follow(ctx)
+	f.serve(ctx, 0)
+	f.stopped.Store(true)
+	f.resign()
+}
+
+// start gets a first view with two calls: from the store, or from another daemon if the store does not answer. The
+// reads may be stale, since fresh ones follow within a second.
+func (f *Feed) start(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { f.readConfig(ctx, mayBeStale) })
+	wg.Go(func() { f.readServers(ctx, mayBeStale) })
+	wg.Wait()
+	f.askContacts(ctx)
+}
+
+// askContacts pulls from the contact addresses until the view is known.
+func (f *Feed) askContacts(ctx context.Context) {
+	for _, address := range f.contacts {
+		if view, _ := f.dir.View(); view.Known() || ctx.Err() != nil {
+			return
+		}
+		if address == f.self.Address {
+			continue
+		}
+		if err := f.pull(ctx, address, "", 0); err != nil {
+			f.log.Info("contact did not answer", zap.String("address", address), zap.Error(err))
 		}
 	}
 }
 
-// start gets a first view: from the store, or from another daemon if the store does not answer.
-func (f *Feed) start(ctx context.Context) {
-	for pause := firstRetry; ctx.Err() == nil; pause = min(2*pause, lastRetry) {
+// serve holds or follows the place of a level until ctx ends. The holder of the last place reads the store.
+func (f *Feed) serve(ctx context.Context, level int) {
+	if level == len(f.levels) {
+		f.read(ctx)
+		return
+	}
+	for p := f.levels[level]; ctx.Err() == nil; {
+		if !p.isHeld() {
+			f.follow(ctx, p)
+			continue
+		}
+		held, lost := context.WithCancel(ctx)
 		var wg sync.WaitGroup
-		wg.Go(func() { f.readConfig(ctx) })
-		wg.Go(func() { f.readServers(ctx) })
+		wg.Go(func() {
+			defer lost()
+			f.renew(held, p)
+		})
+		f.serve(held, level+1)
 		wg.Wait()
-		view, _ := f.dir.View()
-		if view.Known() {
-			return
+	}
+}
+
+// follow pulls from the holder of a place until this daemon holds it or ctx ends.
+func (f *Feed) follow(ctx context.Context, p *place) {
+	retry, own := firstRetry, firstOwnRead
+	var ownRead, elected time.Time
+	for ctx.Err() == nil && !p.isHeld() {
+		err := errNoReader
+		if reader := p.reader(); reader != "" {
+			err = f.pull(ctx, reader, p.scope, pullWait)
+		}
+		if err == nil && f.age() < p.stale {
+			retry, own = firstRetry, firstOwnRead
+			continue
+		}
+		if err != nil && time.Since(elected) >= retry {
+			elected = time.Now()
+			f.elect(ctx, p)
 		}
-		for _, seed := range f.seeds {
-			if seed != f.self.Address && f.pull(ctx, seed, 0) == nil {
-				break
+		if f.age() >= p.stale {
+			f.pullElsewhere(ctx, p)
+		}
+		if f.age() >= p.stale && time.Since(ownRead) >= own {
+			ownRead = time.Now()
+			if f.readServers(ctx, fresh) {
+				f.readConfig(ctx, fresh)
+			}
+			if err == nil && p.scope != fleetScope {
+				own = min(2*own, lastOwnRead)
 			}
 		}
-		if view, _ = f.dir.View(); view.Known() {
-			return
+		if err != nil && !p.isHeld() {
+			sleep(ctx, spread(retry))
+			retry = min(2*retry, lastRetry)
 		}
-		sleep(ctx, spread(pause))
 	}
 }
 
-func (f *Feed) isReader() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reader == f.self.Address
-}
-
-// IsReader reports whether this daemon reads the store for its data centre.
-func (f *Feed) IsReader() bool { return f.isReader() }
+var errNoReader = errors.New("no reader is known")
 
-func (f *Feed) readerAddress() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reader
+// age returns the time since the store confirmed the list, or a long time if there is no complete view.
+func (f *Feed) age() time.Duration {
+	view, _ := f.dir.View()
+	if !view.Known() {
+		return time.Hour
+	}
+	return time.Since(view.ReadAt)
 }
 
-func (f *Feed) setReader(address string) {
+// pullElsewhere asks one other data centre's reader, which may have a fresher list.
+func (f *Feed) pullElsewhere(ctx context.Context, p *place) {
 	f.mu.Lock()
-	changed := f.reader != address
-	f.reader = address
+	readers := f.readers
 	f.mu.Unlock()
-	if changed {
-		f.log.Info("reader of the data centre", zap.String("reader", address), zap.Bool("self", address == f.self.Address))
+	if len(readers) == 0 {
+		f.askContacts(ctx)
+		return
+	}
+	address := readers[rand.IntN(len(readers))]
+	if address == p.reader() || address == f.self.Address {
+		return
 	}
+	if err := f.pull(ctx, address, "", 0); err != nil {
+		f.log.Debug("other reader did not answer", zap.String("address", address), zap.Error(err))
+	}
+}
+
+// read reads the store for the fleet until ctx ends.
+func (f *Feed) read(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { f.watchConfig(ctx) })
+	wg.Go(func() { f.countDaemons(ctx) })
+	for ctx.Err() == nil {
+		begin := time.Now()
+		f.readServers(ctx, fresh)
+		sleep(ctx, readInterval-time.Since(begin))
+	}
+	wg.Wait()
 }
 
-// readConfig reads the configuration and returns the store's revision, 0 after a failure.
-func (f *Feed) readConfig(ctx context.Context) int64 {
+// watchConfig applies each new configuration. After a failure, and when the store no longer has the history, it reads
+// the configuration and watches from there.
+func (f *Feed) watchConfig(ctx context.Context) {
+	pause := firstRetry
+	for ctx.Err() == nil {
+		revision := f.readConfig(ctx, fresh)
+		if revision == 0 {
+			sleep(ctx, spread(pause))
+			pause = min(2*pause, lastRetry)
+			continue
+		}
+		pause = firstRetry
+		err := f.store.Watch(ctx, f.keys.Config, revision+1, func(batch kv.WatchBatch) {
+			for _, e := range batch.Events {
+				if !e.Deleted && e.Item.Key == f.keys.Config {
+					f.takeConfig(e.Item)
+				}
+			}
+		})
+		if ctx.Err() == nil {
+			f.log.Info("watch of the configuration ended", zap.Error(err))
+			sleep(ctx, spread(firstRetry))
+		}
+	}
+}
+
+// freshness is how old the state of a read may be.
+type freshness int
+
+// Values of freshness.
+const (
+	fresh freshness = iota
+	mayBeStale
+)
+
+// readConfig reads the configuration and returns the store's revision of it, 0 after a failure.
+func (f *Feed) readConfig(ctx context.Context, wanted freshness) int64 {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	item, found, err := f.store.Get(ctx, f.keys.Config)
-	f.storeAnswered("config", err)
+	get := f.store.Get
+	if wanted == mayBeStale {
+		get = func(ctx context.Context, key string) (kv.Item, bool, error) { return kv.GetStale(ctx, f.store, key) }
+	}
+	item, found, err := get(ctx, f.keys.Config)
+	f.storeAnswered("configuration", err)
 	if err != nil || !found {
 		return 0
 	}
@@ -195,11 +309,17 @@
 }
 
 // readServers reads the list of replicas and reports whether the store answered.
-func (f *Feed) readServers(ctx context.Context) bool {
+func (f *Feed) readServers(ctx context.Context, wanted freshness) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	list := f.store.List
+	if wanted == mayBeStale {
+		list = func(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+			return kv.ListStale(ctx, f.store, prefix)
+		}
+	}
 	at := time.Now()
-	items, _, err := f.store.List(ctx, f.keys.Servers)
+	items, _, err := list(ctx, f.keys.Servers)
 	f.storeAnswered("servers", err)
 	if err != nil {
 		return false
@@ -213,11 +333,23 @@
 		}
 		servers = append(servers, s)
 	}
+	if wanted == mayBeStale {
+		// Any fresh read is newer than a stale one.
+		at = at.Add(-staleMargin)
+	}
+	f.peers.forget()
 	f.takeServers(servers, at, "store")
 	return true
 }
 
-// reportUnreadable logs an entry that names no replica, once per revision.
+// staleMargin is how much older than its time a stale read counts. It makes the view look stale, so that the daemon
+// looks for a fresh source at once.
+const staleMargin = 10 * time.Second
+
+// maxUnread bounds the remembered entries that could not be read.
+const maxUnread = 1000
+
+// reportUnreadable logs an entry that cannot be used, once per revision.
 func (f *Feed) reportUnreadable(item kv.Item, err error) {
 	f.mu.Lock()
 	known := f.unread[item.Key] == item.ModRevision
@@ -227,13 +359,10 @@
 	f.unread[item.Key] = item.ModRevision
 	f.mu.Unlock()
 	if !known {
-		f.log.Warn("entry names no replica", zap.String("key", item.Key), zap.Int64("revision", item.ModRevision), zap.Error(err))
+		f.log.Warn("entry cannot be used", zap.String("key", item.Key), zap.Int64("revision", item.ModRevision), zap.Error(err))
 	}
 }
 
-// maxUnread bounds the remembered entries that could not be read.
-const maxUnread = 1000
-
 func (f *Feed) takeServers(servers []balancer.Server, readAt time.Time, from string) {
 	located := make([]balancer.Server, len(servers))
 	for i, s := range servers {
@@ -265,246 +394,8 @@
 	case err != nil && lost.IsZero():
 		f.log.Warn("store lost", zap.String("call", call), zap.Error(err))
 	case err == nil && !lost.IsZero():
-		f.log.Info("store regained", zap.Duration("away", time.Since(lost)))
-	}
-}
-
-// follow asks the reader for changes until it fails, turns stale, or this daemon becomes the reader.
-func (f *Feed) follow(ctx context.Context) {
-	pause := firstRetry
-	var ownRead time.Time
-	for ctx.Err() == nil && !f.isReader() {
-		reader := f.readerAddress()
-		var err error
-		if reader == "" {
-			err = errNoReader
-		} else {
-			err = f.pull(ctx, reader, pullWait)
-		}
-		if err == nil {
-			pause = firstRetry
-		}
-		view, _ := f.dir.View()
-		if err == nil && time.Since(view.ReadAt) < staleAfter {
-			continue
-		}
-		if time.Since(ownRead) >= ownReadInterval {
-			ownRead = time.Now()
-			if time.Since(view.ReadAt) >= readInterval {
-				f.readConfig(ctx)
-				f.readServers(ctx)
-			}
-			f.elect(ctx, reader)
-		}
-		if err != nil {
-			sleep(ctx, spread(pause))
-			pause = min(2*pause, lastRetry)
-		}
-	}
-}
-
-var errNoReader = errors.New("no reader is known")
-
-// claim is the value of a reader's key.
-type claim struct {
-	Node    string `json:"node"`
-	Address string `json:"address"`
-	// Daemons is the number of daemons of the data centre.
-	Daemons int `json:"daemons"`
-}
-
-func (f *Feed) claimKey() string { return f.keys.Readers + f.self.DataCentre }
-
-// elect finds the reader of the data centre, or claims the place if it is free. failed is the reader that did not
-// answer; its claim is still followed until it lapses.
-func (f *Feed) elect(ctx context.Context, failed string) {
-	if failed == "" {
-		sleep(ctx, spread(electionSpread))
-	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	item, found, err := f.store.Get(call, f.claimKey())
-	f.storeAnswered("reader", err)
-	if err != nil {
-		return
-	}
-	if found {
-		if c, err := decodeClaim(item); err == nil && c.Node != f.self.Node {
-			f.setReader(c.Address)
-			return
-		}
-		// The claim is of an earlier life of this daemon, or unreadable: it is taken over.
-	}
-	f.claim(ctx, item.ModRevision)
-}
-
-func decodeClaim(item kv.Item) (claim, error) {
-	var c claim
-	err := json.Unmarshal(item.Value, &c)
-	if err == nil && (c.Address == "" || c.Node == "") {
-		err = errors.New("no address or node")
-	}
-	return c, eris.Wrapf(err, "claim at %s", item.Key)
-}
-
-// claim writes this daemon's claim if the key still has the revision, 0 for a free place.
-func (f *Feed) claim(ctx context.Context, revision int64) {
-	call, cancel := context.WithTimeout(ctx, 2*callTimeout)
-	defer cancel()
-	lease, err := f.store.Grant(call, leaseTime)
-	f.storeAnswered("lease", err)
-	if err != nil {
-		return
-	}
-	ok, err := f.writeClaim(call, lease, revision)
-	f.storeAnswered("claim", err)
-	if err != nil || !ok {
-		return
-	}
-	f.mu.Lock()
-	f.lease = lease
-	f.mu.Unlock()
-	f.setReader(f.self.Address)
-}
-
-func (f *Feed) writeClaim(ctx context.Context, lease kv.LeaseID, revision int64) (bool, error) {
-	daemons := f.countFollowers(time.Now())
-	value, err := json.Marshal(claim{Node: f.self.Node, Address: f.self.Address, Daemons: daemons})
-	if err != nil {
-		return false, eris.Wrap(err, "claim")
-	}
-	result, err := f.store.Txn(ctx, kv.Txn{
-		If:   []kv.Compare{{Key: f.claimKey(), ModRevision: revision}},
-		Puts: []kv.Put{{Key: f.claimKey(), Value: value, Lease: lease}},
-	})
-	if err != nil || !result.Succeeded {
-		return false, err
-	}
-	f.mu.Lock()
-	f.claimed, f.claimRevision = daemons, result.Revision
-	f.mu.Unlock()
-	return true, nil
-}
-
-// read reads the store for the data centre until the claim is lost.
-func (f *Feed) read(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var wg sync.WaitGroup
-	wg.Go(func() { f.watchConfig(ctx) })
-	wg.Go(func() { f.renew(ctx, cancel) })
-	wg.Go(func() { f.countDaemons(ctx) })
-	for ctx.Err() == nil {
-		begin := time.Now()
-		f.readServers(ctx)
-		sleep(ctx, readInterval-time.Since(begin))
+		f.log.Info("store regained", zap.String("call", call), zap.Duration("away", time.Since(lost)))
 	}
-	wg.Wait()
-}
-
-// watchConfig applies each new configuration. After a failure, and when the store no longer has the history, it reads
-// the configuration and watches from there.
-func (f *Feed) watchConfig(ctx context.Context) {
-	pause := firstRetry
-	for ctx.Err() == nil {
-		revision := f.readConfig(ctx)
-		if revision == 0 {
-			sleep(ctx, spread(pause))
-			pause = min(2*pause, lastRetry)
-			continue
-		}
-		pause = firstRetry
-		err := f.store.Watch(ctx, f.keys.Config, revision+1, func(batch kv.WatchBatch) {
-			for _, e := range batch.Events {
-				if !e.Deleted && e.Item.Key == f.keys.Config {
-					f.takeConfig(e.Item)
-				}
-			}
-		})
-		if ctx.Err() == nil {
-			f.log.Info("watch of the configuration ended", zap.Error(err))
-			sleep(ctx, spread(firstRetry))
-		}
-	}
-}
-
-// renew keeps the claim and ends the reading when it is lost.
-func (f *Feed) renew(ctx context.Context, lost context.CancelFunc) {
-	defer lost()
-	for ctx.Err() == nil {
-		sleep(ctx, renewInterval)
-		f.mu.Lock()
-		lease, revision, claimed := f.lease, f.claimRevision, f.claimed
-		f.mu.Unlock()
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		var alive bool
-		var err error
-		if f.countFollowers(time.Now()) != claimed {
-			alive, err = f.writeClaim(call, lease, revision)
-		} else {
-			alive, err = f.store.KeepAlive(call, lease)
-		}
-		cancel()
-		f.storeAnswered("renewal", err)
-		if err == nil && !alive {
-			f.log.Info("claim to read for the data centre lost")
-			f.setReader("")
-			return
-		}
-	}
-}
-
-// countFollowers returns the number of daemons of the data centre that follow this one, itself included.
-func (f *Feed) countFollowers(now time.Time) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for node, at := range f.followers {
-		if now.Sub(at) > followerHold {
-			delete(f.followers, node)
-		}
-	}
-	return len(f.followers) + 1
-}
-
-// countDaemons sums the daemons of all data centres from the readers' claims.
-func (f *Feed) countDaemons(ctx context.Context) {
-	seen := make(map[string]counted)
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		items, _, err := f.store.List(call, f.keys.Readers)
-		cancel()
-		f.storeAnswered("readers", err)
-		now := time.Now()
-		if err == nil {
-			for _, item := range items {
-				c, err := decodeClaim(item)
-				if err != nil {
-					f.reportUnreadable(item, err)
-					continue
-				}
-				seen[item.Key] = counted{c.Daemons, now}
-			}
-			total := 0
-			for key, c := range seen {
-				if now.Sub(c.at) > countHold {
-					delete(seen, key)
-					continue
-				}
-				total += c.daemons
-			}
-			f.dir.SetDaemons(total)
-		}
-		sleep(ctx, countInterval)
-	}
-}
-
-// countHold is how long the count of a data centre without a claim is kept: its daemons are most likely restarting or
-// choosing another reader.
-const countHold = 20 * time.Second
-
-type counted struct {
-	daemons int
-	at      time.Time
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,27 +19,27 @@
 )
 
 const (
-	// PathPull is where a daemon answers Pull.
+	// PathPull is where a daemon answers the pulls of its followers.
 	PathPull = "/v1/topology"
-	// pullWait is how long a reader holds a pull that has nothing new. It is below staleAfter less the reader's interval,
-	// so that a live reader never looks stale.
-	pullWait = 700 * time.Millisecond
+	// pullWait is how long a daemon holds a pull that has nothing new. A reader that reads the store answers after each
+	// read, so the wait ends only while the store does not answer.
+	pullWait = 1200 * time.Millisecond
 	// pullTimeout bounds a pull beyond its wait.
 	pullTimeout = 500 * time.Millisecond
 	// maxPull bounds the body of an answer in bytes.
 	maxPull = 16 << 20
-	// maxFollowers bounds the remembered followers.
-	maxFollowers = 10_000
 )
 
 // pullRequest asks for what is newer than the follower's view.
 type pullRequest struct {
-	Node       string `json:"node"`
-	DataCentre string `json:"data_centre"`
-	// Version is the follower's configuration version, Source and Generation the list that it has from this reader.
+	Node string `json:"node"`
+	// Scope is the place whose holder is asked, empty for a single look.
+	Scope string `json:"scope,omitempty"`
+	// Version is the follower's configuration version; Source, Generation and Confirmed name the list that it took last.
 	Version    int64  `json:"version"`
 	Source     string `json:"source"`
 	Generation uint64 `json:"generation"`
+	Confirmed  uint64 `json:"confirmed"`
 	WaitMS     int64  `json:"wait_ms"`
 }
 
@@ -47,17 +48,27 @@
 	Config     *routing.Config   `json:"config,omitempty"`
 	Source     string            `json:"source"`
 	Generation uint64            `json:"generation"`
+	Confirmed  uint64            `json:"confirmed"`
 	Servers    []balancer.Server `json:"servers,omitempty"`
 	// AgeMS is the time since the store confirmed the list.
 	AgeMS   int64 `json:"age_ms"`
 	Daemons int   `json:"daemons"`
+	// Readers holds the addresses of the data centres' readers.
+	Readers []string `json:"readers,omitempty"`
 }
 
+// peerClient pulls from other daemons. It is safe for concurrent use.
 type peerClient struct {
 	http *http.Client
-	// source and generation name the list that this daemon took last.
-	source     string
-	generation uint64
+
+	mu sync.Mutex
+	// taken names the list in the directory if it came from a daemon; its zero value is a list of another source.
+	taken listName
+}
+
+type listName struct {
+	source                string
+	generation, confirmed uint64
 }
 
 func newPeerClient() peerClient {
@@ -69,14 +80,30 @@
 	}}}
 }
 
-// pull asks another daemon and takes what is newer. It is called by the goroutine of Run only.
-func (f *Feed) pull(ctx context.Context, address string, wait time.Duration) error {
+// forget records that the list in the directory came from elsewhere, so that the next pull brings a whole one.
+func (c *peerClient) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken = listName{}
+}
+
+func (c *peerClient) last() listName {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.taken
+}
+
+// pull asks another daemon and takes what is newer.
+func (f *Feed) pull(ctx context.Context, address, scope string, wait time.Duration) error {
 	view, _ := f.dir.View()
-	request := pullRequest{Node: f.self.Node, DataCentre: f.self.DataCentre, WaitMS: wait.Milliseconds()}
+	taken := f.peers.last()
+	request := pullRequest{
+		Node: f.self.Node, Scope: scope, WaitMS: wait.Milliseconds(),
+		Source: taken.source, Generation: taken.generation, Confirmed: taken.confirmed,
+	}
 	if view.Table != nil {
 		request.Version = view.Table.Version()
 	}
-	request.Source, request.Generation = f.peers.source, f.peers.generation
 	answer, err := f.peers.ask(ctx, address, request, wait+pullTimeout)
 	if err != nil {
 		return err
@@ -85,17 +112,23 @@
 		f.applyConfig(*answer.Config, address)
 	}
 	if answer.Generation > 0 {
-		readAt := time.Now().Add(-time.Duration(answer.AgeMS) * time.Millisecond)
 		servers := answer.Servers
 		if servers == nil {
 			servers = view.Servers
 		}
-		f.takeServers(servers, readAt, address)
-		f.peers.source, f.peers.generation = answer.Source, answer.Generation
+		f.takeServers(servers, time.Now().Add(-time.Duration(answer.AgeMS)*time.Millisecond), address)
+		f.peers.mu.Lock()
+		f.peers.taken = listName{answer.Source, answer.Generation, answer.Confirmed}
+		f.peers.mu.Unlock()
 	}
 	if answer.Daemons > 0 {
 		f.dir.SetDaemons(answer.Daemons)
 	}
+	if len(answer.Readers) > 0 {
+		f.mu.Lock()
+		f.readers = answer.Readers
+		f.mu.Unlock()
+	}
 	return nil
 }
 
@@ -135,25 +168,25 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if request.DataCentre == f.self.DataCentre && request.Node != f.self.Node {
-		f.mu.Lock()
-		if _, ok := f.followers[request.Node]; ok || len(f.followers) < maxFollowers {
-			f.followers[request.Node] = time.Now()
-		}
-		f.mu.Unlock()
+	if f.stopped.Load() {
+		http.Error(w, "this daemon is stopping", http.StatusServiceUnavailable)
+		return
 	}
-	wait := time.Duration(request.WaitMS) * time.Millisecond
-	deadline := time.NewTimer(min(wait, pullWait))
+	if request.Scope == f.self.DataCentre && request.Node != f.self.Node {
+		f.following.add(request.Node, time.Now())
+	}
+	wait := min(time.Duration(request.WaitMS)*time.Millisecond, pullWait)
+	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
-		view, changed := f.dir.View()
+		view, confirmed := f.dir.Confirmation()
 		answer, news := f.answer(view, request)
 		if news || wait <= 0 {
 			httpjson.Write(w, http.StatusOK, answer)
 			return
 		}
 		select {
-		case <-changed:
+		case <-confirmed:
 		case <-deadline.C:
 			wait = 0
 		case <-r.Context().Done():
@@ -164,7 +197,12 @@
 
 // answer returns what the follower lacks, and whether that is anything.
 func (f *Feed) answer(view View, request pullRequest) (answer pullAnswer, news bool) {
-	answer = pullAnswer{Source: f.self.Node, Generation: view.Generation, Daemons: view.Daemons}
+	answer = pullAnswer{
+		Source: f.self.Node, Generation: view.Generation, Confirmed: view.Confirmed, Daemons: view.Daemons,
+	}
+	f.mu.Lock()
+	answer.Readers = f.readers
+	f.mu.Unlock()
 	if view.Table != nil && view.Table.Version() > request.Version {
 		config := view.Table.Config()
 		answer.Config, news = &config, true
@@ -176,5 +214,5 @@
 	if request.Source != f.self.Node || request.Generation != view.Generation {
 		answer.Servers, news = view.Servers, true
 	}
-	return answer, news
+	return answer, news || request.Confirmed != view.Confirmed
 }
