An attempt counts as possibly run only once a byte may have left

Cause: a request whose attempts were still opening connections at its deadline was answered 504 although no replica had got it. Change: the sender asks the run before it writes; a run that has answered refuses.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,9 +64,10 @@
 
 // Sender sends a request to a replica and returns its answer. A failure is a *backend.Error, whose class states whether
 // the replica may have executed the request; an answer of status 500 and above that may have been executed is returned
-// together with such an error. left is how long the caller still waits. Implementations are safe for concurrent use.
+// together with such an error. left is how long the caller still waits. dispatch is called before the first byte is
+// written; if it returns false, nothing is sent. Implementations are safe for concurrent use.
 type Sender interface {
-	Send(ctx context.Context, replica balancer.Choice, request *Request, left time.Duration) (Answer, error)
+	Send(ctx context.Context, replica balancer.Choice, request *Request, left time.Duration, dispatch func() bool) (Answer, error)
 }
 
 // Options are the parameters of a gateway.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -37,8 +37,10 @@
 	machine *scatter.Machine
 
 	mu sync.Mutex
-	// notRun counts the attempts that certainly were not executed.
-	notRun int
+	// dispatched counts the attempts of which a byte may have left, notRun those of them that certainly were not
+	// executed. closed is set once the caller's answer depends on these counts: nothing is dispatched any more.
+	dispatched, notRun int
+	closed             bool
 	// failure is the last answer of a replica that is an error.
 	failure *Answer
 	answers []*Answer
@@ -126,12 +128,12 @@
 
 // failed returns the error of a request without a usable answer.
 func (r *run) failed(ctx context.Context, message string) Reply {
-	sent, _, _ := r.machine.Counts()
 	r.mu.Lock()
-	notRun := r.notRun
+	r.closed = true
+	neverRun := r.dispatched == r.notRun
 	r.mu.Unlock()
 	switch {
-	case sent == notRun:
+	case neverRun:
 		return refuse(api.BackendRefused, retryAfterRefusal, message)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return Reply{Err: api.Errorf(api.DeadlineExceeded, "%s", message)}
@@ -174,9 +176,18 @@
 		return nil, &backend.Error{Failure: backend.NotSent, Cause: errNotListed}
 	}
 	deadline, _ := ctx.Deadline()
-	answer, err := r.gateway.sender.Send(ctx, choice, r.request, time.Until(deadline))
+	dispatched := false
+	answer, err := r.gateway.sender.Send(ctx, choice, r.request, time.Until(deadline), func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.closed && !dispatched {
+			r.dispatched++
+			dispatched = true
+		}
+		return !r.closed
+	})
 	if err != nil {
-		r.record(answer, err)
+		r.record(answer, err, dispatched)
 		return nil, err
 	}
 	return func() { r.answers[a.Shard] = &answer }, nil
@@ -184,12 +195,14 @@
 
 var errNotListed = errors.New("the replica is no longer listed")
 
-func (r *run) record(answer Answer, err error) {
+func (r *run) record(answer Answer, err error, dispatched bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var e *backend.Error
 	if errors.As(err, &e) && !e.Executed() {
-		r.notRun++
+		if dispatched {
+			r.notRun++
+		}
 		return
 	}
 	if answer.Status != 0 {
