--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -110,9 +110,6 @@
 
 	// assumedSlots is used for a replica whose number of slots is not known.
 	assumedSlots = 4
-	// connectionHeadroom is the part of a replica's connections that the daemons share; the rest is for connections that
-	// are being closed and for daemons that are not counted yet.
-	connectionHeadroom = 0.8
 )
 
 // replica is what is known of one replica. The balancer's lock protects it.
@@ -140,8 +137,7 @@
 type Balancer struct {
 	mu       sync.Mutex
 	rng      *rand.Rand
-	daemons  int
-	limits   map[string]int
+	capOf    func(Server) int
 	replicas map[string]*replica
 	services map[string][]*replica
 	// expected is the expected time per kind of work without the link, in nanoseconds.
@@ -151,7 +147,7 @@
 // New returns a balancer without replicas. Its random choices follow the seed.
 func New(seed uint64) *Balancer {
 	return &Balancer{
-		rng: rand.New(rand.NewPCG(seed, seed)), daemons: 1, limits: make(map[string]int),
+		rng: rand.New(rand.NewPCG(seed, seed)), capOf: func(Server) int { return 1 },
 		replicas: make(map[string]*replica), services: make(map[string][]*replica), expected: make(map[string]float64),
 	}
 }
@@ -178,28 +174,16 @@
 	}
 }
 
-// SetShares takes the number of daemons that share the replicas' connections, and the connections that a replica of
-// each service accepts from all of them.
-func (b *Balancer) SetShares(daemons int, connections map[string]int) {
+// SetCaps takes the function that returns how many attempts of this daemon a replica may have in flight, at least 1.
+func (b *Balancer) SetCaps(capOf func(Server) int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.daemons, b.limits = max(1, daemons), connections
+	b.capOf = capOf
 	for _, r := range b.replicas {
-		r.cap = b.capOf(r.Server)
+		r.cap = capOf(r.Server)
 	}
 }
 
-// unknownConnections is the share of a replica's connections when the configuration states no limit.
-const unknownConnections = 8
-
-func (b *Balancer) capOf(s Server) int {
-	limit := b.limits[s.Service]
-	if limit == 0 {
-		return unknownConnections
-	}
-	return max(1, int(float64(limit)*connectionHeadroom)/b.daemons)
-}
-
 // Choice is a replica that was picked.
 type Choice struct {
 	Server
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,9 +102,6 @@
 }
 
 const (
-	// assumedDaemons is used for shares until the number of daemons is known. It is high, since a start of the whole
-	// fleet is when unknown shares would hurt most.
-	assumedDaemons = 10
 	// budgetMargin is the part of the fleet's budget that is used. The rest covers that sub-requests arrive at other
 	// times than they are sent.
 	budgetMargin = 0.9
@@ -122,18 +119,9 @@
 			generation = view.Generation
 			g.balancer.SetServers(view.Servers, now)
 		}
-		daemons := view.Daemons
-		if daemons == 0 {
-			daemons = assumedDaemons
-		}
-		connections := make(map[string]int)
-		if view.Table != nil {
-			for _, s := range view.Table.Config().Services {
-				connections[s.Name] = s.Connections
-			}
-		}
-		g.balancer.SetShares(daemons, connections)
-		g.setDaemons(daemons)
+		shares := newShares(view)
+		g.balancer.SetCaps(shares.cap)
+		g.setDaemons(shares.daemons)
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -32,8 +32,8 @@
 	// ReadAt is when the store confirmed the list last; Confirmed counts these confirmations.
 	ReadAt    time.Time
 	Confirmed uint64
-	// Daemons is the number of daemons of the fleet, 0 if unknown.
-	Daemons int
+	// Daemons is the number of daemons of each data centre, nil if unknown. It is not changed.
+	Daemons map[string]int
 }
 
 // Known reports whether the daemon knows enough to serve.
@@ -96,12 +96,12 @@
 	return true, nil
 }
 
-// SetDaemons takes the number of daemons of the fleet.
-func (d *Directory) SetDaemons(n int) {
+// SetDaemons takes the number of daemons of each data centre. The map must not be changed afterwards.
+func (d *Directory) SetDaemons(daemons map[string]int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if n > 0 && n != d.view.Daemons {
-		d.view.Daemons = n
+	if len(daemons) > 0 && !maps.Equal(daemons, d.view.Daemons) {
+		d.view.Daemons = daemons
 		d.publish()
 	}
 }
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -51,8 +51,9 @@
 	Confirmed  uint64            `json:"confirmed"`
 	Servers    []balancer.Server `json:"servers,omitempty"`
 	// AgeMS is the time since the store confirmed the list.
-	AgeMS   int64 `json:"age_ms"`
-	Daemons int   `json:"daemons"`
+	AgeMS int64 `json:"age_ms"`
+	// Daemons is the number of daemons of each data centre.
+	Daemons map[string]int `json:"daemons,omitempty"`
 	// Readers holds the addresses of the data centres' readers.
 	Readers []string `json:"readers,omitempty"`
 }
@@ -121,9 +122,7 @@
 		f.peers.taken = listName{answer.Source, answer.Generation, answer.Confirmed}
 		f.peers.mu.Unlock()
 	}
-	if answer.Daemons > 0 {
-		f.dir.SetDaemons(answer.Daemons)
-	}
+	f.dir.SetDaemons(answer.Daemons)
 	if len(answer.Readers) > 0 {
 		f.mu.Lock()
 		f.readers = answer.Readers
--- a/topology/place.go
+++ b/topology/place.go
@@ -227,18 +227,18 @@
 					f.reportUnreadable(item, err)
 					continue
 				}
-				seen[strings.TrimPrefix(item.Key, f.keys.Readers)] = counted{c.Daemons, now}
+				seen[strings.TrimPrefix(item.Key, f.keys.Readers+centrePrefix)] = counted{c.Daemons, now}
 				readers = append(readers, c.Address)
 			}
-			total := 0
-			for key, c := range seen {
+			daemons := make(map[string]int, len(seen))
+			for centre, c := range seen {
 				if now.Sub(c.at) > countHold {
-					delete(seen, key)
+					delete(seen, centre)
 					continue
 				}
-				total += c.daemons
+				daemons[centre] = c.daemons
 			}
-			f.dir.SetDaemons(total)
+			f.dir.SetDaemons(daemons)
 			f.mu.Lock()
 			f.readers = readers
 			f.mu.Unlock()
