Event log with bounds, metrics of the gateway, causes of each failed request

Change: package eventlog (closed list of events, a bound per event and second, a queue that never blocks, counts of what is dropped), instruments of the gateway, and one line for each failed, refused or partial request with route, version, age of the list and the attempts of the shards that are missing; one of 64 good requests.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -53,6 +53,11 @@
 // Outcome is how an attempt ended.
 type Outcome int
 
+// String returns the name that logs and metrics use.
+func (o Outcome) String() string {
+	return [...]string{"answered", "refused", "failed", "broken", "abandoned", "gone"}[o]
+}
+
 // Values of Outcome.
 const (
 	// Answered is a valid answer of the replica.
@@ -338,14 +343,43 @@
 	}
 }
 
-// Done ends an attempt that Pick chose at begin.
-func (b *Balancer) Done(id, kind string, begin time.Time, outcome Outcome, now time.Time) {
+// Transition is a change of what the balancer believes of a replica.
+type Transition int
+
+// Values of Transition.
+const (
+	Unchanged Transition = iota
+	// Paused replicas are passed over for a while.
+	Paused
+	// Recovered replicas answered after a pause.
+	Recovered
+	// Left replicas are not at their address any more.
+	Left
+)
+
+// Done ends an attempt that Pick chose at begin, and returns what that changed.
+func (b *Balancer) Done(id, kind string, begin time.Time, outcome Outcome, now time.Time) Transition {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.replicas[id]
 	if r == nil {
-		return
+		return Unchanged
 	}
+	failures, gone := r.failures, r.gone
+	b.end(r, kind, begin, outcome, now)
+	switch {
+	case r.gone && !gone:
+		return Left
+	case r.failures > 0 && failures == 0:
+		return Paused
+	case r.failures == 0 && failures > 0:
+		return Recovered
+	default:
+		return Unchanged
+	}
+}
+
+func (b *Balancer) end(r *replica, kind string, begin time.Time, outcome Outcome, now time.Time) {
 	if i := slices.IndexFunc(r.open, begin.Equal); i >= 0 {
 		r.open = slices.Delete(r.open, i, i+1)
 	}
@@ -418,9 +452,40 @@
 type Status struct {
 	Server
 	InFlight int
+	// Slowness is the latency in multiples of the expected one, Refused the fraction of refused attempts.
 	Slowness float64
 	Refused  float64
 	Paused   bool
+	Gone     bool
+}
+
+// Conditions returns the possible results of Status.Condition.
+func Conditions() []string {
+	return []string{"ready", "draining", "paused", "refusing", "slow", "gone"}
+}
+
+// slowCondition and refusingCondition are the slowness and the refused fraction from which a status says so.
+const (
+	slowCondition     = 2.5
+	refusingCondition = 0.2
+)
+
+// Condition sums the status up in one word.
+func (s Status) Condition() string {
+	switch {
+	case s.Gone:
+		return "gone"
+	case s.State == Draining:
+		return "draining"
+	case s.Paused:
+		return "paused"
+	case s.Refused >= refusingCondition:
+		return "refusing"
+	case s.Slowness >= slowCondition:
+		return "slow"
+	default:
+		return "ready"
+	}
 }
 
 // Statuses returns what is known of each replica.
@@ -431,7 +496,7 @@
 	for _, r := range b.replicas {
 		all = append(all, Status{
 			Server: r.Server, InFlight: len(r.open), Slowness: r.slownessAt(now), Refused: r.refusedFraction(now),
-			Paused: now.Before(r.pausedUntil),
+			Paused: now.Before(r.pausedUntil), Gone: r.gone,
 		})
 	}
 	return all
--- a/cmd/chivemill-edge/main.go
+++ b/cmd/chivemill-edge/main.go
@@ -21,7 +21,9 @@
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/gateway"
+	"github.com/chivemill/chivemill/metrics"
 	"github.com/chivemill/chivemill/platform"
 	"github.com/chivemill/chivemill/topology"
 )
@@ -58,18 +60,22 @@
 	set, err := platform.LoadSettings(file)
 	switch {
 	case err != nil:
-		log.Error("settings cannot be read; the running ones stay", zap.Error(err))
+		log.Error(eventlog.SettingsInvalid, zap.Error(err))
 	case !reflect.DeepEqual(set, running):
-		log.Warn("settings changed; they take effect at the next start")
+		log.Warn(eventlog.SettingsReread, zap.String("effect", "at the next start"))
 	default:
-		log.Info("settings read again without a change")
+		log.Info(eventlog.SettingsReread, zap.String("effect", "none, unchanged"))
 	}
 }
 
 func run(ctx context.Context, file string, set platform.Settings) error {
-	log, err := zap.NewProduction()
+	log := eventlog.New(os.Stdout, eventlog.Options{}, zap.String("node", set.Node))
+	defer log.Close()
+	redirect := zap.RedirectStdLog(log.Logger)
+	defer redirect()
+	collected, err := metrics.NewProvider()
 	if err != nil {
-		return eris.Wrap(err, "logger")
+		return err
 	}
 	debug.SetMemoryLimit(set.MemoryBytes * 7 / 10)
 	ctx, cancel := context.WithCancel(ctx)
@@ -78,14 +84,17 @@
 	dir := topology.NewDirectory()
 	store := platform.NewStoreClient(set.Store, set.LeastLease, nil)
 	self := topology.Self{Node: set.Node, DataCentre: set.DataCentre, Address: set.Peers, Distance: set.Distance}
-	feed := topology.NewFeed(dir, store, platform.Decoder{}, platform.Keys(), self, set.Contacts, log)
+	feed := topology.NewFeed(dir, store, platform.Decoder{}, platform.Keys(), self, set.Contacts, log.Logger)
 	b := balancer.New(xxhash.Sum64String(set.Node))
 	replicas := platform.NewReplicas(b.Report)
-	g := gateway.New(gateway.Options{
+	g, err := gateway.New(gateway.Options{
 		BudgetRatio: set.BudgetRatio, BudgetFixed: set.BudgetFixed, BudgetSpan: set.BudgetSpan,
-	}, dir, b, replicas, rand.Float64, log)
+	}, dir, b, replicas, rand.Float64, collected.Meter(), log.Logger)
+	if err != nil {
+		return err
+	}
 
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	draining := make(chan struct{})
 	isDraining := func() bool {
 		select {
@@ -106,7 +115,10 @@
 	for _, s := range []struct {
 		server  *http.Server
 		address string
-	}{{callers, set.Callers}, {ready, set.Ready}, {&http.Server{Handler: mux}, set.Peers}} {
+	}{
+		{callers, set.Callers}, {ready, set.Ready}, {&http.Server{Handler: mux}, set.Peers},
+		{&http.Server{Handler: collected.Handler()}, set.MetricsAddress()},
+	} {
 		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return eris.Wrap(err, "listen")
@@ -129,7 +141,7 @@
 			}
 		}
 	}()
-	log.Info("started", zap.String("node", set.Node), zap.String("data_centre", set.DataCentre))
+	log.Info(eventlog.Started, zap.String("data_centre", set.DataCentre), zap.String("callers", set.Callers))
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
@@ -140,12 +152,12 @@
 		case err := <-failed:
 			return err
 		case <-reload:
-			reloadSettings(file, set, log)
+			reloadSettings(file, set, log.Logger)
 		case <-signals:
 			stopping = true
 		}
 	}
-	log.Info("stopping")
+	log.Info(eventlog.Stopping, zap.Int64("in_flight", g.InFlight()))
 	close(draining)
 	stopAt := time.Now().Add(set.StopGrace * 5 / 6)
 	time.Sleep(set.StopGrace / 2)
@@ -153,6 +165,6 @@
 	stopCtx, stopCancel := context.WithDeadline(context.Background(), stopAt)
 	defer stopCancel()
 	err = callers.Shutdown(stopCtx)
-	log.Info("stopped", zap.Int64("in_flight", g.InFlight()), zap.Error(err))
+	log.Info(eventlog.Stopped, zap.Int64("in_flight", g.InFlight()), zap.Error(err))
 	return nil
 }
--- /dev/null
+++ b/eventlog/events.go
@@ -0,0 +1,41 @@
+package eventlog
+
+// The closed list of events. Each line's message is one of them.
+const (
+	// Life of the process.
+	Started         = "started"
+	Stopping        = "stopping"
+	Stopped         = "stopped"
+	SettingsReread  = "settings read again"
+	SettingsInvalid = "settings cannot be read"
+	LinesDropped    = "log lines dropped"
+	Summary         = "summary"
+
+	// Configuration, replicas and readers.
+	ConfigurationApplied = "configuration applied"
+	ConfigurationInvalid = "configuration invalid"
+	WatchEnded           = "watch of the configuration ended"
+	ListChanged          = "replica list changed"
+	EntryUnusable        = "entry cannot be used"
+	StoreLost            = "store lost"
+	StoreRegained        = "store regained"
+	ReaderChanged        = "reader changed"
+	ClaimLost            = "claim lost"
+	ClaimGivenUp         = "claim given up"
+	PeerSilent           = "daemon did not answer"
+
+	// Replicas.
+	ReplicaPaused    = "replica paused"
+	ReplicaRecovered = "replica recovered"
+	ReplicaGone      = "replica gone"
+	HealthHeard      = "replica health heard"
+
+	// Requests.
+	RequestFailed   = "request failed"
+	RequestRefused  = "request refused"
+	RequestPartial  = "request partial"
+	RequestServed   = "request served"
+	RequestLeft     = "caller left"
+	RequestCrashing = "request crashes replicas"
+	AttemptFailed   = "attempt failed"
+)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/api"
@@ -85,6 +87,9 @@
 	sender   Sender
 	log      *zap.Logger
 	draw     func() float64
+	metrics  *instruments
+	// served counts the requests without trouble, of which a sample is logged.
+	served atomic.Uint64
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -95,10 +100,13 @@
 }
 
 // New returns a gateway. draw returns random numbers from [0, 1) and is safe for concurrent use.
-func New(opts Options, dir *topology.Directory, b *balancer.Balancer, sender Sender, draw func() float64, log *zap.Logger) *Gateway {
-	return &Gateway{
+func New(opts Options, dir *topology.Directory, b *balancer.Balancer, sender Sender, draw func() float64, meter metric.Meter, log *zap.Logger) (*Gateway, error) {
+	g := &Gateway{
 		opts: opts, dir: dir, balancer: b, sender: sender, draw: draw, log: log, budgets: make(map[string]*hedge.Window),
 	}
+	var err error
+	g.metrics, err = newInstruments(meter, g)
+	return g, eris.Wrap(err, "metrics")
 }
 
 const (
@@ -182,29 +190,27 @@
 func (g *Gateway) Serve(ctx context.Context, request *Request) Reply {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	reply := g.serve(ctx, request)
-	if reply.Err != nil && ctx.Err() == nil {
-		g.log.Info("request failed", zap.String("request", request.ID), zap.String("kind", string(reply.Err.Kind)),
-			zap.String("reason", reply.Err.Message), zap.Duration("after", time.Since(request.Received)))
-	}
+	reply, r := g.serve(ctx, request)
+	g.report(ctx, request, reply, r)
 	return reply
 }
 
-func (g *Gateway) serve(ctx context.Context, request *Request) Reply {
+// serve returns the reply and, if the request got that far, its run.
+func (g *Gateway) serve(ctx context.Context, request *Request) (Reply, *run) {
 	view, _ := g.dir.View()
 	if !view.Known() {
-		return refuse(api.NoConfiguration, retryAfterStart, "this daemon has no configuration yet")
+		return refuse(api.NoConfiguration, retryAfterStart, "this daemon has no configuration yet"), nil
 	}
 	if g.stopping.Load() {
-		return refuse(api.Stopping, 0, "this daemon is stopping")
+		return refuse(api.Stopping, 0, "this daemon is stopping"), nil
 	}
 	if request.ID == "" {
-		return Reply{Err: api.Errorf(api.BadRequest, "the request has no identifier")}
+		return Reply{Err: api.Errorf(api.BadRequest, "the request has no identifier")}, nil
 	}
 	route := view.Table.Match(request.Host, request.Path)
 	if route == nil {
 		return Reply{Err: api.Errorf(api.NoRoute, "no route for host %q and path %q in version %d", request.Host,
-			request.Path, view.Table.Version())}
+			request.Path, view.Table.Version())}, nil
 	}
 	wait := route.Timeout
 	if request.Wait > 0 {
@@ -216,10 +222,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Received.Add(wait))
 	defer cancel()
+	r := &run{gateway: g, request: request, route: route, view: &view}
 	if route.IsQuery() {
-		return g.query(ctx, request, route)
+		return r.query(ctx), r
 	}
-	return g.single(ctx, request, route)
+	return r.single(ctx), r
 }
 
 func refuse(kind api.Kind, retryAfter time.Duration, message string) Reply {
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/chivemill/chivemill/balancer"
+)
+
+// latencyBounds are the histogram bounds in seconds, dense where the target latencies of routes lie.
+var latencyBounds = []float64{
+	.005, .01, .02, .03, .05, .075, .1, .125, .15, .2, .25, .3, .4, .5, .6, .8, 1, 1.5, 2.5, 4, 6, 10,
+}
+
+// coverageBounds are the histogram bounds of the covered fraction. An answer above 0.9999 is complete.
+var coverageBounds = []float64{0, .25, .5, .75, .8, .85, .9, .95, .98, .9999, 1}
+
+// Kinds of request in metrics and logs.
+const (
+	kindQuery  = "query"
+	kindSingle = "single"
+)
+
+// Results of a request in metrics and logs, beside the error kinds.
+const (
+	resultOK      = "ok"
+	resultPartial = "partial"
+	resultPassed  = "passed_error"
+	resultLeft    = "caller_left"
+)
+
+// instruments are the metrics of a gateway. They are safe for concurrent use.
+type instruments struct {
+	duration metric.Float64Histogram
+	coverage metric.Float64Histogram
+	requests metric.Int64Counter
+	sends    metric.Int64Counter
+	outcomes metric.Int64Counter
+	denied   metric.Int64Counter
+
+	// sets caches attribute sets, whose construction costs more than the count.
+	sets sync.Map
+}
+
+type setKey struct{ a, b, c string }
+
+func newInstruments(meter metric.Meter, g *Gateway) (*instruments, error) {
+	m := &instruments{}
+	var errs []error
+	keep := func(err error) { errs = append(errs, err) }
+	var err error
+	m.duration, err = meter.Float64Histogram("chivemill_request_duration", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(latencyBounds...),
+		metric.WithDescription("Time from receipt of a request to its answer, by service (the route), profile (query or single) and result."))
+	keep(err)
+	m.coverage, err = meter.Float64Histogram("chivemill_coverage_ratio",
+		metric.WithExplicitBucketBoundaries(coverageBounds...),
+		metric.WithDescription("Fraction of the shards in the answer to a query, by service (the route) and profile; failed queries included."))
+	keep(err)
+	m.requests, err = meter.Int64Counter("chivemill_requests",
+		metric.WithDescription("Requests by service (the route), profile and result: ok, partial, passed_error, caller_left or an error kind."))
+	keep(err)
+	m.sends, err = meter.Int64Counter("chivemill_sub_requests",
+		metric.WithDescription("Sub-requests to replicas by cause: first, hedge or retry."))
+	keep(err)
+	m.outcomes, err = meter.Int64Counter("chivemill_sub_request_outcomes",
+		metric.WithDescription("Ended sub-requests by outcome: answered, refused, failed, broken, abandoned or gone."))
+	keep(err)
+	m.denied, err = meter.Int64Counter("chivemill_budget_denied",
+		metric.WithDescription("Hedges and retries that a service's budget refused."))
+	keep(err)
+	keep(registerGauges(meter, g))
+	return m, errors.Join(errs...)
+}
+
+func registerGauges(meter metric.Meter, g *Gateway) error {
+	var errs []error
+	gauge := func(name, help string, read func(now time.Time, observe func(v float64, attrs ...attribute.KeyValue))) {
+		_, err := meter.Float64ObservableGauge(name, metric.WithDescription(help),
+			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+				read(time.Now(), func(v float64, attrs ...attribute.KeyValue) { o.Observe(v, metric.WithAttributes(attrs...)) })
+				return nil
+			}))
+		errs = append(errs, err)
+	}
+	type observer = func(v float64, attrs ...attribute.KeyValue)
+	gauge("chivemill_in_flight", "Callers' requests in flight.", func(_ time.Time, observe observer) { observe(float64(g.InFlight())) })
+	gauge("chivemill_ready", "1 while the daemon takes requests.", func(_ time.Time, observe observer) {
+		if g.Ready() {
+			observe(1)
+		} else {
+			observe(0)
+		}
+	})
+	gauge("chivemill_configuration_version", "Version of the configuration in force; 0 if none is known.", func(_ time.Time, observe observer) {
+		if view, _ := g.dir.View(); view.Table != nil {
+			observe(float64(view.Table.Version()))
+		} else {
+			observe(0)
+		}
+	})
+	gauge("chivemill_list_age_seconds", "Time since the store confirmed the replica list; -1 if it is not known.", func(now time.Time, observe observer) {
+		if view, _ := g.dir.View(); view.Generation > 0 {
+			observe(now.Sub(view.ReadAt).Seconds())
+		} else {
+			observe(-1)
+		}
+	})
+	gauge("chivemill_daemons", "Counted daemons by data centre.", func(_ time.Time, observe observer) {
+		view, _ := g.dir.View()
+		for centre, n := range view.Daemons {
+			observe(float64(n), attribute.String("data_centre", centre))
+		}
+	})
+	gauge("chivemill_budget_left", "Extra sub-requests that the budget allows now, by service.", func(now time.Time, observe observer) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for service, w := range g.budgets {
+			observe(w.Left(now), attribute.String("service", service))
+		}
+	})
+	gauge("chivemill_replicas", "Replicas by state: ready, draining, paused (broken or silent), refusing, slow or gone.", func(now time.Time, observe observer) {
+		counts := make(map[string]int)
+		for _, s := range g.balancer.Statuses(now) {
+			counts[s.Condition()]++
+		}
+		for _, condition := range balancer.Conditions() {
+			observe(float64(counts[condition]), attribute.String("state", condition))
+		}
+	})
+	return errors.Join(errs...)
+}
+
+// labels returns the attributes of a route, a kind and a result.
+func (m *instruments) labels(route, kind, result string) metric.MeasurementOption {
+	key := setKey{route, kind, result}
+	if o, ok := m.sets.Load(key); ok {
+		return o.(metric.MeasurementOption)
+	}
+	var attrs []attribute.KeyValue
+	for _, a := range []struct{ name, value string }{{"service", route}, {"profile", kind}, {"result", result}} {
+		if a.value != "" {
+			attrs = append(attrs, attribute.String(a.name, a.value))
+		}
+	}
+	o := metric.WithAttributeSet(attribute.NewSet(attrs...))
+	m.sets.Store(key, o)
+	return o
+}
+
+// label returns one attribute.
+func (m *instruments) label(name, value string) metric.MeasurementOption {
+	key := setKey{name, value, "="}
+	if o, ok := m.sets.Load(key); ok {
+		return o.(metric.MeasurementOption)
+	}
+	o := metric.WithAttributeSet(attribute.NewSet(attribute.String(name, value)))
+	m.sets.Store(key, o)
+	return o
+}
+
+// ended counts a request.
+func (m *instruments) ended(route, kind, result string, took time.Duration) {
+	ctx := context.Background()
+	m.requests.Add(ctx, 1, m.labels(route, kind, result))
+	m.duration.Record(ctx, took.Seconds(), m.labels(route, kind, result))
+}
+
+// sent counts the sub-requests of a request.
+func (m *instruments) sent(sent, hedges, retries, denied int) {
+	ctx := context.Background()
+	m.sends.Add(ctx, int64(sent-hedges-retries), m.label("cause", "first"))
+	if hedges > 0 {
+		m.sends.Add(ctx, int64(hedges), m.label("cause", "hedge"))
+	}
+	if retries > 0 {
+		m.sends.Add(ctx, int64(retries), m.label("cause", "retry"))
+	}
+	if denied > 0 {
+		m.denied.Add(ctx, int64(denied))
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -15,6 +15,7 @@
 	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/scatter"
 	"github.com/chivemill/chivemill/snapshot"
+	"github.com/chivemill/chivemill/topology"
 )
 
 const (
@@ -33,8 +34,12 @@
 	gateway *Gateway
 	request *Request
 	route   *routing.Route
+	view    *topology.View
 	plan    scatter.Plan
+	// machine is nil until the first attempts are decided.
 	machine *scatter.Machine
+	// trail holds the attempts that ended without an answer. The goroutine of the machine's driver owns it.
+	trail []trailEntry
 
 	mu sync.Mutex
 	// dispatched counts the attempts of which a byte may have left, notRun those of them that certainly were not
@@ -46,15 +51,23 @@
 	answers []*Answer
 }
 
-func (g *Gateway) newRun(ctx context.Context, request *Request, route *routing.Route, services []string) *run {
-	r := &run{gateway: g, request: request, route: route, answers: make([]*Answer, len(services))}
-	r.plan = scatter.Plan{
-		Request: request.ID, Map: evenMap(services), MaxAttempts: route.MaxAttempts,
-		HedgeDelay: time.Duration(hedgeFraction * float64(route.Target)), Once: route.Safety == routing.Once,
-	}
+// trailEntry is an attempt that ended without an answer.
+type trailEntry struct {
+	shard, replica string
+	outcome        balancer.Outcome
+	cause          error
+	took           time.Duration
+}
+
+// prepare makes the plan and the machine for the services that the request goes to.
+func (r *run) prepare(ctx context.Context, services []string) {
+	r.answers = make([]*Answer, len(services))
+	r.plan.Request, r.plan.Map, r.plan.MaxAttempts = r.request.ID, evenMap(services), r.route.MaxAttempts
+	r.plan.HedgeDelay = time.Duration(hedgeFraction * float64(r.route.Target))
+	r.plan.Once = r.route.Safety == routing.Once
 	now := time.Now()
 	for _, s := range services {
-		w := g.budget(s)
+		w := r.gateway.budget(s)
 		w.Earn(1, now)
 		r.plan.ShardBudgets = append(r.plan.ShardBudgets, scatter.ShardBudget{
 			Hedges: &hedge.View{Window: w, Reserve: hedgeReserve}, Retries: &hedge.View{Window: w},
@@ -62,7 +75,6 @@
 	}
 	deadline, _ := ctx.Deadline()
 	r.machine = scatter.NewMachine(&r.plan, r, deadline)
-	return r
 }
 
 // evenMap gives each service an equal part of the key space.
@@ -78,16 +90,17 @@
 }
 
 // query answers a query over shards.
-func (g *Gateway) query(ctx context.Context, request *Request, route *routing.Route) Reply {
+func (r *run) query(ctx context.Context) Reply {
+	route := r.route
 	shards := float64(len(route.Shards))
-	if room := g.balancer.Room(route.Shards); !scatter.Reaches(float64(room)/shards, route.LeastCoverage) {
+	if room := r.gateway.balancer.Room(route.Shards); !scatter.Reaches(float64(room)/shards, route.LeastCoverage) {
 		return refuse(api.Overloaded, retryAfterRefusal,
 			fmt.Sprintf("%d of %d shards have a replica with room", room, len(route.Shards)))
 	}
-	r := g.newRun(ctx, request, route, route.Shards)
 	r.plan.GiveUpBelow = route.LeastCoverage
 	r.plan.PartialLeast = route.LeastCoverage
-	r.plan.PartialAfter = max(1, time.Duration(partialFraction*float64(route.Target))-time.Since(request.Received))
+	r.plan.PartialAfter = max(1, time.Duration(partialFraction*float64(route.Target))-time.Since(r.request.Received))
+	r.prepare(ctx, route.Shards)
 	scatter.Drive(ctx, r.machine, r.attempt)
 
 	var parts [][]byte
@@ -107,12 +120,12 @@
 }
 
 // single passes a request to one replica of the route's service.
-func (g *Gateway) single(ctx context.Context, request *Request, route *routing.Route) Reply {
-	service := route.Choose(g.draw())
-	if g.balancer.Room([]string{service}) == 0 {
+func (r *run) single(ctx context.Context) Reply {
+	service := r.route.Choose(r.gateway.draw())
+	if r.gateway.balancer.Room([]string{service}) == 0 {
 		return refuse(api.NoReplica, retryAfterRefusal, fmt.Sprintf("service %q has no replica with room", service))
 	}
-	r := g.newRun(ctx, request, route, []string{service})
+	r.prepare(ctx, []string{service})
 	scatter.Drive(ctx, r.machine, r.attempt)
 	if a := r.answers[0]; a != nil {
 		return Reply{Answer: a}
@@ -165,7 +178,7 @@
 	if !ok {
 		return scatter.Target{}, false
 	}
-	done := func(_ time.Duration, err error) { b.Done(choice.ID, r.route.Name, begin, outcomeOf(err), time.Now()) }
+	done := func(took time.Duration, err error) { r.ended(choice, shard, begin, took, err) }
 	return scatter.Target{ID: choice.ID, Done: done}, true
 }
 
--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -53,8 +53,9 @@
 	actions   []Action
 	exclude   []string
 
-	// sent, hedges and retries count attempts; sent includes the other two.
-	sent, hedges, retries int
+	// sent, hedges and retries count attempts; sent includes the other two. denied counts extra attempts that a budget
+	// refused.
+	sent, hedges, retries, denied int
 }
 
 type attempt struct {
@@ -246,6 +247,9 @@
 // Counts returns the numbers of sub-requests; sent includes hedges and retries.
 func (m *Machine) Counts() (sent, hedges, retries int) { return m.sent, m.hedges, m.retries }
 
+// Denied returns the number of extra attempts that a budget refused.
+func (m *Machine) Denied() int { return m.denied }
+
 func width(s snapshot.Shard) uint64 { return s.High - s.Low }
 
 // partialDue reports whether the query may end with the answers that it has.
@@ -341,12 +345,13 @@
 		}
 		m.hedgeAt = now.Add(m.plan.HedgeDelay)
 		budget := m.budgets(i).Hedges
-		if budget.Take() {
-			if m.send(i, now) {
-				m.hedges++
-			} else {
-				refund(budget)
-			}
+		switch {
+		case !budget.Take():
+			m.denied++
+		case m.send(i, now):
+			m.hedges++
+		default:
+			refund(budget)
 		}
 	}
 }
@@ -378,6 +383,7 @@
 	again := len(s.attempts) > 0
 	budget := m.budgets(shard).Retries
 	if again && !budget.Take() {
+		m.denied++
 		m.settle(shard, api.MissingBudget, now)
 		return
 	}
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/kv"
 	"github.com/chivemill/chivemill/routing"
 )
@@ -130,7 +131,7 @@
 			continue
 		}
 		if err := f.pull(ctx, address, "", 0); err != nil {
-			f.log.Info("contact did not answer", zap.String("address", address), zap.Error(err))
+			f.log.Info(eventlog.PeerSilent, zap.String("address", address), zap.Error(err))
 		}
 	}
 }
@@ -218,7 +219,7 @@
 		return
 	}
 	if err := f.pull(ctx, address, "", 0); err != nil {
-		f.log.Debug("other reader did not answer", zap.String("address", address), zap.Error(err))
+		f.log.Info(eventlog.PeerSilent, zap.String("address", address), zap.Error(err))
 	}
 }
 
@@ -255,7 +256,7 @@
 			}
 		})
 		if ctx.Err() == nil {
-			f.log.Info("watch of the configuration ended", zap.Error(err))
+			f.log.Info(eventlog.WatchEnded, zap.Error(err))
 			sleep(ctx, spread(firstRetry))
 		}
 	}
@@ -290,7 +291,7 @@
 func (f *Feed) takeConfig(item kv.Item) {
 	config, err := f.decoder.Config(item)
 	if err != nil {
-		f.log.Error("configuration cannot be read", zap.Int64("revision", item.ModRevision), zap.Error(err))
+		f.log.Error(eventlog.ConfigurationInvalid, zap.Int64("revision", item.ModRevision), zap.Error(err))
 		return
 	}
 	f.applyConfig(config, "store")
@@ -299,11 +300,11 @@
 func (f *Feed) applyConfig(config routing.Config, from string) {
 	applied, err := f.dir.SetConfig(config)
 	if err != nil {
-		f.log.Error("configuration is not valid", zap.Int64("version", config.Version), zap.String("from", from), zap.Error(err))
+		f.log.Error(eventlog.ConfigurationInvalid, zap.Int64("version", config.Version), zap.String("from", from), zap.Error(err))
 		return
 	}
 	if applied {
-		f.log.Info("configuration applied", zap.Int64("version", config.Version), zap.String("from", from),
+		f.log.Info(eventlog.ConfigurationApplied, zap.Int64("version", config.Version), zap.String("from", from),
 			zap.Int("routes", len(config.Routes)))
 	}
 }
@@ -359,7 +360,7 @@
 	f.unread[item.Key] = item.ModRevision
 	f.mu.Unlock()
 	if !known {
-		f.log.Warn("entry cannot be used", zap.String("key", item.Key), zap.Int64("revision", item.ModRevision), zap.Error(err))
+		f.log.Warn(eventlog.EntryUnusable, zap.String("key", item.Key), zap.Int64("revision", item.ModRevision), zap.Error(err))
 	}
 }
 
@@ -371,7 +372,7 @@
 	}
 	change, taken := f.dir.SetServers(located, readAt)
 	if taken && change != (Change{}) {
-		f.log.Info("replica list changed", zap.String("from", from), zap.Int("added", change.Added),
+		f.log.Info(eventlog.ListChanged, zap.String("from", from), zap.Int("added", change.Added),
 			zap.Int("removed", change.Removed), zap.Int("draining", change.Draining), zap.Int("kept_after_outage", change.Kept))
 	}
 }
@@ -392,9 +393,9 @@
 	f.mu.Unlock()
 	switch {
 	case err != nil && lost.IsZero():
-		f.log.Warn("store lost", zap.String("call", call), zap.Error(err))
+		f.log.Warn(eventlog.StoreLost, zap.String("call", call), zap.Error(err))
 	case err == nil && !lost.IsZero():
-		f.log.Info("store regained", zap.String("call", call), zap.Duration("away", time.Since(lost)))
+		f.log.Info(eventlog.StoreRegained, zap.String("call", call), zap.Duration("away", time.Since(lost)))
 	}
 }
 
--- a/topology/place.go
+++ b/topology/place.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/kv"
 )
 
@@ -116,7 +117,7 @@
 
 func (f *Feed) setReader(p *place, address string, held bool) {
 	if p.set(address, held) {
-		f.log.Info("reader changed", zap.String("scope", p.scope), zap.String("reader", address), zap.Bool("self", held))
+		f.log.Info(eventlog.ReaderChanged, zap.String("scope", p.scope), zap.String("reader", address), zap.Bool("self", held))
 	}
 }
 
@@ -180,7 +181,7 @@
 		case err == nil && alive:
 			renewed = begin
 		case err == nil, time.Since(renewed) > leaseTime:
-			f.log.Info("claim lost", zap.String("scope", p.scope), zap.Bool("lapsed", err != nil))
+			f.log.Info(eventlog.ClaimLost, zap.String("scope", p.scope), zap.Bool("lapsed", err != nil))
 			p.set("", false)
 			return
 		}
@@ -202,7 +203,7 @@
 		_, err := f.store.Txn(ctx, kv.Txn{
 			If: []kv.Compare{{Key: p.key, ModRevision: revision}}, Deletes: []string{p.key},
 		})
-		f.log.Info("claim given up", zap.String("scope", p.scope), zap.Error(err))
+		f.log.Info(eventlog.ClaimGivenUp, zap.String("scope", p.scope), zap.Error(err))
 	}
 }
 
