Daemons of a region tell each other the health of replicas

Change: what changed by much goes in a datagram to the reader of the data centre, which passes it on to its followers and the region's other readers; an answer of the last 250 ms outweighs it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -136,6 +136,12 @@
 	failures    int
 	pausedUntil time.Time
 	gone        bool
+
+	// answeredAt is the last valid answer to this daemon.
+	answeredAt time.Time
+	// told is what the other daemons were told last.
+	told   Health
+	toldAt time.Time
 }
 
 // Balancer holds all replicas. It is safe for concurrent use.
@@ -147,6 +153,8 @@
 	services map[string][]*replica
 	// expected is the expected time per kind of work without the link, in nanoseconds.
 	expected map[string]float64
+	// news holds the replicas whose health changed since TakeNews, in the order of the change.
+	news []*replica
 }
 
 // New returns a balancer without replicas. Its random choices follow the seed.
@@ -380,6 +388,7 @@
 }
 
 func (b *Balancer) end(r *replica, kind string, begin time.Time, outcome Outcome, now time.Time) {
+	defer b.note(r, now)
 	if i := slices.IndexFunc(r.open, begin.Equal); i >= 0 {
 		r.open = slices.Delete(r.open, i, i+1)
 	}
@@ -390,6 +399,7 @@
 		r.sample(float64(own)/float64(expected), now)
 		r.refused, r.refusedAt = r.refusedFraction(now)*(1-refusalWeight), now
 		r.recovered()
+		r.answeredAt = now
 		b.learn(kind, own)
 	case Refused, Failed:
 		r.refused, r.refusedAt = r.refusedFraction(now)*(1-refusalWeight)+refusalWeight, now
--- a/cmd/chivemill-edge/main.go
+++ b/cmd/chivemill-edge/main.go
@@ -83,7 +83,9 @@
 
 	dir := topology.NewDirectory()
 	store := platform.NewStoreClient(set.Store, set.LeastLease, nil)
-	self := topology.Self{Node: set.Node, DataCentre: set.DataCentre, Address: set.Peers, Distance: set.Distance}
+	self := topology.Self{
+		Node: set.Node, DataCentre: set.DataCentre, Address: set.Peers, HealthAddress: set.Health, Distance: set.Distance,
+	}
 	feed := topology.NewFeed(dir, store, platform.Decoder{}, platform.Keys(), self, set.Contacts, log.Logger)
 	b := balancer.New(xxhash.Sum64String(set.Node))
 	replicas := platform.NewReplicas(b.Report)
@@ -130,6 +132,7 @@
 		}()
 	}
 	go feed.Run(ctx)
+	go feed.ShareHealth(ctx, b)
 	go g.Run(ctx)
 	go func() {
 		for ctx.Err() == nil {
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -29,6 +29,8 @@
 	ReplicaRecovered = "replica recovered"
 	ReplicaGone      = "replica gone"
 	HealthHeard      = "replica health heard"
+	HealthSocketLost = "socket for replica health lost"
+	DatagramUnusable = "datagram cannot be used"
 
 	// Requests.
 	RequestFailed   = "request failed"
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +61,8 @@
 	DataCentre string
 	// Address is where it serves Handler.
 	Address string
+	// HealthAddress is the UDP address for messages about the health of replicas; all daemons have the same port.
+	HealthAddress string
 	// Distance returns how far a data centre is.
 	Distance func(dataCentre string) balancer.Distance
 }
@@ -84,8 +88,9 @@
 	following followers
 	stopped   atomic.Bool
 
-	mu        sync.Mutex
-	readers   []string
+	mu sync.Mutex
+	// readers holds the address of each data centre's reader.
+	readers   map[string]string
 	unread    map[string]int64
 	storeLost time.Time
 }
@@ -208,16 +213,14 @@
 // pullElsewhere asks one other data centre's reader, which may have a fresher list.
 func (f *Feed) pullElsewhere(ctx context.Context, p *place) {
 	f.mu.Lock()
-	readers := f.readers
+	addresses := slices.Collect(maps.Values(f.readers))
 	f.mu.Unlock()
-	if len(readers) == 0 {
+	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == p.reader() || a == f.self.Address })
+	if len(addresses) == 0 {
 		f.askContacts(ctx)
 		return
 	}
-	address := readers[rand.IntN(len(readers))]
-	if address == p.reader() || address == f.self.Address {
-		return
-	}
+	address := addresses[rand.IntN(len(addresses))]
 	if err := f.pull(ctx, address, "", 0); err != nil {
 		f.log.Info(eventlog.PeerSilent, zap.String("address", address), zap.Error(err))
 	}
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -32,7 +32,8 @@
 
 // pullRequest asks for what is newer than the follower's view.
 type pullRequest struct {
-	Node string `json:"node"`
+	Node    string `json:"node"`
+	Address string `json:"address"`
 	// Scope is the place whose holder is asked, empty for a single look.
 	Scope string `json:"scope,omitempty"`
 	// Version is the follower's configuration version; Source, Generation and Confirmed name the list that it took last.
@@ -54,8 +55,8 @@
 	AgeMS int64 `json:"age_ms"`
 	// Daemons is the number of daemons of each data centre.
 	Daemons map[string]int `json:"daemons,omitempty"`
-	// Readers holds the addresses of the data centres' readers.
-	Readers []string `json:"readers,omitempty"`
+	// Readers holds the address of each data centre's reader.
+	Readers map[string]string `json:"readers,omitempty"`
 }
 
 // peerClient pulls from other daemons. It is safe for concurrent use.
@@ -99,7 +100,7 @@
 	view, _ := f.dir.View()
 	taken := f.peers.last()
 	request := pullRequest{
-		Node: f.self.Node, Scope: scope, WaitMS: wait.Milliseconds(),
+		Node: f.self.Node, Address: f.self.Address, Scope: scope, WaitMS: wait.Milliseconds(),
 		Source: taken.source, Generation: taken.generation, Confirmed: taken.confirmed,
 	}
 	if view.Table != nil {
@@ -172,7 +173,7 @@
 		return
 	}
 	if request.Scope == f.self.DataCentre && request.Node != f.self.Node {
-		f.following.add(request.Node, time.Now())
+		f.following.add(request.Node, request.Address, time.Now())
 	}
 	wait := min(time.Duration(request.WaitMS)*time.Millisecond, pullWait)
 	deadline := time.NewTimer(wait)
--- a/topology/place.go
+++ b/topology/place.go
@@ -221,15 +221,16 @@
 		f.storeAnswered("claims", err)
 		now := time.Now()
 		if err == nil {
-			var readers []string
+			readers := make(map[string]string, len(items))
 			for _, item := range items {
 				c, err := decodeClaim(item)
 				if err != nil {
 					f.reportUnreadable(item, err)
 					continue
 				}
-				seen[strings.TrimPrefix(item.Key, f.keys.Readers+centrePrefix)] = counted{c.Daemons, now}
-				readers = append(readers, c.Address)
+				centre := strings.TrimPrefix(item.Key, f.keys.Readers+centrePrefix)
+				seen[centre] = counted{c.Daemons, now}
+				readers[centre] = c.Address
 			}
 			daemons := make(map[string]int, len(seen))
 			for centre, c := range seen {
@@ -251,24 +252,42 @@
 // followers remembers which daemons asked lately. It is safe for concurrent use.
 type followers struct {
 	mu   sync.Mutex
-	seen map[string]time.Time
+	seen map[string]follower
 }
 
-func newFollowers() followers { return followers{seen: make(map[string]time.Time)} }
+type follower struct {
+	host string
+	at   time.Time
+}
+
+func newFollowers() followers { return followers{seen: make(map[string]follower)} }
 
-func (f *followers) add(node string, now time.Time) {
+func (f *followers) add(node, address string, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, ok := f.seen[node]; ok || len(f.seen) < maxFollowers {
-		f.seen[node] = now
+		f.seen[node] = follower{hostOf(address), now}
+	}
+}
+
+// hosts returns the hosts of the followers but one.
+func (f *followers) hosts(except string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hosts := make([]string, 0, len(f.seen))
+	for node, one := range f.seen {
+		if node != except {
+			hosts = append(hosts, one.host)
+		}
 	}
+	return hosts
 }
 
 func (f *followers) count(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for node, at := range f.seen {
-		if now.Sub(at) > followerHold {
+	for node, one := range f.seen {
+		if now.Sub(one.at) > followerHold {
 			delete(f.seen, node)
 		}
 	}
