--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -81,6 +81,10 @@
 	linkRegion = 8 * time.Millisecond
 	linkFar    = 25 * time.Millisecond
 
+	// farFraction of the target latency is what a replica of another region has to be faster to be chosen: bytes between
+	// regions are expensive, and a delay that stays well within the target costs the caller nothing.
+	farFraction = 0.15
+
 	// assumedLatency is the expected time of a kind of work before its first answer.
 	assumedLatency = 30 * time.Millisecond
 	// expectedWeight is the weight of a new sample in the expected time of a kind of work.
@@ -206,12 +210,21 @@
 	Suspect bool
 }
 
-// Pick chooses a replica of the service for a kind of work and counts an attempt in flight. Replicas in exclude and
-// those without room are not chosen. ok is false if none is left. Done must be called once per choice.
-func (b *Balancer) Pick(service, kind string, exclude []string, now time.Time) (c Choice, ok bool) {
+// Work is a kind of work: requests of one route.
+type Work struct {
+	// Kind tells requests apart that take different times.
+	Kind string
+	// Target is the latency within which an answer is of full use.
+	Target time.Duration
+}
+
+// Pick chooses a replica of the service for the work and counts an attempt in flight. Replicas in exclude and those
+// without room are not chosen. ok is false if none is left. Done must be called once per choice.
+func (b *Balancer) Pick(service string, work Work, exclude []string, now time.Time) (c Choice, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	expected := b.expectedTime(kind)
+	expected := b.expectedTime(work.Kind)
+	far := time.Duration(farFraction * float64(work.Target))
 	var best *replica
 	var bestCost float64
 	bestSuspect := true
@@ -227,6 +240,9 @@
 		}
 		suspect := r.isSuspect(expected, now)
 		cost := r.cost(expected, now)
+		if r.Distance == OtherRegion {
+			cost += float64(far)
+		}
 		if best == nil || bestSuspect && !suspect || bestSuspect == suspect && cost < bestCost {
 			best, bestCost, bestSuspect = r, cost, suspect
 		}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -174,7 +174,7 @@
 func (r *run) Pick(_ string, _ snapshot.Version, shard string, exclude []string) (scatter.Target, bool) {
 	b := r.gateway.balancer
 	begin := time.Now()
-	choice, ok := b.Pick(shard, r.route.Name, exclude, begin)
+	choice, ok := b.Pick(shard, balancer.Work{Kind: r.route.Name, Target: r.route.Target}, exclude, begin)
 	if !ok {
 		return scatter.Target{}, false
 	}
