--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,197 @@
+// Package edge wires the daemon on the users' platform: listeners, the topology feed, the gateway and the planned stop.
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"reflect"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/drain"
+	"github.com/chivemill/chivemill/eventlog"
+	"github.com/chivemill/chivemill/gateway"
+	"github.com/chivemill/chivemill/metrics"
+	"github.com/chivemill/chivemill/platform"
+	"github.com/chivemill/chivemill/topology"
+)
+
+const (
+	// memoryFraction of the process's limit is the soft limit of the Go heap; the rest is for stacks, buffers of the kernel
+	// and bytes that were received and not read.
+	memoryFraction = 0.7
+	// refuseFraction of the grace time is how long a stopping daemon takes new requests: the balancer notices after two
+	// looks of a second each.
+	refuseFraction = 0.5
+	// endFraction of the grace time is when the requests in flight get a final answer.
+	endFraction = 5.0 / 6
+	// lastAnswers bounds the writing of these answers.
+	lastAnswers = 300 * time.Millisecond
+)
+
+// Daemon is a running edge daemon. It is safe for concurrent use.
+type Daemon struct {
+	set      platform.Settings
+	file     string
+	log      *eventlog.Log
+	gateway  *gateway.Gateway
+	balancer *balancer.Balancer
+	dir      *topology.Directory
+	feed     *topology.Feed
+	replicas *platform.Replicas
+	stop     *drain.Sequence
+	callers  *http.Server
+	failed   chan error
+}
+
+// New builds a daemon of the settings, which were read from file.
+func New(file string, set platform.Settings, log *eventlog.Log) (*Daemon, error) {
+	collected, err := metrics.NewProvider()
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{set: set, file: file, log: log, dir: topology.NewDirectory(), failed: make(chan error, 4)}
+	observe, err := d.instruments(collected.Meter())
+	if err != nil {
+		return nil, err
+	}
+	store := platform.NewStoreClient(set.Store, set.LeastLease, observe)
+	self := topology.Self{
+		Node: set.Node, DataCentre: set.DataCentre, Address: set.Peers, HealthAddress: set.Health, Distance: set.Distance,
+	}
+	d.feed = topology.NewFeed(d.dir, store, platform.Decoder{}, platform.Keys(), self, set.Contacts, log.Logger)
+	d.balancer = balancer.New(xxhash.Sum64String(set.Node))
+	d.replicas = platform.NewReplicas(d.balancer.Report)
+	d.gateway, err = gateway.New(gateway.Options{
+		BudgetRatio: set.BudgetRatio, BudgetFixed: set.BudgetFixed, BudgetSpan: set.BudgetSpan,
+	}, d.dir, d.balancer, d.replicas, rand.Float64, collected.Meter(), log.Logger)
+	if err != nil {
+		return nil, err
+	}
+	d.stop = drain.NewSequence(drain.Options{
+		BalancerLag: time.Duration(refuseFraction * float64(set.StopGrace)), LeaveTimeout: lastAnswers,
+	}, d.hooks())
+	d.callers = &http.Server{Handler: platform.NewCallers(d.gateway, d.isStopping)}
+	return d, d.listen(collected.Handler())
+}
+
+func (d *Daemon) isStopping() bool { return d.stop.Phase() != drain.Ready }
+
+// listen opens all listeners and serves them.
+func (d *Daemon) listen(collected http.Handler) error {
+	peers := http.NewServeMux()
+	peers.Handle(topology.PathPull, d.feed.Handler())
+	peers.HandleFunc("GET "+PathStatus, d.serveStatus)
+	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !d.gateway.Ready() || d.isStopping() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{
+		{d.callers, d.set.Callers}, {&http.Server{Handler: ready}, d.set.Ready},
+		{&http.Server{Handler: peers}, d.set.Peers}, {&http.Server{Handler: collected}, d.set.MetricsAddress()},
+	} {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return eris.Wrap(err, "listen")
+		}
+		go func() {
+			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				d.failed <- eris.Wrapf(err, "server at %s", s.address)
+			}
+		}()
+	}
+	return nil
+}
+
+// hooks connects the planned stop to the daemon: while the balancer may send more, requests are served and their
+// connections closed; then new ones are refused, and those in flight get a final answer before the grace time ends.
+func (d *Daemon) hooks() drain.Hooks {
+	return drain.Hooks{
+		NotReady: func() {},
+		CloseListeners: func() {
+			d.gateway.Stop()
+			left := time.Duration((endFraction - refuseFraction) * float64(d.set.StopGrace))
+			time.AfterFunc(left, d.gateway.End)
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), left+lastAnswers)
+				defer cancel()
+				if err := d.callers.Shutdown(ctx); err != nil {
+					d.log.Warn(eventlog.Stopping, zap.String("phase", "connections cut"), zap.Error(err))
+				}
+			}()
+		},
+		InFlight: d.gateway.InFlight,
+		Leave:    func(context.Context) error { return nil },
+		Changed: func(p drain.Phase) {
+			d.log.Info(eventlog.Stopping, zap.String("phase", string(p)), zap.Int64("in_flight", d.gateway.InFlight()))
+		},
+		Ignored: func() { d.log.Info(eventlog.Stopping, zap.String("phase", "second signal ignored")) },
+	}
+}
+
+// Stop starts the planned stop.
+func (d *Daemon) Stop() { d.stop.Signal() }
+
+// Run serves until a planned stop is complete. The error is that of a listener.
+func (d *Daemon) Run() error {
+	debug.SetMemoryLimit(int64(memoryFraction * float64(d.set.MemoryBytes)))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { d.feed.Run(ctx) })
+	wg.Go(func() { d.feed.ShareHealth(ctx, d.balancer) })
+	wg.Go(func() { d.gateway.Run(ctx) })
+	wg.Go(func() { d.keepReplicas(ctx) })
+	d.log.Info(eventlog.Started, zap.String("data_centre", d.set.DataCentre), zap.String("callers", d.set.Callers),
+		zap.String("store", d.set.Store), zap.Strings("contacts", d.set.Contacts))
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.stop.Run(context.Background()) }()
+	var err error
+	select {
+	case err = <-d.failed:
+	case err = <-stopped:
+	}
+	cancel()
+	wg.Wait()
+	d.log.Info(eventlog.Stopped, zap.Int64("in_flight", d.gateway.InFlight()), zap.Error(err))
+	return err
+}
+
+// keepReplicas closes the connections to replicas that are no longer listed.
+func (d *Daemon) keepReplicas(ctx context.Context) {
+	for ctx.Err() == nil {
+		view, changed := d.dir.View()
+		d.replicas.Keep(view.Servers)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Reload reads the settings again. Addresses and the place of a process do not change while it runs; a change is logged
+// and takes effect at the next start.
+func (d *Daemon) Reload() {
+	set, err := platform.LoadSettings(d.file)
+	switch {
+	case err != nil:
+		d.log.Error(eventlog.SettingsInvalid, zap.Error(err))
+	case !reflect.DeepEqual(set, d.set):
+		d.log.Warn(eventlog.SettingsReread, zap.String("effect", "at the next start"))
+	default:
+		d.log.Info(eventlog.SettingsReread, zap.String("effect", "none, unchanged"))
+	}
+}
--- /dev/null
+++ b/edge/status.go
@@ -0,0 +1,108 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/chivemill/chivemill/internal/httpjson"
+)
+
+// PathStatus is where a daemon tells what it believes.
+const PathStatus = "/v1/status"
+
+// Status is what a daemon believes.
+type Status struct {
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	Phase      string `json:"phase"`
+	Ready      bool   `json:"ready"`
+	// Version is that of the configuration in force, 0 if none is known; Routes is the number of its routes.
+	Version int64 `json:"version"`
+	Routes  int   `json:"routes"`
+	// ListAgeMS is the time since the store confirmed the list, -1 if it is not known.
+	ListAgeMS int64 `json:"list_age_ms"`
+	// Daemons is the number of daemons of each data centre.
+	Daemons  map[string]int `json:"daemons"`
+	InFlight int64          `json:"in_flight"`
+	// Budgets is how many extra sub-requests are allowed now, by service.
+	Budgets  map[string]float64 `json:"budgets"`
+	Replicas []ReplicaStatus    `json:"replicas"`
+}
+
+// ReplicaStatus is what a daemon believes of one replica.
+type ReplicaStatus struct {
+	ID         string  `json:"id"`
+	Service    string  `json:"service"`
+	Address    string  `json:"address"`
+	DataCentre string  `json:"data_centre"`
+	State      string  `json:"state"`
+	InFlight   int     `json:"in_flight"`
+	Slowness   float64 `json:"slowness"`
+	Refused    float64 `json:"refused"`
+}
+
+// Status returns what the daemon believes now.
+func (d *Daemon) Status() Status {
+	now := time.Now()
+	view, _ := d.dir.View()
+	s := Status{
+		Node: d.set.Node, DataCentre: d.set.DataCentre, Phase: string(d.stop.Phase()),
+		Ready: d.gateway.Ready() && !d.isStopping(), ListAgeMS: -1, Daemons: view.Daemons,
+		InFlight: d.gateway.InFlight(), Budgets: d.gateway.Budgets(now),
+	}
+	if view.Table != nil {
+		s.Version, s.Routes = view.Table.Version(), len(view.Table.Config().Routes)
+	}
+	if view.Generation > 0 {
+		s.ListAgeMS = now.Sub(view.ReadAt).Milliseconds()
+	}
+	for _, r := range d.balancer.Statuses(now) {
+		s.Replicas = append(s.Replicas, ReplicaStatus{
+			ID: r.ID, Service: r.Service, Address: r.Address, DataCentre: r.DataCentre, State: r.Condition(),
+			InFlight: r.InFlight, Slowness: r.Slowness, Refused: r.Refused,
+		})
+	}
+	return s
+}
+
+func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	httpjson.Write(w, http.StatusOK, d.Status())
+}
+
+// instruments registers the metrics of the log and returns the observer of calls to the store.
+func (d *Daemon) instruments(meter metric.Meter) (func(call, result string), error) {
+	calls, err := meter.Int64Counter("chivemill_store_calls",
+		metric.WithDescription("Calls to the platform's store by call and result: a status, no_answer or cut."))
+	if err != nil {
+		return nil, eris.Wrap(err, "metrics")
+	}
+	_, err = meter.Int64ObservableCounter("chivemill_log_lines",
+		metric.WithDescription("Log lines by fate: written, over_bound of their event, or queue_full."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			c := d.log.Counts()
+			for fate, n := range map[string]int64{"written": c.Written, "over_bound": c.Sampled, "queue_full": c.Full} {
+				o.Observe(n, metric.WithAttributes(attribute.String("fate", fate)))
+			}
+			return nil
+		}))
+	if err != nil {
+		return nil, eris.Wrap(err, "metrics")
+	}
+	_, err = meter.Int64ObservableGauge("chivemill_stopping", metric.WithDescription("1 during a planned stop."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			stopping := int64(0)
+			if d.isStopping() {
+				stopping = 1
+			}
+			o.Observe(stopping)
+			return nil
+		}))
+	return func(call, result string) {
+		calls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
+	}, eris.Wrap(err, "metrics")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,9 @@
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	// ending ends when the requests in flight have to be answered.
+	ending context.Context
+	end    context.CancelFunc
 
 	mu      sync.Mutex
 	daemons int
@@ -104,6 +107,7 @@
 	g := &Gateway{
 		opts: opts, dir: dir, balancer: b, sender: sender, draw: draw, log: log, budgets: make(map[string]*hedge.Window),
 	}
+	g.ending, g.end = context.WithCancel(context.Background())
 	var err error
 	g.metrics, err = newInstruments(meter, g)
 	return g, eris.Wrap(err, "metrics")
@@ -171,6 +175,20 @@
 // Stop makes the gateway refuse new requests.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
+// End answers the requests in flight at once: their attempts are cancelled.
+func (g *Gateway) End() { g.end() }
+
+// Budgets returns how many extra sub-requests are allowed now, by service.
+func (g *Gateway) Budgets(now time.Time) map[string]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	left := make(map[string]float64, len(g.budgets))
+	for service, w := range g.budgets {
+		left[service] = w.Left(now)
+	}
+	return left
+}
+
 // InFlight returns the number of requests that are being answered.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -222,6 +240,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Received.Add(wait))
 	defer cancel()
+	stop := context.AfterFunc(g.ending, cancel)
+	defer stop()
 	r := &run{gateway: g, request: request, route: route, view: &view}
 	if route.IsQuery() {
 		return r.query(ctx), r
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -118,10 +118,8 @@
 		}
 	})
 	gauge("chivemill_budget_left", "Extra sub-requests that the budget allows now, by service.", func(now time.Time, observe observer) {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		for service, w := range g.budgets {
-			observe(w.Left(now), attribute.String("service", service))
+		for service, left := range g.Budgets(now) {
+			observe(left, attribute.String("service", service))
 		}
 	})
 	gauge("chivemill_replicas", "Replicas by state: ready, draining, paused (broken or silent), refusing, slow or gone.", func(now time.Time, observe observer) {
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,234 @@
+// Package platform is the stand-in of the users' platform for tests: its store and its replicas, over loopback, with
+// the wire that package platform of the product speaks.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/chivemill/chivemill/internal/httpjson"
+	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/kv/kvtest"
+)
+
+// pageSize is the number of items in a page of a range, small so that tests meet several pages.
+const pageSize = 5
+
+// maxBody bounds the body of a call in bytes.
+const maxBody = 4 << 20
+
+// Store serves a kvtest.Memory. It is safe for concurrent use.
+type Store struct {
+	Memory *kvtest.Memory
+	// Status, if not 0, is what every call is answered with, without effect.
+	Status atomic.Int32
+	mux    *http.ServeMux
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	s := &Store{Memory: kvtest.NewMemory(nil), mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /v1/kv-key", s.key)
+	s.mux.HandleFunc("GET /v1/kv-range", s.list)
+	s.mux.HandleFunc("GET /v1/kv-watch", s.watch)
+	s.mux.HandleFunc("POST /v1/kv-txn", s.txn)
+	s.mux.HandleFunc("POST /v1/kv-lease", s.lease)
+	s.mux.HandleFunc("POST /v1/kv-keep/{id}", s.keep)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if status := s.Status.Load(); status != 0 {
+		w.WriteHeader(int(status))
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// Put writes a value as JSON, or bytes as they are.
+func (s *Store) Put(key string, value any) error {
+	data, ok := value.([]byte)
+	if !ok {
+		var err error
+		if data, err = json.Marshal(value); err != nil {
+			return err
+		}
+	}
+	_, err := s.Memory.Txn(context.Background(), kv.Txn{Puts: []kv.Put{{Key: key, Value: data}}})
+	return err
+}
+
+// Remove removes a key.
+func (s *Store) Remove(key string) error {
+	_, err := s.Memory.Txn(context.Background(), kv.Txn{Deletes: []string{key}})
+	return err
+}
+
+type item struct {
+	Key       string
+	Value     []byte `json:",omitempty"`
+	Revision  int64
+	Created   int64 `json:",omitempty"`
+	Tombstone bool  `json:",omitempty"`
+}
+
+func itemOf(i kv.Item) item {
+	return item{Key: i.Key, Value: i.Value, Revision: i.ModRevision, Created: i.CreateRevision}
+}
+
+func fail(w http.ResponseWriter, err error) {
+	status := http.StatusServiceUnavailable
+	if errors.Is(err, kv.ErrCompacted) {
+		status = http.StatusGone
+	}
+	http.Error(w, err.Error(), status)
+}
+
+func (s *Store) key(w http.ResponseWriter, r *http.Request) {
+	i, found, err := s.Memory.Get(r.Context(), r.URL.Query().Get("Key"))
+	switch {
+	case err != nil:
+		fail(w, err)
+	case !found:
+		httpjson.Write(w, http.StatusNotFound, map[string]int64{"AsOf": s.Memory.Revision()})
+	default:
+		httpjson.Write(w, http.StatusOK, struct {
+			item
+			AsOf int64
+		}{itemOf(i), s.Memory.Revision()})
+	}
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	items, revision, err := s.Memory.List(r.Context(), r.URL.Query().Get("PathPrefix"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	page := struct {
+		Items   []item `json:"items"`
+		HasMore bool
+		AsOf    int64
+	}{Items: []item{}, AsOf: revision}
+	for _, i := range items {
+		if i.Key <= r.URL.Query().Get("after") {
+			continue
+		}
+		if len(page.Items) == pageSize {
+			page.HasMore = true
+			break
+		}
+		page.Items = append(page.Items, itemOf(i))
+	}
+	httpjson.Write(w, http.StatusOK, page)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, errWait := strconv.Atoi(query.Get("WaitMs"))
+	if err != nil || errWait != nil {
+		http.Error(w, "after or WaitMs is not a number", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	events := []item{}
+	err = s.Memory.Watch(ctx, query.Get("PathPrefix"), after+1, func(b kv.WatchBatch) {
+		for _, e := range b.Events {
+			i := itemOf(e.Item)
+			i.Tombstone = e.Deleted
+			events = append(events, i)
+		}
+		if len(events) > 0 {
+			cancel()
+		}
+	})
+	if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		fail(w, err)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, map[string]any{"events": events, "AsOf": s.Memory.Revision()})
+}
+
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Precondition []struct {
+			Key      string
+			Revision int64
+		}
+		Puts []struct {
+			Key   string
+			Value []byte
+			Lease int64
+		}
+		Remove []string
+	}
+	if err := httpjson.Read(r.Body, maxBody, &body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	txn := kv.Txn{Deletes: body.Remove}
+	for _, p := range body.Precondition {
+		txn.If = append(txn.If, kv.Compare{Key: p.Key, ModRevision: p.Revision})
+		txn.Otherwise = append(txn.Otherwise, p.Key)
+	}
+	for _, p := range body.Puts {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			http.Error(w, "the key belongs to the platform", http.StatusForbidden)
+			return
+		}
+		txn.Puts = append(txn.Puts, kv.Put{Key: p.Key, Value: p.Value, Lease: kv.LeaseID(p.Lease)})
+	}
+	result, err := s.Memory.Txn(r.Context(), txn)
+	switch {
+	case err != nil:
+		fail(w, err)
+	case result.Succeeded:
+		httpjson.Write(w, http.StatusOK, map[string]int64{"Revision": result.Revision})
+	default:
+		items := []item{}
+		for _, i := range result.Items {
+			items = append(items, itemOf(i))
+		}
+		httpjson.Write(w, http.StatusPreconditionFailed, map[string]any{"items": items})
+	}
+}
+
+func (s *Store) lease(w http.ResponseWriter, r *http.Request) {
+	var body struct{ TtlMs int64 }
+	if err := httpjson.Read(r.Body, maxBody, &body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id, err := s.Memory.Grant(r.Context(), time.Duration(body.TtlMs)*time.Millisecond)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, map[string]int64{"Lease": int64(id), "TtlMs": body.TtlMs})
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	if err != nil {
+		http.Error(w, "the lease is not a number", http.StatusBadRequest)
+		return
+	}
+	alive, err := s.Memory.KeepAlive(r.Context(), kv.LeaseID(id))
+	switch {
+	case err != nil:
+		fail(w, err)
+	case !alive:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		httpjson.Write(w, http.StatusOK, map[string]int64{"TtlMs": 0})
+	}
+}
