--- a/gateway/report.go
+++ b/gateway/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -138,5 +139,12 @@
 
 // String returns shard, replica, outcome, cause and time of an attempt.
 func (t trailEntry) String() string {
-	return fmt.Sprintf("%s %s %s %s %dms", t.shard, t.replica, t.outcome, backend.FailureOf(t.cause), t.took.Milliseconds())
+	cause := string(backend.FailureOf(t.cause))
+	if t.outcome == balancer.Abandoned {
+		cause = "cancelled"
+		if errors.Is(t.cause, context.DeadlineExceeded) {
+			cause = "deadline"
+		}
+	}
+	return fmt.Sprintf("%s %s %s %s %dms", t.shard, t.replica, t.outcome, cause, t.took.Milliseconds())
 }
--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -66,6 +66,9 @@
 
 type shardState struct {
 	attempts []attempt
+	// unsent counts the attempts that never left, such as refused connections: they use up neither MaxAttempts nor the
+	// budget.
+	unsent   int
 	open     int
 	done     bool
 	answered bool
@@ -154,6 +157,9 @@
 		return m.actions, true
 	}
 	s.reason = Reason(err)
+	if neverSent(err) {
+		s.unsent++
+	}
 	switch {
 	case s.open > 0:
 	case m.plan.Once && mayHaveRun(err):
@@ -171,6 +177,15 @@
 	return !errors.As(err, &e) || e.Executed()
 }
 
+// neverSent reports whether no byte of the attempt left.
+func neverSent(err error) bool {
+	var e *backend.Error
+	return errors.As(err, &e) && e.Failure == backend.NotSent
+}
+
+// tried returns the number of attempts that a replica may have got.
+func (s *shardState) tried() int { return len(s.attempts) - s.unsent }
+
 // giveUpUncovered ends the query if it cannot reach the coverage that the plan requires any more.
 func (m *Machine) giveUpUncovered(now time.Time) {
 	if m.plan.GiveUpBelow == 0 || m.pending == 0 || Reaches(m.reachable(), m.plan.GiveUpBelow) {
@@ -340,7 +355,7 @@
 	m.hedgeAt = time.Time{}
 	for i := range m.shards {
 		s := &m.shards[i]
-		if s.done || s.open == 0 || s.open > 1 || len(s.attempts) >= m.plan.MaxAttempts {
+		if s.done || s.open == 0 || s.open > 1 || s.tried() >= m.plan.MaxAttempts {
 			continue
 		}
 		m.hedgeAt = now.Add(m.plan.HedgeDelay)
@@ -365,7 +380,7 @@
 // retry follows a failed attempt when no other attempt of the shard is open.
 func (m *Machine) retry(shard int, now time.Time) {
 	s := &m.shards[shard]
-	if len(s.attempts) >= m.plan.MaxAttempts {
+	if s.tried() >= m.plan.MaxAttempts {
 		m.giveUp(shard, s.reason, now)
 		return
 	}
@@ -380,7 +395,7 @@
 // retryNow spends from the budget for one more attempt.
 func (m *Machine) retryNow(shard int, now time.Time) {
 	s := &m.shards[shard]
-	again := len(s.attempts) > 0
+	again := s.tried() > 0
 	budget := m.budgets(shard).Retries
 	if again && !budget.Take() {
 		m.denied++
