--- a/edge/processes_test.go
+++ b/edge/processes_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/chivemill/chivemill/burn"
 	"github.com/chivemill/chivemill/edge"
 	standin "github.com/chivemill/chivemill/internal/standin/platform"
 )
@@ -272,6 +273,9 @@
 		id := fmt.Sprintf("q%d", i)
 		s.check(id, s.ask(p, at, http.MethodGet, "/q/2f?x=1", id, nil), 0)
 	}
+	sample, err := burn.Scrape(t.Context(), http.DefaultClient, "http://"+one.host+":9464/metrics")
+	must.NoError(t, err)
+	must.MapContainsKey(t, sample.Services, "query", must.Sprint("the service-level report reads the daemon's metrics"))
 	r := s.ask(one, at, http.MethodPost, "/o/7", "o1", []byte("two plates"))
 	must.Eq(t, http.StatusOK, r.status)
 	must.StrHasPrefix(t, "o.o-", r.header.Get("Chivemill-Response-Stamp"))
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/chivemill/chivemill/confstore"
+	"github.com/chivemill/chivemill/edge"
 	"github.com/chivemill/chivemill/entry"
 	"github.com/chivemill/chivemill/kv"
 	"github.com/chivemill/chivemill/kv/etcdjson"
@@ -27,14 +28,18 @@
 	Open func(endpoints []string) (kv.Store, error)
 	// Status reads the status of the entry daemon whose operator address is the URL.
 	Status func(ctx context.Context, url string) (entry.Status, error)
+	// EdgeStatus reads the status of the daemon of the users' platform whose peer address is the URL.
+	EdgeStatus func(ctx context.Context, url string) (edge.Status, error)
 }
 
 // DefaultEnv returns the Env of a process.
 func DefaultEnv() Env {
+	client := &http.Client{Timeout: statusTimeout}
 	return Env{
 		Out: os.Stdout, Err: os.Stderr, Author: os.Getenv("USER"),
-		Open:   func(endpoints []string) (kv.Store, error) { return etcdjson.New(endpoints) },
-		Status: httpStatus(&http.Client{Timeout: statusTimeout}),
+		Open:       func(endpoints []string) (kv.Store, error) { return etcdjson.New(endpoints) },
+		Status:     httpStatus[entry.Status](client),
+		EdgeStatus: httpStatus[edge.Status](client),
 	}
 }
 
@@ -81,6 +86,7 @@
 			{Name: "profile", Usage: "change and show profiles", Commands: a.profileCommands()},
 			{Name: "service", Usage: "change and show which profile each service runs under", Commands: a.serviceCommands()},
 			a.statusCommand(),
+			a.edgeCommand(),
 		},
 	}
 	prepare(cmd)
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -33,10 +33,10 @@
 	defaultWait = 11 * time.Second
 )
 
-// httpStatus returns a function that reads a daemon's status over HTTP.
-func httpStatus(client *http.Client) func(ctx context.Context, url string) (entry.Status, error) {
-	return func(ctx context.Context, url string) (entry.Status, error) {
-		var status entry.Status
+// httpStatus returns a function that reads a daemon's status of type T over HTTP.
+func httpStatus[T any](client *http.Client) func(ctx context.Context, url string) (T, error) {
+	return func(ctx context.Context, url string) (T, error) {
+		var status T
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(url, "/")+statusPath, nil)
 		if err != nil {
 			return status, eris.Wrap(err, "status")
