--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -223,32 +223,6 @@
 func (b *Balancer) Pick(service string, work Work, exclude []string, now time.Time) (c Choice, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, suspect := b.best(service, work, exclude, now)
-	if best == nil {
-		return Choice{}, false
-	}
-	trial := suspect || best.failures > 0
-	if best.failures > 0 {
-		// One attempt tries the replica again; the others pass it over until that one is answered.
-		best.pausedUntil = now.Add(best.pause())
-	}
-	best.open = append(best.open, now)
-	return Choice{Server: best.Server, Cap: best.cap, Suspect: trial}, true
-}
-
-// Best returns the replica that Pick would choose, without an attempt.
-func (b *Balancer) Best(service string, work Work, now time.Time) (c Choice, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	best, suspect := b.best(service, work, nil, now)
-	if best == nil {
-		return Choice{}, false
-	}
-	return Choice{Server: best.Server, Cap: best.cap, Suspect: suspect}, true
-}
-
-// best returns the cheapest usable replica, and whether all usable ones are suspect; nil if none is usable.
-func (b *Balancer) best(service string, work Work, exclude []string, now time.Time) (*replica, bool) {
 	expected := b.expectedTime(work.Kind)
 	far := time.Duration(farFraction * float64(work.Target))
 	var best *replica
@@ -273,7 +247,16 @@
 			best, bestCost, bestSuspect = r, cost, suspect
 		}
 	}
-	return best, bestSuspect
+	if best == nil {
+		return Choice{}, false
+	}
+	trial := bestSuspect || best.failures > 0
+	if best.failures > 0 {
+		// One attempt tries the replica again; the others pass it over until that one is answered.
+		best.pausedUntil = now.Add(best.pause())
+	}
+	best.open = append(best.open, now)
+	return Choice{Server: best.Server, Cap: best.cap, Suspect: trial}, true
 }
 
 // Lookup returns a replica that was picked; ok is false if the list no longer has it.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,7 +22,6 @@
 	"github.com/chivemill/chivemill/gateway"
 	"github.com/chivemill/chivemill/metrics"
 	"github.com/chivemill/chivemill/platform"
-	"github.com/chivemill/chivemill/secondhop"
 	"github.com/chivemill/chivemill/topology"
 )
 
@@ -74,7 +73,7 @@
 	d.replicas = platform.NewReplicas(d.balancer.Report)
 	d.gateway, err = gateway.New(gateway.Options{
 		BudgetRatio: set.BudgetRatio, BudgetFixed: set.BudgetFixed, BudgetSpan: set.BudgetSpan,
-		Publisher: d.feed, Asker: secondhop.NewClient(d.feed),
+		Publisher: d.feed,
 	}, d.dir, d.balancer, d.replicas, rand.Float64, collected.Meter(), log.Logger)
 	if err != nil {
 		return nil, err
@@ -92,7 +91,6 @@
 func (d *Daemon) listen(collected http.Handler) error {
 	peers := http.NewServeMux()
 	peers.Handle(topology.PathPull, d.feed.Handler())
-	peers.Handle(secondhop.Path, secondhop.Handler(d.gateway))
 	peers.HandleFunc("GET "+PathStatus, d.serveStatus)
 	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !d.gateway.Ready() || d.isStopping() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,8 +83,6 @@
 	BudgetSpan               time.Duration
 	// Publisher tells the other daemons which requests crash replicas; it may be nil.
 	Publisher quarantine.Publisher
-	// Asker asks daemons of other data centres for shards that are near them; it may be nil.
-	Asker Asker
 }
 
 // Gateway answers requests. It is safe for concurrent use.
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -26,11 +26,6 @@
 	if err != nil {
 		r.trail = append(r.trail, trailEntry{shard, choice.ID, outcome, err, took})
 	}
-	g.transition(choice, shard, r.request.ID, transition, outcome, took, err)
-}
-
-// transition logs a change of what the balancer believes of a replica.
-func (g *Gateway) transition(choice balancer.Choice, service, request string, transition balancer.Transition, outcome balancer.Outcome, took time.Duration, err error) {
 	event := ""
 	switch transition {
 	case balancer.Paused:
@@ -42,7 +37,7 @@
 	default:
 		return
 	}
-	g.log.Info(event, zap.String("replica", choice.ID), zap.String("service", service), zap.String("request", request),
+	g.log.Info(event, zap.String("replica", choice.ID), zap.String("service", shard), zap.String("request", r.request.ID),
 		zap.String("outcome", outcome.String()), zap.Duration("took_ms", took), zap.Error(err))
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -37,11 +37,6 @@
 	route   *routing.Route
 	view    *topology.View
 	watch   *quarantine.Run
-	// ctx ends with the run.
-	ctx context.Context
-	// groups are the shards that other daemons are asked for, grouped the group of each.
-	groups  []*group
-	grouped map[string]*group
 	plan    scatter.Plan
 	// machine is nil until the first attempts are decided.
 	machine *scatter.Machine
@@ -107,21 +102,23 @@
 	r.plan.GiveUpBelow = route.LeastCoverage
 	r.plan.PartialLeast = route.LeastCoverage
 	r.plan.PartialAfter = max(1, time.Duration(partialFraction*float64(route.Target))-time.Since(r.request.Received))
-	var cancel context.CancelFunc
-	r.ctx, cancel = context.WithCancel(ctx)
-	defer cancel()
-	r.grouped = make(map[string]*group)
-	r.planGroups(route.Shards)
 	r.prepare(ctx, route.Shards)
 	scatter.Drive(ctx, r.machine, r.attempt)
 
-	signatures, parts := r.collect(route.Shards)
-	if len(parts) == 0 || !scatter.Reaches(float64(len(signatures))/shards, route.LeastCoverage) {
-		return r.failed(ctx, fmt.Sprintf("%d of %d shards answered: %s", len(signatures), len(route.Shards), r.reasons()))
+	var parts [][]byte
+	answer := &QueryAnswer{}
+	for _, a := range r.answers {
+		if a != nil {
+			parts = append(parts, a.Body)
+			answer.Signatures = append(answer.Signatures, a.Signature)
+		}
+	}
+	answer.Missing = len(route.Shards) - len(parts)
+	if len(parts) == 0 || !scatter.Reaches(float64(len(parts))/shards, route.LeastCoverage) {
+		return r.failed(ctx, fmt.Sprintf("%d of %d shards answered: %s", len(parts), len(route.Shards), r.reasons()))
 	}
-	return Reply{Query: &QueryAnswer{
-		Records: coverage.Top(parts, route.Top), Signatures: signatures, Missing: len(route.Shards) - len(signatures),
-	}}
+	answer.Records = coverage.Top(parts, route.Top)
+	return Reply{Query: answer}
 }
 
 // single passes a request to one replica of the route's service.
@@ -183,19 +180,9 @@
 
 // Pick implements scatter.Picker.
 func (r *run) Pick(_ string, _ snapshot.Version, shard string, exclude []string) (scatter.Target, bool) {
-	if g := r.grouped[shard]; g != nil && len(exclude) == 0 {
-		return scatter.Target{ID: g.id, Done: func(took time.Duration, err error) {
-			if err != nil {
-				r.trail = append(r.trail, trailEntry{shard, g.id, outcomeOf(err), err, took})
-			}
-		}}, true
-	}
-	if g := r.grouped[shard]; g != nil {
-		// The second attempt must not go to the replica on which the asked daemon waits.
-		exclude = append(exclude, g.expected[shard])
-	}
+	b := r.gateway.balancer
 	begin := time.Now()
-	choice, ok := r.gateway.balancer.Pick(shard, r.work(), exclude, begin)
+	choice, ok := b.Pick(shard, balancer.Work{Kind: r.route.Name, Target: r.route.Target}, exclude, begin)
 	if !ok {
 		return scatter.Target{}, false
 	}
@@ -205,24 +192,24 @@
 
 // attempt implements scatter.SendFunc.
 func (r *run) attempt(ctx context.Context, a scatter.Action) (func(), error) {
-	if err := r.watch.Wait(ctx); err != nil {
-		return nil, &backend.Error{Failure: backend.NotSent, Cause: err}
-	}
-	service := r.plan.Map.Shards[a.Shard].ID
-	if g := r.grouped[service]; g != nil && g.id == a.Replica {
-		take, err := r.ask(ctx, g, service)
-		if err == nil {
-			r.watch.Answered()
-		}
-		return take, err
-	}
 	choice, ok := r.gateway.balancer.Lookup(a.Replica)
 	if !ok {
 		return nil, &backend.Error{Failure: backend.NotSent, Cause: errNotListed}
 	}
+	if err := r.watch.Wait(ctx); err != nil {
+		return nil, &backend.Error{Failure: backend.NotSent, Cause: err}
+	}
 	deadline, _ := ctx.Deadline()
 	dispatched := false
-	answer, err := r.gateway.sender.Send(ctx, choice, r.request, time.Until(deadline), func() bool { return r.dispatch(&dispatched) })
+	answer, err := r.gateway.sender.Send(ctx, choice, r.request, time.Until(deadline), func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.closed && !dispatched {
+			r.dispatched++
+			dispatched = true
+		}
+		return !r.closed
+	})
 	switch {
 	case err == nil, backend.FailureOf(err) == backend.ServerError:
 		r.watch.Answered()
@@ -241,29 +228,16 @@
 func (r *run) record(answer Answer, err error, dispatched bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.countNotRun(err, dispatched)
-	if answer.Status != 0 {
-		r.failure = &answer
-	}
-}
-
-// countNotRun counts an attempt that certainly was not executed. The caller holds the lock.
-func (r *run) countNotRun(err error, dispatched bool) {
 	var e *backend.Error
-	if errors.As(err, &e) && !e.Executed() && dispatched {
-		r.notRun++
+	if errors.As(err, &e) && !e.Executed() {
+		if dispatched {
+			r.notRun++
+		}
+		return
 	}
-}
-
-// dispatch counts an attempt before its first byte leaves, and reports whether it may leave.
-func (r *run) dispatch(dispatched *bool) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.closed && !*dispatched {
-		r.dispatched++
-		*dispatched = true
+	if answer.Status != 0 {
+		r.failure = &answer
 	}
-	return !r.closed
 }
 
 // outcomeOf maps the error of an attempt to what it says of the replica.
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -94,9 +94,7 @@
 
 	mu sync.Mutex
 	// readers holds the address of each data centre's reader.
-	readers map[string]string
-	// helpers holds addresses of daemons of each data centre, for queries.
-	helpers   map[string][]string
+	readers   map[string]string
 	unread    map[string]int64
 	storeLost time.Time
 	// crashing holds the notices that wait to be told.
@@ -290,13 +288,6 @@
 	}
 }
 
-// Helpers returns addresses of daemons of a data centre that take queries of other daemons.
-func (f *Feed) Helpers(dataCentre string) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.helpers[dataCentre]
-}
-
 // freshness is how old the state of a read may be.
 type freshness int
 
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -64,8 +64,6 @@
 	Daemons map[string]int `json:"daemons,omitempty"`
 	// Readers holds the address of each data centre's reader.
 	Readers map[string]string `json:"readers,omitempty"`
-	// Helpers holds addresses of daemons of each data centre.
-	Helpers map[string][]string `json:"helpers,omitempty"`
 }
 
 // peerClient pulls from other daemons. It is safe for concurrent use.
@@ -139,7 +137,7 @@
 	f.dir.SetDaemons(answer.Daemons)
 	if len(answer.Readers) > 0 {
 		f.mu.Lock()
-		f.readers, f.helpers = answer.Readers, answer.Helpers
+		f.readers = answer.Readers
 		f.mu.Unlock()
 	}
 	return nil
@@ -253,7 +251,7 @@
 		Source: f.source, Generation: view.Generation, Confirmed: view.Confirmed, Daemons: view.Daemons,
 	}
 	f.mu.Lock()
-	answer.Readers, answer.Helpers = f.readers, f.helpers
+	answer.Readers = f.readers
 	f.mu.Unlock()
 	if view.Table != nil && view.Table.Version() > request.Version {
 		config := view.Table.Config()
--- a/topology/place.go
+++ b/topology/place.go
@@ -31,8 +31,6 @@
 	countHold = 20 * time.Second
 	// followerHold is how long a follower that asks no more still counts as a daemon. It covers a restart.
 	followerHold = 8 * time.Second
-	// mostHelpers is the number of daemons that a claim names for queries of other data centres.
-	mostHelpers = 16
 	// maxFollowers bounds the remembered followers.
 	maxFollowers = 10_000
 )
@@ -79,9 +77,8 @@
 type claim struct {
 	Node    string `json:"node"`
 	Address string `json:"address"`
-	// Daemons is the number of daemons of the data centre, Helpers the peer addresses of some of them.
-	Daemons int      `json:"daemons"`
-	Helpers []string `json:"helpers,omitempty"`
+	// Daemons is the number of daemons of the data centre.
+	Daemons int `json:"daemons"`
 }
 
 func decodeClaim(item kv.Item) (claim, error) {
@@ -144,11 +141,7 @@
 
 func (f *Feed) writeClaim(ctx context.Context, p *place, lease kv.LeaseID, revision int64) (bool, error) {
 	daemons := f.following.count(time.Now()) + 1
-	c := claim{Node: f.self.Node, Address: f.self.Address, Daemons: daemons}
-	if p.scope != fleetScope {
-		c.Helpers = append([]string{f.self.Address}, f.following.addresses(mostHelpers-1)...)
-	}
-	value, err := json.Marshal(c)
+	value, err := json.Marshal(claim{Node: f.self.Node, Address: f.self.Address, Daemons: daemons})
 	if err != nil {
 		return false, eris.Wrap(err, "claim")
 	}
@@ -229,7 +222,6 @@
 		now := time.Now()
 		if err == nil {
 			readers := make(map[string]string, len(items))
-			helpers := make(map[string][]string, len(items))
 			for _, item := range items {
 				c, err := decodeClaim(item)
 				if err != nil {
@@ -238,7 +230,7 @@
 				}
 				centre := strings.TrimPrefix(item.Key, f.keys.Readers+centrePrefix)
 				seen[centre] = counted{c.Daemons, now}
-				readers[centre], helpers[centre] = c.Address, c.Helpers
+				readers[centre] = c.Address
 			}
 			daemons := make(map[string]int, len(seen))
 			for centre, c := range seen {
@@ -250,7 +242,7 @@
 			}
 			f.dir.SetDaemons(daemons)
 			f.mu.Lock()
-			f.readers, f.helpers = readers, helpers
+			f.readers = readers
 			f.mu.Unlock()
 		}
 		sleep(ctx, countInterval)
@@ -264,8 +256,8 @@
 }
 
 type follower struct {
-	address string
-	at      time.Time
+	host string
+	at   time.Time
 }
 
 func newFollowers() followers { return followers{seen: make(map[string]follower)} }
@@ -274,21 +266,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, ok := f.seen[node]; ok || len(f.seen) < maxFollowers {
-		f.seen[node] = follower{address, now}
-	}
-}
-
-// addresses returns the addresses of at most n followers.
-func (f *followers) addresses(n int) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var all []string
-	for _, one := range f.seen {
-		if len(all) < n {
-			all = append(all, one.address)
-		}
+		f.seen[node] = follower{hostOf(address), now}
 	}
-	return all
 }
 
 // hosts returns the hosts of the followers but one.
@@ -298,7 +277,7 @@
 	hosts := make([]string, 0, len(f.seen))
 	for node, one := range f.seen {
 		if node != except {
-			hosts = append(hosts, hostOf(one.address))
+			hosts = append(hosts, one.host)
 		}
 	}
 	return hosts
