--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -206,8 +206,6 @@
 	Server
 	// Cap is the largest number of connections of this daemon to the replica.
 	Cap int
-	// Suspect is set if the replica is tried although its last attempts failed or fell silent.
-	Suspect bool
 }
 
 // Work is a kind of work: requests of one route.
@@ -250,13 +248,12 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	trial := bestSuspect || best.failures > 0
 	if best.failures > 0 {
 		// One attempt tries the replica again; the others pass it over until that one is answered.
 		best.pausedUntil = now.Add(best.pause())
 	}
 	best.open = append(best.open, now)
-	return Choice{Server: best.Server, Cap: best.cap, Suspect: trial}, true
+	return Choice{Server: best.Server, Cap: best.cap}, true
 }
 
 // Lookup returns a replica that was picked; ok is false if the list no longer has it.
--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -20,6 +20,9 @@
 chivemill_request_duration_seconds_bucket{service="loja-web",result="overloaded",le="+Inf"} 10
 chivemill_request_duration_seconds_sum{service="loja-web",result="overloaded"} 0
 chivemill_request_duration_seconds_count{service="loja-web",result="overloaded"} 10
+chivemill_request_duration_seconds_bucket{service="loja-web",result="caller_left",le="+Inf"} 30
+chivemill_request_duration_seconds_sum{service="loja-web",result="caller_left"} 0
+chivemill_request_duration_seconds_count{service="loja-web",result="caller_left"} 30
 chivemill_request_duration_seconds_bucket{service="loja-web",result="bad_request",le="+Inf"} 50
 chivemill_request_duration_seconds_sum{service="loja-web",result="bad_request"} 0
 chivemill_request_duration_seconds_count{service="loja-web",result="bad_request"} 50
--- a/burn/sample.go
+++ b/burn/sample.go
@@ -22,6 +22,8 @@
 const (
 	latencyMetric  = "chivemill_request_duration_seconds"
 	coverageMetric = "chivemill_coverage_ratio"
+	// callerLeft is the result of a request whose caller left; package gateway counts it.
+	callerLeft = "caller_left"
 )
 
 // Bucket is a cumulative count of a histogram.
@@ -95,6 +97,8 @@
 	switch {
 	case result == "ok" || result == "partial":
 		s.Latency.add(m.GetHistogram())
+	case result == callerLeft:
+		// The service did not fail a caller that left before its answer.
 	case !callerFault(api.Kind(result)):
 		s.Failed += m.GetHistogram().GetSampleCount()
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -34,6 +34,9 @@
 	refuseFraction = 0.5
 	// endFraction of the grace time is when the requests in flight get a final answer.
 	endFraction = 5.0 / 6
+	// headerTimeout bounds how long a caller takes to send a request's head. It is far above what the operator's limit
+	// allows, which is not known before the first configuration.
+	headerTimeout = 30 * time.Second
 	// lastAnswers bounds the writing of these answers.
 	lastAnswers = 300 * time.Millisecond
 )
@@ -81,7 +84,7 @@
 	d.stop = drain.NewSequence(drain.Options{
 		BalancerLag: time.Duration(refuseFraction * float64(set.StopGrace)), LeaveTimeout: lastAnswers,
 	}, d.hooks())
-	d.callers = &http.Server{Handler: platform.NewCallers(d.gateway, d.isStopping)}
+	d.callers = &http.Server{Handler: platform.NewCallers(d.gateway, d.isStopping), ReadHeaderTimeout: headerTimeout}
 	return d, d.listen(collected.Handler())
 }
 
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -9,7 +9,6 @@
 	SettingsReread  = "settings read again"
 	SettingsInvalid = "settings cannot be read"
 	LinesDropped    = "log lines dropped"
-	Summary         = "summary"
 
 	// Configuration, replicas and readers.
 	ConfigurationApplied = "configuration applied"
@@ -39,5 +38,4 @@
 	RequestServed   = "request served"
 	RequestLeft     = "caller left"
 	RequestCrashing = "request crashes replicas"
-	AttemptFailed   = "attempt failed"
 )
--- a/routing/config.go
+++ b/routing/config.go
@@ -59,8 +59,6 @@
 // Service is what the configuration states of a service.
 type Service struct {
 	Name string
-	// HealthPath is the path of the health endpoint.
-	HealthPath string
 	// Connections is the number of connections that one replica accepts from all callers together; 0 if unknown.
 	Connections int
 }
