--- a/edge/processes_test.go
+++ b/edge/processes_test.go
@@ -24,7 +24,7 @@
 
 	"github.com/chivemill/chivemill/burn"
 	"github.com/chivemill/chivemill/edge"
-	standin "github.com/chivemill/chivemill/internal/standin/platform"
+	"github.com/chivemill/chivemill/platform/standin"
 )
 
 // binary is the daemon that TestMain builds.
