--- a/edge/edge.go
+++ b/edge/edge.go
@@ -124,6 +124,7 @@
 // connections closed; then new ones are refused, and those in flight get a final answer before the grace time ends.
 func (d *Daemon) hooks() drain.Hooks {
 	return drain.Hooks{
+		// Readiness follows the phase.
 		NotReady: func() {},
 		CloseListeners: func() {
 			d.gateway.Stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -278,6 +278,7 @@
 
 // fingerprint names requests that do the same: those that crash replicas come again with the same path and body.
 func fingerprint(request *Request) string {
+	// Writes to this hash never fail.
 	h := xxhash.New()
 	for _, part := range []string{request.Method, request.Host, request.Target} {
 		_, _ = h.WriteString(part)
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -183,9 +183,7 @@
 			retry, own = firstRetry, firstOwnRead
 			continue
 		}
-		if f.age() >= p.stale || err != nil {
-			f.pullElsewhere(ctx, p)
-		}
+		f.pullElsewhere(ctx, p)
 		if f.age() >= p.stale && time.Since(ownRead) >= own {
 			ownRead = time.Now()
 			// While the store is away the list alone is asked for, which halves the calls of an outage.
