--- a/edge/edge.go
+++ b/edge/edge.go
@@ -73,6 +73,7 @@
 	d.replicas = platform.NewReplicas(d.balancer.Report)
 	d.gateway, err = gateway.New(gateway.Options{
 		BudgetRatio: set.BudgetRatio, BudgetFixed: set.BudgetFixed, BudgetSpan: set.BudgetSpan,
+		Publisher: d.feed,
 	}, d.dir, d.balancer, d.replicas, rand.Float64, collected.Meter(), log.Logger)
 	if err != nil {
 		return nil, err
@@ -152,7 +153,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { d.feed.Run(ctx) })
-	wg.Go(func() { d.feed.ShareHealth(ctx, d.balancer) })
+	wg.Go(func() { d.feed.ShareHealth(ctx, d.balancer, d.gateway) })
 	wg.Go(func() { d.gateway.Run(ctx) })
 	wg.Go(func() { d.keepReplicas(ctx) })
 	d.log.Info(eventlog.Started, zap.String("data_centre", d.set.DataCentre), zap.String("callers", d.set.Callers),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,17 +5,21 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/hedge"
+	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/topology"
 )
@@ -77,6 +81,8 @@
 	// BudgetRatio, BudgetFixed and BudgetSpan bound the extra sub-requests to a service of all daemons together.
 	BudgetRatio, BudgetFixed float64
 	BudgetSpan               time.Duration
+	// Publisher tells the other daemons which requests crash replicas; it may be nil.
+	Publisher quarantine.Publisher
 }
 
 // Gateway answers requests. It is safe for concurrent use.
@@ -87,6 +93,7 @@
 	sender   Sender
 	log      *zap.Logger
 	draw     func() float64
+	guard    *quarantine.Guard
 	metrics  *instruments
 	// served counts the requests without trouble, of which a sample is logged.
 	served atomic.Uint64
@@ -107,6 +114,7 @@
 	g := &Gateway{
 		opts: opts, dir: dir, balancer: b, sender: sender, draw: draw, log: log, budgets: make(map[string]*hedge.Window),
 	}
+	g.guard = quarantine.NewGuard(quarantine.DefaultRule(), quarantineTime, opts.Publisher, nil)
 	g.ending, g.end = context.WithCancel(context.Background())
 	var err error
 	g.metrics, err = newInstruments(meter, g)
@@ -117,6 +125,9 @@
 	// budgetMargin is the part of the fleet's budget that is used. The rest covers that sub-requests arrive at other
 	// times than they are sent.
 	budgetMargin = 0.9
+	// quarantineTime is how long a request that crashed replicas is refused. It is short, since replicas that lose answers
+	// for other reasons can make a good request look like one.
+	quarantineTime = time.Minute
 	// fixedMargin is the part of the fixed budget that is used: daemons learn late how many they are.
 	fixedMargin = 0.7
 )
@@ -242,13 +253,40 @@
 	defer cancel()
 	stop := context.AfterFunc(g.ending, cancel)
 	defer stop()
-	r := &run{gateway: g, request: request, route: route, view: &view}
+	kind := quarantine.Order
+	if route.IsQuery() {
+		kind = quarantine.Search
+	}
+	ctx, watch, err := g.guard.Admit(ctx, fingerprint(request), kind)
+	if err != nil {
+		return refuse(api.Quarantined, quarantineTime, "the request crashed replicas"), nil
+	}
+	defer watch.Done()
+	r := &run{gateway: g, request: request, route: route, view: &view, watch: watch}
 	if route.IsQuery() {
 		return r.query(ctx), r
 	}
 	return r.single(ctx), r
 }
 
+// Learn takes a request that crashed replicas, as another daemon saw it.
+func (g *Gateway) Learn(notice quarantine.Notice) {
+	g.log.Info(eventlog.RequestCrashing, zap.String("fingerprint", notice.Fingerprint), zap.Time("until", notice.Until),
+		zap.String("from", "another daemon"))
+	g.guard.Learn(notice)
+}
+
+// fingerprint names requests that do the same: those that crash replicas come again with the same path and body.
+func fingerprint(request *Request) string {
+	h := xxhash.New()
+	for _, part := range []string{request.Method, request.Host, request.Target} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(request.Body)
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
 func refuse(kind api.Kind, retryAfter time.Duration, message string) Reply {
 	err := api.Errorf(kind, "%s", message)
 	err.RetryAfter = retryAfter
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/coverage"
 	"github.com/chivemill/chivemill/hedge"
+	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/scatter"
 	"github.com/chivemill/chivemill/snapshot"
@@ -35,6 +36,7 @@
 	request *Request
 	route   *routing.Route
 	view    *topology.View
+	watch   *quarantine.Run
 	plan    scatter.Plan
 	// machine is nil until the first attempts are decided.
 	machine *scatter.Machine
@@ -148,7 +150,7 @@
 	switch {
 	case neverRun:
 		return refuse(api.BackendRefused, retryAfterRefusal, message)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case isPast(ctx):
 		return Reply{Err: api.Errorf(api.DeadlineExceeded, "%s", message)}
 	case r.route.Safety == routing.Once:
 		return Reply{Err: api.Errorf(api.OutcomeUnknown, "%s", message)}
@@ -159,6 +161,12 @@
 	}
 }
 
+// isPast reports whether the deadline of ctx has come. The machine sees it by its own clock, at times before ctx ends.
+func isPast(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline)
+}
+
 // reasons counts the shards that were not answered by their reason.
 func (r *run) reasons() string {
 	counts := make(map[api.MissingReason]int)
@@ -188,6 +196,9 @@
 	if !ok {
 		return nil, &backend.Error{Failure: backend.NotSent, Cause: errNotListed}
 	}
+	if err := r.watch.Wait(ctx); err != nil {
+		return nil, &backend.Error{Failure: backend.NotSent, Cause: err}
+	}
 	deadline, _ := ctx.Deadline()
 	dispatched := false
 	answer, err := r.gateway.sender.Send(ctx, choice, r.request, time.Until(deadline), func() bool {
@@ -199,6 +210,12 @@
 		}
 		return !r.closed
 	})
+	switch {
+	case err == nil, backend.FailureOf(err) == backend.ServerError:
+		r.watch.Answered()
+	case backend.Lost(err):
+		r.watch.Lost(choice.ID, time.Now())
+	}
 	if err != nil {
 		r.record(answer, err, dispatched)
 		return nil, err
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -16,6 +16,7 @@
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/kv"
+	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/routing"
 )
 
@@ -96,6 +97,8 @@
 	readers   map[string]string
 	unread    map[string]int64
 	storeLost time.Time
+	// crashing holds the notices that wait to be told.
+	crashing []quarantine.Notice
 }
 
 // NewFeed returns a feed. contacts may be empty.
--- a/topology/health.go
+++ b/topology/health.go
@@ -11,6 +11,7 @@
 
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/eventlog"
+	"github.com/chivemill/chivemill/quarantine"
 )
 
 const (
@@ -20,6 +21,8 @@
 	// in it: each takes up to 60 bytes.
 	maxDatagram     = 1400
 	mostPerDatagram = 20
+	// crashingPerDatagram is the number of notices in a datagram, of about 80 bytes each.
+	crashingPerDatagram = 10
 	// healthRetry is the pause after the socket could not be opened or read.
 	healthRetry = time.Second
 )
@@ -38,12 +41,40 @@
 	Node string `json:"n"`
 	// Hops is 0 from a daemon, 1 from its reader, 2 from another data centre's reader.
 	Hops int               `json:"h,omitempty"`
-	News []balancer.Health `json:"w"`
+	News []balancer.Health `json:"w,omitempty"`
+	// Crashing holds requests that crash replicas; they go to all regions.
+	Crashing []quarantine.Notice `json:"c,omitempty"`
+}
+
+// Learner takes requests that crash replicas. Implementations are safe for concurrent use.
+type Learner interface {
+	Learn(notice quarantine.Notice)
+}
+
+// maxCrashing bounds the notices that wait to be told.
+const maxCrashing = 64
+
+// Publish implements quarantine.Publisher: the notice goes out with the next datagram.
+func (f *Feed) Publish(notice quarantine.Notice) {
+	f.log.Warn(eventlog.RequestCrashing, zap.String("fingerprint", notice.Fingerprint), zap.Time("until", notice.Until))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashing) < maxCrashing {
+		f.crashing = append(f.crashing, notice)
+	}
+}
+
+func (f *Feed) takeCrashing() []quarantine.Notice {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	crashing := f.crashing
+	f.crashing = nil
+	return crashing
 }
 
 // ShareHealth tells the daemons of the same region what this one learns of replicas, and takes what they tell, until
 // ctx ends. Datagrams go to and from Self.HealthAddress; they may be lost.
-func (f *Feed) ShareHealth(ctx context.Context, source HealthSource) {
+func (f *Feed) ShareHealth(ctx context.Context, source HealthSource, learner Learner) {
 	for ctx.Err() == nil {
 		conn, err := net.ListenPacket("udp4", f.self.HealthAddress)
 		if err != nil {
@@ -53,7 +84,7 @@
 		}
 		end := context.AfterFunc(ctx, func() { _ = conn.Close() })
 		go f.tell(ctx, conn, source)
-		err = f.listen(conn, source)
+		err = f.listen(conn, source, learner)
 		end()
 		if ctx.Err() == nil {
 			f.log.Warn(eventlog.HealthSocketLost, zap.Error(err))
@@ -69,11 +100,14 @@
 		for news := range slices.Chunk(source.TakeNews(time.Now()), mostPerDatagram) {
 			f.spread(conn, healthMessage{Node: f.self.Node, News: news})
 		}
+		for crashing := range slices.Chunk(f.takeCrashing(), crashingPerDatagram) {
+			f.spread(conn, healthMessage{Node: f.self.Node, Crashing: crashing})
+		}
 	}
 }
 
 // listen takes datagrams until the socket fails.
-func (f *Feed) listen(conn net.PacketConn, source HealthSource) error {
+func (f *Feed) listen(conn net.PacketConn, source HealthSource, learner Learner) error {
 	buf := make([]byte, 2*maxDatagram)
 	for {
 		n, _, err := conn.ReadFrom(buf)
@@ -91,6 +125,9 @@
 		if changed := source.Hear(m.News, time.Now()); changed > 0 {
 			f.log.Debug(eventlog.HealthHeard, zap.String("from", m.Node), zap.Int("replicas", changed))
 		}
+		for _, notice := range m.Crashing {
+			learner.Learn(notice)
+		}
 		if f.levels[0].isHeld() {
 			m.Hops++
 			f.spread(conn, m)
@@ -107,7 +144,7 @@
 	case f.levels[0].isHeld():
 		to = f.following.hosts(m.Node)
 		if m.Hops < 2 {
-			to = append(to, f.neighbours()...)
+			to = append(to, f.neighbours(len(m.Crashing) > 0)...)
 			m.Hops = 1
 		}
 	}
@@ -135,13 +172,13 @@
 	}
 }
 
-// neighbours returns the hosts of the readers of the same region's other data centres.
-func (f *Feed) neighbours() []string {
+// neighbours returns the hosts of the readers of the same region's other data centres, or of all other data centres.
+func (f *Feed) neighbours(all bool) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var hosts []string
 	for centre, address := range f.readers {
-		if centre != f.self.DataCentre && f.self.Distance(centre) == balancer.SameRegion {
+		if centre != f.self.DataCentre && (all || f.self.Distance(centre) == balancer.SameRegion) {
 			hosts = append(hosts, hostOf(address))
 		}
 	}
