An outage of the store costs each daemon one read of the list

A follower read the list at full price on each try, and looked for a new reader beside it, although its own read had just failed.

Change: after a failed call a follower asks for the claim alone (a stale read, a tenth of the price) and reads the list once that is answered; it looks for a new reader only while the store answers. Ruled out: longer pauses, which delay the first fresh list after the outage.

--- a/topology/feed.go
+++ b/topology/feed.go
@@ -186,15 +186,14 @@
 		f.pullElsewhere(ctx, p)
 		if f.age() >= p.stale && time.Since(ownRead) >= own {
 			ownRead = time.Now()
-			// While the store is away the list alone is asked for, which halves the calls of an outage.
-			if f.readServers(ctx, fresh) {
+			if f.reachesStore(ctx, p) && f.readServers(ctx, fresh) {
 				f.readConfig(ctx, fresh)
 			}
 			if err == nil && p.scope != fleetScope {
 				own = min(2*own, lastOwnRead)
 			}
 		}
-		if err != nil && time.Since(elected) >= f.electionPause(retry) {
+		if err != nil && !f.isStoreLost() && time.Since(elected) >= retry {
 			elected = time.Now()
 			f.elect(ctx, p)
 		}
@@ -205,14 +204,21 @@
 	}
 }
 
-// electionPause returns the least time between two looks at a claim; while the store does not answer it is longer.
-func (f *Feed) electionPause(retry time.Duration) time.Duration {
+// isStoreLost reports whether the last call to the store failed.
+func (f *Feed) isStoreLost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.storeLost.IsZero() {
-		return retry
+	return !f.storeLost.IsZero()
+}
+
+// reachesStore reports whether the store is worth a read of the list. After a failed call it asks for the claim of the
+// place first, at a tenth of the price: an outage costs each daemon one read of the list and then such looks alone.
+func (f *Feed) reachesStore(ctx context.Context, p *place) bool {
+	if !f.isStoreLost() {
+		return true
 	}
-	return firstOwnRead
+	_, _, err := f.look(ctx, p)
+	return err == nil
 }
 
 // pullWait returns how long a pull may wait: until the list that this daemon has turns stale.
--- a/topology/fleet_test.go
+++ b/topology/fleet_test.go
@@ -55,7 +55,8 @@
 type gate struct {
 	kv.Store
 	state atomic.Int32
-	calls atomic.Int64
+	// calls counts all calls, lists those that read the whole list.
+	calls, lists atomic.Int64
 }
 
 func (g *gate) pass(ctx context.Context) error {
@@ -74,6 +75,7 @@
 }
 
 func (g *gate) List(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	g.lists.Add(1)
 	if err := g.pass(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -342,16 +344,21 @@
 			all = append(all, f.start(fmt.Sprintf("d%d", i), fmt.Sprintf("c%d", i%2)))
 		}
 		testseed.Wait(10 * time.Second)
-		var before, after int64
+		var before, after, lists int64
 		for _, d := range all {
 			d.gate.state.Store(int32(refused))
 			before += d.gate.calls.Load()
+			lists -= d.gate.lists.Load()
 		}
 		testseed.Wait(6 * time.Second)
 		for _, d := range all {
 			after += d.gate.calls.Load()
+			lists += d.gate.lists.Load()
 			d.gate.state.Store(int32(reached))
 		}
+		// Each daemon learns of the outage with one read of the list; the fleet's reader goes on once a second, and looks at
+		// the claims each 3 s.
+		must.LessEq(t, int64(len(all)+6+2), lists)
 		// Three reads of the list and of the claim per daemon would be 240.
 		must.Less(t, 160, after-before)
 		testseed.Wait(3 * time.Second)
--- a/topology/place.go
+++ b/topology/place.go
@@ -96,10 +96,7 @@
 	if p.reader() == "" {
 		sleep(ctx, spread(electionSpread))
 	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	item, found, err := kv.GetStale(call, f.store, p.key)
-	cancel()
-	f.storeAnswered("claim", err)
+	item, found, err := f.look(ctx, p)
 	if err != nil {
 		return
 	}
@@ -115,6 +112,15 @@
 	f.claim(ctx, p, item.ModRevision)
 }
 
+// look reads the claim of a place; the answer may be stale.
+func (f *Feed) look(ctx context.Context, p *place) (kv.Item, bool, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	item, found, err := kv.GetStale(call, f.store, p.key)
+	f.storeAnswered("claim", err)
+	return item, found, err
+}
+
 func (f *Feed) setReader(p *place, address string, held bool) {
 	if p.set(address, held) {
 		f.log.Info(eventlog.ReaderChanged, zap.String("scope", p.scope), zap.String("reader", address), zap.Bool("self", held))
