A quarantined request's waiting attempts are not sent

Guard.decide closed the channel that the waiting attempts wait for before it cancelled the request; a decider that is descheduled in between lets all of them go out. Losses of one request were logged beside load: all within 16 ms, so the window of 50 ms is ruled out; hedges are off in that fleet.

Change: the attempts are released after the cancellation. The test with a clock that deschedules its reader fails before and passes after.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -226,13 +226,15 @@
 		return
 	}
 	r.decided = true
-	close(r.suspected)
 	if r.kind == Search && g.clearedByAnswer(r.fingerprint) {
+		close(r.suspected)
 		g.mu.Unlock()
 		return
 	}
 	notice := Notice{Fingerprint: r.fingerprint, Until: g.clock.Now().Add(g.expiry)}
+	// The waiting attempts are released after the cancellation: before it they would be sent.
 	fresh := g.add(notice)
+	close(r.suspected)
 	g.mu.Unlock()
 	if fresh && g.publisher != nil {
 		g.publisher.Publish(notice)
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -155,3 +155,28 @@
 		must.Eq(t, 1, len(guard.Notices()))
 	})
 }
+
+// pausingClock is a clock whose reader is descheduled for a moment at each look.
+type pausingClock struct{}
+
+func (pausingClock) Now() time.Time {
+	time.Sleep(time.Millisecond)
+	return time.Now()
+}
+
+func (pausingClock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
+
+// Guards against attempts that leave between the verdict and the cancellation, as they did on a busy machine: the
+// goroutine that decides is descheduled in between, and the attempts that waited for it go out.
+func TestWaitingAttemptsAreNotReleasedBeforeTheCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		guard := quarantine.NewGuard(quarantine.DefaultRule(), quarantine.DefaultExpiry, nil, pausingClock{})
+		ctx, run, err := guard.Admit(t.Context(), "f", quarantine.Search)
+		must.NoError(t, err)
+		for i := range 3 {
+			run.Lost(fmt.Sprint(i), time.Now())
+		}
+		must.ErrorIs(t, run.Wait(ctx), quarantine.ErrQuarantined)
+		run.Done()
+	})
+}
