--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -138,6 +138,7 @@
 	coldUntil time.Time
 
 	failures    int
+	failedAt    time.Time
 	pausedUntil time.Time
 	gone        bool
 
@@ -418,10 +419,10 @@
 		r.refused, r.refusedAt = r.refusedFraction(now)*(1-refusalWeight)+refusalWeight, now
 		r.recovered()
 	case Broken:
-		r.failed(now)
+		r.failed(begin, now)
 	case Abandoned:
 		if took := now.Sub(begin); took > r.silence(expected) {
-			r.failed(now)
+			r.failed(begin, now)
 			if ratio := float64(took) / float64(expected); ratio > r.slownessAt(now) {
 				r.sample(ratio, now)
 			}
@@ -433,12 +434,14 @@
 
 func (r *replica) recovered() { r.failures, r.pausedUntil = 0, time.Time{} }
 
-func (r *replica) failed(now time.Time) {
-	if now.Before(r.pausedUntil) && r.failures > 0 {
+// failed takes the failure of an attempt that began at begin.
+func (r *replica) failed(begin, now time.Time) {
+	if begin.Before(r.failedAt) {
 		// Attempts that were in flight together fail together; they count once.
 		return
 	}
 	r.failures++
+	r.failedAt = now
 	r.pausedUntil = now.Add(r.pause())
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -96,6 +96,17 @@
 	must.GreaterEq(t, 90, counts["near"], must.Sprint("the replica is used again"))
 }
 
+// TestPauseOfACrashedReplicaDoubles answers the pattern of replicas that are down and refuse connections at once: the
+// trials that follow each pause fail within it, and still double it.
+func TestPauseOfACrashedReplicaDoubles(t *testing.T) {
+	w := newWorld(replicas("near", "far1", "far2"))
+	w.run(2*time.Second, 20*time.Millisecond)
+	w.answer["near"] = func(time.Time) (time.Duration, Outcome) { return time.Millisecond, Broken }
+	counts := w.run(6*time.Second, 20*time.Millisecond)
+	// Pauses of 0.15, 0.3, 0.6, 1.2 and then 1.6 s.
+	must.LessEq(t, 8, counts["near"])
+}
+
 // TestShortPauseIsSeenInFlight answers the pattern of replicas that pause for 300 ms: an attempt that is open for longer
 // than three times the expected time already counts.
 func TestShortPauseIsSeenInFlight(t *testing.T) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/drain"
 	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/gateway"
@@ -70,13 +71,15 @@
 	store := platform.NewStoreClient(set.Store, set.LeastLease, observe)
 	self := topology.Self{
 		Node: set.Node, DataCentre: set.DataCentre, Address: set.Peers, HealthAddress: set.Health, Distance: set.Distance,
+		Cores: set.Cores,
 	}
 	d.feed = topology.NewFeed(d.dir, store, platform.Decoder{}, platform.Keys(), self, set.Contacts, log.Logger)
 	d.balancer = balancer.New(xxhash.Sum64String(set.Node))
 	d.replicas = platform.NewReplicas(d.balancer.Report)
 	d.gateway, err = gateway.New(gateway.Options{
 		BudgetRatio: set.BudgetRatio, BudgetFixed: set.BudgetFixed, BudgetSpan: set.BudgetSpan,
-		Publisher: d.feed,
+		Publisher: d.feed, Node: set.Node, Delegates: delegation.NewClient(), Seed: xxhash.Sum64String(set.Node),
+		Self: delegation.Self{Address: set.Peers, DataCentre: set.DataCentre, Cores: set.Cores, Distance: set.Distance},
 	}, d.dir, d.balancer, d.replicas, rand.Float64, collected.Meter(), log.Logger)
 	if err != nil {
 		return nil, err
@@ -95,6 +98,7 @@
 	peers := http.NewServeMux()
 	peers.Handle(topology.PathPull, d.feed.Handler())
 	peers.HandleFunc("GET "+PathStatus, d.serveStatus)
+	peers.Handle("POST "+delegation.PathQuery, delegation.Handler(d.gateway))
 	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !d.gateway.Ready() || d.isStopping() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -125,7 +129,7 @@
 func (d *Daemon) hooks() drain.Hooks {
 	return drain.Hooks{
 		// Readiness follows the phase.
-		NotReady: func() {},
+		NotReady: d.gateway.Leave,
 		CloseListeners: func() {
 			d.gateway.Stop()
 			left := time.Duration((endFraction - refuseFraction) * float64(d.set.StopGrace))
--- a/edge/status.go
+++ b/edge/status.go
@@ -50,9 +50,13 @@
 func (d *Daemon) Status() Status {
 	now := time.Now()
 	view, _ := d.dir.View()
+	daemons := make(map[string]int, len(view.Centres))
+	for name, centre := range view.Centres {
+		daemons[name] = centre.Daemons
+	}
 	s := Status{
 		Node: d.set.Node, DataCentre: d.set.DataCentre, Phase: string(d.stop.Phase()),
-		Ready: d.gateway.Ready() && !d.isStopping(), ListAgeMS: -1, Daemons: view.Daemons,
+		Ready: d.gateway.Ready() && !d.isStopping(), ListAgeMS: -1, Daemons: daemons,
 		InFlight: d.gateway.InFlight(), Budgets: d.gateway.Budgets(now),
 	}
 	if view.Table != nil {
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -31,6 +31,13 @@
 	HealthSocketLost = "socket for replica health lost"
 	DatagramUnusable = "datagram cannot be used"
 
+	// Daemons that take queries of this one.
+	HelperPaused    = "helper paused"
+	HelperRecovered = "helper recovered"
+	HelperSilent    = "helper silent"
+	ShardsNotTaken  = "shards not taken by helper"
+	PartUnusable    = "part of a helper cannot be used"
+
 	// Requests.
 	RequestFailed   = "request failed"
 	RequestRefused  = "request refused"
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -28,18 +28,20 @@
 			}
 			reply := g.Serve(context.Background(), requestTo(path))
 			must.NotNil(t, reply.Err)
-			first := len(f.sent)
+			first := len(f.all())
+			// The notice is published on another goroutine.
+			synctest.Wait()
 			testseed.Wait(time.Second)
 			reply = g.Serve(context.Background(), requestTo(path))
 			must.Eq(t, api.Quarantined, reply.Err.Kind, must.Sprint(path))
-			must.Len(t, first, f.sent)
+			must.Len(t, first, f.all())
 			must.Len(t, 1, told)
 
 			other, sender := newGateway(t)
 			other.Learn(told[0])
 			reply = other.Serve(context.Background(), requestTo(path))
 			must.Eq(t, api.Quarantined, reply.Err.Kind)
-			must.Len(t, 0, sender.sent)
+			must.Len(t, 0, sender.all())
 			must.Nil(t, other.Serve(context.Background(), requestTo(path+"0")).Err, must.Sprint("other requests are served"))
 		})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/hedge"
 	"github.com/chivemill/chivemill/quarantine"
@@ -35,6 +36,13 @@
 	// Received is when the request's head was read, Wait how long the caller waits from then; 0 if unknown.
 	Received time.Time
 	Wait     time.Duration
+	// From is the node of the daemon that passed the request on; empty for a caller's own. Depth is the number of daemons
+	// that did, Shards the shards of the route that it asks for, nil for all.
+	From   string
+	Depth  int
+	Shards []int
+	// parts takes each part of the answer as it comes; nil for a caller's own request.
+	parts func(*part)
 }
 
 // Answer is what a replica answered.
@@ -83,6 +91,12 @@
 	BudgetSpan               time.Duration
 	// Publisher tells the other daemons which requests crash replicas; it may be nil.
 	Publisher quarantine.Publisher
+	// Node names this daemon to others, Self is what decides which queries it passes to them, Delegates carries these; nil
+	// passes none. Seed makes the choice of helpers repeatable.
+	Node      string
+	Self      delegation.Self
+	Delegates Delegates
+	Seed      uint64
 }
 
 // Gateway answers requests. It is safe for concurrent use.
@@ -99,7 +113,11 @@
 	served atomic.Uint64
 
 	inFlight atomic.Int64
-	stopping atomic.Bool
+	// delegated is the number of other daemons' queries in flight.
+	delegated atomic.Int64
+	leaving   atomic.Bool
+	helpers   *delegation.Pool
+	stopping  atomic.Bool
 	// ending ends when the requests in flight have to be answered.
 	ending context.Context
 	end    context.CancelFunc
@@ -114,6 +132,7 @@
 	g := &Gateway{
 		opts: opts, dir: dir, balancer: b, sender: sender, draw: draw, log: log, budgets: make(map[string]*hedge.Window),
 	}
+	g.helpers = delegation.NewPool(opts.Self, opts.Seed)
 	g.guard = quarantine.NewGuard(quarantine.DefaultRule(), quarantineTime, opts.Publisher, nil)
 	g.ending, g.end = context.WithCancel(context.Background())
 	var err error
@@ -142,7 +161,8 @@
 			generation = view.Generation
 			g.balancer.SetServers(view.Servers, now)
 		}
-		shares := newShares(view)
+		g.helpers.SetView(&view)
+		shares := newShares(view, g.opts.Self)
 		g.balancer.SetCaps(shares.cap)
 		g.setDaemons(shares.daemons)
 		select {
@@ -183,6 +203,9 @@
 	return view.Known() && !g.stopping.Load()
 }
 
+// Leave makes the gateway refuse the queries of other daemons, which have other helpers; callers' requests are served on.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
 // Stop makes the gateway refuse new requests.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
@@ -217,16 +240,21 @@
 
 // Serve answers a request. The end of ctx means that the caller left.
 func (g *Gateway) Serve(ctx context.Context, request *Request) Reply {
+	view, _ := g.dir.View()
+	return g.serveIn(ctx, request, view)
+}
+
+// serveIn answers a request in a view.
+func (g *Gateway) serveIn(ctx context.Context, request *Request, view topology.View) Reply {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	reply, r := g.serve(ctx, request)
+	reply, r := g.serve(ctx, request, view)
 	g.report(ctx, request, reply, r)
 	return reply
 }
 
 // serve returns the reply and, if the request got that far, its run.
-func (g *Gateway) serve(ctx context.Context, request *Request) (Reply, *run) {
-	view, _ := g.dir.View()
+func (g *Gateway) serve(ctx context.Context, request *Request, view topology.View) (Reply, *run) {
 	if !view.Known() {
 		return refuse(api.NoConfiguration, retryAfterStart, "this daemon has no configuration yet"), nil
 	}
@@ -263,10 +291,10 @@
 	}
 	defer watch.Done()
 	r := &run{gateway: g, request: request, route: route, view: &view, watch: watch}
-	if route.IsQuery() {
-		return r.query(ctx), r
+	if !route.IsQuery() {
+		return r.single(ctx), r
 	}
-	return r.single(ctx), r
+	return r.query(ctx), r
 }
 
 // Learn takes a request that crashed replicas, as another daemon saw it.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/topology"
 )
@@ -41,6 +43,20 @@
 	return answer(ctx)
 }
 
+// all returns the replicas that were sent to.
+func (f *fakeSender) all() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.sent)
+}
+
+// allLefts returns the times that replicas were given.
+func (f *fakeSender) allLefts() []time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.lefts)
+}
+
 func after(d time.Duration, a Answer, err error) func(ctx context.Context) (Answer, error) {
 	return func(ctx context.Context) (Answer, error) {
 		select {
@@ -116,8 +132,8 @@
 		must.Len(t, shards, reply.Query.Signatures)
 		must.Eq(t, "s9-0", string(reply.Query.Records[:4]))
 		must.Len(t, 48, reply.Query.Records)
-		must.Len(t, shards, f.sent)
-		for _, left := range f.lefts {
+		must.Len(t, shards, f.all())
+		for _, left := range f.allLefts() {
 			must.LessEq(t, 900*time.Millisecond, left)
 		}
 	})
@@ -137,7 +153,7 @@
 		must.Eq(t, 2, reply.Query.Missing)
 		must.Len(t, shards-2, reply.Query.Signatures)
 		must.Eq(t, 270*time.Millisecond, time.Since(begin))
-		must.Len(t, shards+2, f.sent, must.Sprint("one hedge for each silent shard"))
+		must.Len(t, shards+2, f.all(), must.Sprint("one hedge for each silent shard"))
 	})
 }
 
@@ -188,7 +204,7 @@
 		must.Eq(t, api.Overloaded, reply.Err.Kind)
 		must.Eq(t, api.RunNever, reply.Err.Kind.Outcome().Run)
 		must.Positive(t, reply.Err.RetryAfter)
-		must.Len(t, 0, f.sent)
+		must.Len(t, 0, f.all())
 	})
 }
 
@@ -212,7 +228,7 @@
 			}
 			reply := g.Serve(context.Background(), requestTo("/o/1"))
 			must.Eq(t, c.kind, reply.Err.Kind, must.Sprint(c.first))
-			must.Len(t, c.sent, f.sent, must.Sprint(c.first))
+			must.Len(t, c.sent, f.all(), must.Sprint(c.first))
 		})
 	}
 }
@@ -226,7 +242,7 @@
 		}
 		reply := g.Serve(context.Background(), requestTo("/o/1"))
 		must.Eq(t, "x", reply.Answer.Signature)
-		must.Len(t, 1, f.sent)
+		must.Len(t, 1, f.all())
 	})
 }
 
@@ -262,7 +278,7 @@
 		}
 		reply := g.Serve(context.Background(), requestTo("/r/1"))
 		must.Eq(t, 500, reply.Answer.Status)
-		must.Len(t, 2, f.sent)
+		must.Len(t, 2, f.all())
 	})
 }
 
@@ -325,5 +341,12 @@
 	s.daemons = 65
 	must.Eq(t, leastConnections, s.cap(balancer.Server{Service: "s"}))
 	must.Eq(t, unknownConnections, s.cap(balancer.Server{Service: "unknown"}))
-	must.Eq(t, assumedDaemons, newShares(topology.View{}).daemons)
+	// Six of the daemons answer the queries of the others and have most of the connections.
+	s.helpers, s.helping = map[string]int{"s": 6}, map[string]bool{"s": true}
+	helping := s.cap(balancer.Server{Service: "s"})
+	s.helping["s"] = false
+	must.Greater(t, leastConnections, helping)
+	must.LessEq(t, 41, 6*helping)
+	must.Eq(t, leastConnections, s.cap(balancer.Server{Service: "s"}))
+	must.Eq(t, assumedDaemons, newShares(topology.View{}, delegation.Self{}).daemons)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -42,6 +42,8 @@
 	sends    metric.Int64Counter
 	outcomes metric.Int64Counter
 	denied   metric.Int64Counter
+	// delegated counts the sets of shards that were passed to helpers.
+	delegated metric.Int64Counter
 
 	// sets caches attribute sets, whose construction costs more than the count.
 	sets sync.Map
@@ -74,6 +76,9 @@
 	m.denied, err = meter.Int64Counter("chivemill_budget_denied",
 		metric.WithDescription("Hedges and retries that a service's budget refused."))
 	keep(err)
+	m.delegated, err = meter.Int64Counter("chivemill_delegated",
+		metric.WithDescription("Sets of shards passed to helpers by outcome: answered, refused, silent or abandoned."))
+	keep(err)
 	keep(registerGauges(meter, g))
 	return m, errors.Join(errs...)
 }
@@ -113,8 +118,8 @@
 	})
 	gauge("chivemill_daemons", "Counted daemons by data centre.", func(_ time.Time, observe observer) {
 		view, _ := g.dir.View()
-		for centre, n := range view.Daemons {
-			observe(float64(n), attribute.String("data_centre", centre))
+		for name, centre := range view.Centres {
+			observe(float64(centre.Daemons), attribute.String("data_centre", name))
 		}
 	})
 	gauge("chivemill_budget_left", "Extra sub-requests that the budget allows now, by service.", func(now time.Time, observe observer) {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -65,7 +65,10 @@
 	case reply.Query != nil && reply.Query.Missing > 0:
 		result, event = resultPartial, eventlog.RequestPartial
 	}
-	g.metrics.ended(route, kind, result, took)
+	if request.From == "" {
+		// The daemon that the caller asked counts the request.
+		g.metrics.ended(route, kind, result, took)
+	}
 	if event == eventlog.RequestServed && g.served.Add(1)%servedSample != 1 {
 		r.count()
 		return
@@ -74,6 +77,12 @@
 		zap.String("request", request.ID), zap.String("result", result), zap.Duration("took_ms", took),
 		zap.Duration("wait_ms", request.Wait),
 	}
+	if request.From != "" {
+		fields = append(fields, zap.String("from", request.From))
+	}
+	if r != nil && len(r.groups) > 0 {
+		fields = append(fields, zap.Strings("helpers", r.helpers()))
+	}
 	if reply.Err != nil {
 		fields = append(fields, zap.String("reason", reply.Err.Message), zap.Duration("retry_after_ms", reply.Err.RetryAfter))
 	}
@@ -98,17 +107,22 @@
 	sent, hedges, retries := r.machine.Counts()
 	r.gateway.metrics.sent(sent, hedges, retries, r.machine.Denied())
 	if n := len(r.answers); n > 0 && r.route.IsQuery() {
-		answered := 0
-		for _, a := range r.answers {
-			if a != nil {
-				answered++
-			}
+		if r.request.From == "" {
+			r.gateway.metrics.coverage.Record(context.Background(), float64(r.included)/float64(n),
+				r.gateway.metrics.labels(r.route.Name, kindQuery, ""))
 		}
-		r.gateway.metrics.coverage.Record(context.Background(), float64(answered)/float64(n),
-			r.gateway.metrics.labels(r.route.Name, kindQuery, ""))
 	}
 }
 
+// helpers returns the addresses of the daemons that answered shards of the query.
+func (r *run) helpers() []string {
+	addresses := make([]string, len(r.groups))
+	for i, g := range r.groups {
+		addresses[i] = g.Address
+	}
+	return addresses
+}
+
 // maxTrail bounds the attempts that one log line names.
 const maxTrail = 12
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/coverage"
+	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/hedge"
 	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/routing"
@@ -22,8 +24,13 @@
 const (
 	// hedgeFraction of a route's target latency is the wait before a second attempt.
 	hedgeFraction = 1.0 / 3
-	// partialFraction of the target latency is when a query ends with the shards that it has.
-	partialFraction = 0.9
+	// partialReserve is the fraction of the target latency before its end when a query ends with the shards that it has;
+	// leastReserve is the least such time, for the way to the caller and the opening of its connection.
+	partialReserve = 0.1
+	leastReserve   = 16 * time.Millisecond
+	// groupReserve is how much earlier a query ends that helpers answer, and how much earlier a helper sends what it has
+	// for each further daemon in between.
+	groupReserve = 5 * time.Millisecond
 	// hedgeReserve is the part of a service's budget that hedges leave to retries, which repair an answer.
 	hedgeReserve = 0.25
 	// retryAfterRefusal is the advised wait after replicas refused or had no room: about one service time.
@@ -38,6 +45,17 @@
 	view    *topology.View
 	watch   *quarantine.Run
 	plan    scatter.Plan
+	// groups holds the shards that helpers answer, grouped the group of each of these shards, indices the index of each
+	// service in the plan.
+	groups  []*group
+	grouped map[int]*group
+	indices map[string]int
+	// parts holds what a query's answer consists of, included the number of its shards. The goroutine of the machine's
+	// driver owns them.
+	parts    []*part
+	included int
+	// over is set once the answer is decided.
+	over atomic.Bool
 	// machine is nil until the first attempts are decided.
 	machine *scatter.Machine
 	// trail holds the attempts that ended without an answer. The goroutine of the machine's driver owns it.
@@ -67,10 +85,14 @@
 	r.plan.Request, r.plan.Map, r.plan.MaxAttempts = r.request.ID, evenMap(services), r.route.MaxAttempts
 	r.plan.HedgeDelay = time.Duration(hedgeFraction * float64(r.route.Target))
 	r.plan.Once = r.route.Safety == routing.Once
-	now := time.Now()
-	for _, s := range services {
+	if r.route.IsQuery() {
+		r.planGroups(services)
+	}
+	for i, s := range services {
 		w := r.gateway.budget(s)
-		w.Earn(1, now)
+		if r.grouped[i] == nil {
+			r.earn([]int{i})
+		}
 		r.plan.ShardBudgets = append(r.plan.ShardBudgets, scatter.ShardBudget{
 			Hedges: &hedge.View{Window: w, Reserve: hedgeReserve}, Retries: &hedge.View{Window: w},
 		})
@@ -79,6 +101,13 @@
 	r.machine = scatter.NewMachine(&r.plan, r, deadline)
 }
 
+// earn counts the needed sub-requests for shards that this daemon sends itself.
+func (r *run) earn(shards []int) {
+	for _, i := range shards {
+		r.gateway.budget(r.plan.Map.Shards[i].ID).Earn(1, time.Now())
+	}
+}
+
 // evenMap gives each service an equal part of the key space.
 func evenMap(services []string) snapshot.Map {
 	shards := make([]snapshot.Shard, len(services))
@@ -91,9 +120,20 @@
 	return snapshot.Map{Shards: shards}
 }
 
-// query answers a query over shards.
+// query answers a query over shards. A query that another daemon passes on has no least coverage: that daemon decides.
 func (r *run) query(ctx context.Context) Reply {
 	route := r.route
+	if r.request.From != "" {
+		services := make([]string, len(r.request.Shards))
+		for k, i := range r.request.Shards {
+			services[k] = route.Shards[i]
+		}
+		r.gather(ctx, services)
+		if r.neverRan() {
+			return refuse(api.BackendRefused, retryAfterRefusal, r.reasons())
+		}
+		return Reply{Query: r.merged()}
+	}
 	shards := float64(len(route.Shards))
 	if room := r.gateway.balancer.Room(route.Shards); !scatter.Reaches(float64(room)/shards, route.LeastCoverage) {
 		return refuse(api.Overloaded, retryAfterRefusal,
@@ -101,24 +141,59 @@
 	}
 	r.plan.GiveUpBelow = route.LeastCoverage
 	r.plan.PartialLeast = route.LeastCoverage
-	r.plan.PartialAfter = max(1, time.Duration(partialFraction*float64(route.Target))-time.Since(r.request.Received))
-	r.prepare(ctx, route.Shards)
+	r.gather(ctx, route.Shards)
+	if r.included == 0 || !scatter.Reaches(float64(r.included)/shards, route.LeastCoverage) {
+		return r.failed(ctx, fmt.Sprintf("%d of %d shards answered: %s", r.included, len(route.Shards), r.reasons()))
+	}
+	return Reply{Query: r.merged()}
+}
+
+// partialAfter returns the time after a query's receipt when the daemon that the caller asked ends it with the shards
+// that it has, if daemons pass it on depth times.
+func partialAfter(target time.Duration, depth int) time.Duration {
+	reserve := max(leastReserve, time.Duration(partialReserve*float64(target)))
+	return max(target/2, target-reserve-time.Duration(depth)*groupReserve)
+}
+
+// gather runs the plan over the services.
+func (r *run) gather(ctx context.Context, services []string) {
+	r.prepare(ctx, services)
+	if r.request.From == "" {
+		after := partialAfter(r.route.Target, min(1, len(r.groups)))
+		r.plan.PartialAfter = max(1, after-time.Since(r.request.Received))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, g := range r.groups {
+		go g.ask(ctx)
+	}
 	scatter.Drive(ctx, r.machine, r.attempt)
+	r.over.Store(true)
+}
 
-	var parts [][]byte
-	answer := &QueryAnswer{}
-	for _, a := range r.answers {
-		if a != nil {
-			parts = append(parts, a.Body)
-			answer.Signatures = append(answer.Signatures, a.Signature)
-		}
+// take adds a part to the answer. A part of several shards comes once for each of them.
+func (r *run) take(p *part) {
+	if p.taken {
+		return
 	}
-	answer.Missing = len(route.Shards) - len(parts)
-	if len(parts) == 0 || !scatter.Reaches(float64(len(parts))/shards, route.LeastCoverage) {
-		return r.failed(ctx, fmt.Sprintf("%d of %d shards answered: %s", len(parts), len(route.Shards), r.reasons()))
+	p.taken = true
+	r.parts = append(r.parts, p)
+	r.included += len(p.Shards)
+	if r.request.parts != nil {
+		r.request.parts(p)
 	}
-	answer.Records = coverage.Top(parts, route.Top)
-	return Reply{Query: answer}
+}
+
+// merged returns the answer of the parts. A part of several shards counts whole if one of them counted in time.
+func (r *run) merged() *QueryAnswer {
+	answer := &QueryAnswer{Missing: len(r.plan.Map.Shards) - r.included}
+	records := make([][]byte, 0, len(r.parts))
+	for _, p := range r.parts {
+		answer.Signatures = append(answer.Signatures, p.Signatures...)
+		records = append(records, p.Records)
+	}
+	answer.Records = coverage.Top(records, r.route.Top)
+	return answer
 }
 
 // single passes a request to one replica of the route's service.
@@ -143,12 +218,8 @@
 
 // failed returns the error of a request without a usable answer.
 func (r *run) failed(ctx context.Context, message string) Reply {
-	r.mu.Lock()
-	r.closed = true
-	neverRun := r.dispatched == r.notRun
-	r.mu.Unlock()
 	switch {
-	case neverRun:
+	case r.neverRan():
 		return refuse(api.BackendRefused, retryAfterRefusal, message)
 	case isPast(ctx):
 		return Reply{Err: api.Errorf(api.DeadlineExceeded, "%s", message)}
@@ -161,6 +232,14 @@
 	}
 }
 
+// neverRan reports whether no replica executed anything. Nothing is dispatched afterwards.
+func (r *run) neverRan() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	return r.dispatched == r.notRun
+}
+
 // isPast reports whether the deadline of ctx has come. The machine sees it by its own clock, at times before ctx ends.
 func isPast(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
@@ -182,6 +261,18 @@
 func (r *run) Pick(_ string, _ snapshot.Version, shard string, exclude []string) (scatter.Target, bool) {
 	b := r.gateway.balancer
 	begin := time.Now()
+	if g := r.grouped[r.indices[shard]]; g != nil && !g.isNotTaken() {
+		if len(exclude) > 0 {
+			// The helper makes all attempts of the shard.
+			return scatter.Target{}, false
+		}
+		done := func(took time.Duration, err error) {
+			if err != nil {
+				r.trail = append(r.trail, trailEntry{shard, g.Address, outcomeOf(err), err, took})
+			}
+		}
+		return scatter.Target{ID: g.Address, Done: done}, true
+	}
 	choice, ok := b.Pick(shard, balancer.Work{Kind: r.route.Name, Target: r.route.Target}, exclude, begin)
 	if !ok {
 		return scatter.Target{}, false
@@ -192,6 +283,10 @@
 
 // attempt implements scatter.SendFunc.
 func (r *run) attempt(ctx context.Context, a scatter.Action) (func(), error) {
+	if g := r.grouped[a.Shard]; g != nil && a.Attempt == 0 {
+		p, err := g.wait(ctx, a.Shard)
+		return func() { r.take(p) }, err
+	}
 	choice, ok := r.gateway.balancer.Lookup(a.Replica)
 	if !ok {
 		return nil, &backend.Error{Failure: backend.NotSent, Cause: errNotListed}
@@ -220,7 +315,14 @@
 		r.record(answer, err, dispatched)
 		return nil, err
 	}
-	return func() { r.answers[a.Shard] = &answer }, nil
+	return func() {
+		r.answers[a.Shard] = &answer
+		if r.route.IsQuery() {
+			r.take(&part{Part: delegation.Part{
+				Shards: []int{a.Shard}, Signatures: []string{answer.Signature}, Records: answer.Body,
+			}})
+		}
+	}, nil
 }
 
 var errNotListed = errors.New("the replica is no longer listed")
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -4,11 +4,14 @@
 package topology
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/routing"
 )
@@ -32,8 +35,50 @@
 	// ReadAt is when the store confirmed the list last; Confirmed counts these confirmations.
 	ReadAt    time.Time
 	Confirmed uint64
-	// Daemons is the number of daemons of each data centre, nil if unknown. It is not changed.
-	Daemons map[string]int
+	// Centres holds what is known of the daemons of each data centre, nil if unknown. It is not changed.
+	Centres map[string]Centre
+	// CentresSum names the contents of Centres: equal contents have equal sums.
+	CentresSum uint64
+}
+
+// Centre is what the reader of a data centre tells of its daemons.
+type Centre struct {
+	// Daemons is the number of daemons, Reader the address of the one that reads for them.
+	Daemons int    `json:"daemons"`
+	Reader  string `json:"reader"`
+	// Helpers are the daemons that take queries of others, the one with the most cores first.
+	Helpers []Helper `json:"helpers,omitempty"`
+}
+
+// Helper is a daemon that takes queries of others.
+type Helper struct {
+	Address string `json:"address"`
+	// Cores is its processor share in cores.
+	Cores float64 `json:"cores"`
+}
+
+// Daemons returns the number of known daemons, 0 if unknown.
+func (v *View) Daemons() int {
+	n := 0
+	for _, c := range v.Centres {
+		n += c.Daemons
+	}
+	return n
+}
+
+// Holders returns the data centres that have a ready replica of each service.
+func (v *View) Holders() map[string][]string {
+	holders := make(map[string][]string)
+	for _, s := range v.Servers {
+		if s.State == balancer.Ready && !slices.Contains(holders[s.Service], s.DataCentre) {
+			holders[s.Service] = append(holders[s.Service], s.DataCentre)
+		}
+	}
+	return holders
+}
+
+func sameCentre(a, b Centre) bool {
+	return a.Daemons == b.Daemons && a.Reader == b.Reader && slices.Equal(a.Helpers, b.Helpers)
 }
 
 // Known reports whether the daemon knows enough to serve.
@@ -111,12 +156,14 @@
 	return true, nil
 }
 
-// SetDaemons takes the number of daemons of each data centre. The map must not be changed afterwards.
-func (d *Directory) SetDaemons(daemons map[string]int) {
+// SetCentres takes what is known of the daemons of all data centres, which must not be changed afterwards. An empty map
+// changes nothing.
+func (d *Directory) SetCentres(centres map[string]Centre) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(daemons) > 0 && !maps.Equal(daemons, d.view.Daemons) {
-		d.view.Daemons = daemons
+	if len(centres) > 0 && !maps.EqualFunc(centres, d.view.Centres, sameCentre) {
+		// Maps are printed in the order of their keys.
+		d.view.Centres, d.view.CentresSum = centres, xxhash.Sum64String(fmt.Sprint(centres))
 		d.publish()
 	}
 }
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -65,6 +63,8 @@
 	Address string
 	// HealthAddress is the UDP address for messages about the health of replicas; all daemons have the same port.
 	HealthAddress string
+	// Cores is its processor share in cores.
+	Cores float64
 	// Distance returns how far a data centre is.
 	Distance func(dataCentre string) balancer.Distance
 }
@@ -92,9 +92,7 @@
 	following followers
 	stopped   atomic.Bool
 
-	mu sync.Mutex
-	// readers holds the address of each data centre's reader.
-	readers   map[string]string
+	mu        sync.Mutex
 	unread    map[string]int64
 	storeLost time.Time
 	// crashing holds the notices that wait to be told.
@@ -239,10 +237,13 @@
 
 // pullElsewhere asks one other data centre's reader, which may have a fresher list.
 func (f *Feed) pullElsewhere(ctx context.Context, p *place) {
-	f.mu.Lock()
-	addresses := slices.Collect(maps.Values(f.readers))
-	f.mu.Unlock()
-	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == p.reader() || a == f.self.Address })
+	view, _ := f.dir.View()
+	var addresses []string
+	for _, c := range view.Centres {
+		if c.Reader != p.reader() && c.Reader != f.self.Address {
+			addresses = append(addresses, c.Reader)
+		}
+	}
 	if len(addresses) == 0 {
 		f.askContacts(ctx)
 		return
--- a/topology/fleet_test.go
+++ b/topology/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -200,8 +201,13 @@
 
 // start starts a daemon of a data centre; its name is its peer address.
 func (f *fleet) start(name, centre string, contacts ...string) *daemon {
+	return f.startWith(name, centre, 0, contacts...)
+}
+
+// startWith is start for a daemon with a processor share.
+func (f *fleet) startWith(name, centre string, cores float64, contacts ...string) *daemon {
 	d := &daemon{name: name, dir: NewDirectory(), gate: &gate{Store: f.store}, done: make(chan struct{})}
-	self := Self{Node: name, DataCentre: centre, Address: name, Distance: func(string) balancer.Distance { return 0 }}
+	self := Self{Node: name, DataCentre: centre, Address: name, Cores: cores, Distance: func(string) balancer.Distance { return 0 }}
 	d.feed = NewFeed(d.dir, d.gate, jsonDecoder{}, testKeys, self, contacts, zap.NewNop())
 	d.feed.peers.http.Transport = f
 	f.mu.Lock()
@@ -370,6 +376,55 @@
 	})
 }
 
+// TestHelpersAreKnownEverywhere guards the passing on of queries: each daemon learns which daemons of each data centre
+// have the largest processor shares, and forgets one that left for good.
+func TestHelpersAreKnownEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		var all []*daemon
+		for i := range 12 {
+			cores := 0.2
+			if i < 4 {
+				cores = 0.8
+			}
+			all = append(all, f.startWith(fmt.Sprintf("d%d", i), fmt.Sprintf("c%d", i%2), cores))
+		}
+		want := func(centre string, addresses ...string) {
+			for _, d := range all {
+				view, _ := d.dir.View()
+				got := view.Centres[centre]
+				var helpers []string
+				for _, h := range got.Helpers {
+					helpers = append(helpers, h.Address)
+				}
+				must.Eq(t, addresses, helpers, must.Sprint(d.name))
+			}
+		}
+		// A claim is renewed each 1.3 s and looked at each 3 s.
+		testseed.Wait(8 * time.Second)
+		want("c0", "d0", "d2")
+		want("c1", "d1", "d3")
+		f.stop(all[2])
+		all = slices.Delete(all, 2, 3)
+		testseed.Wait(followerHold + 8*time.Second)
+		want("c0", "d0")
+		want("c1", "d1", "d3")
+	})
+}
+
+// TestHelpersHaveTheLargestShares guards the choice of helpers: half of the largest share at least, none without a share.
+func TestHelpersHaveTheLargestShares(t *testing.T) {
+	must.Eq(t, []Helper{{"a", 0.8}, {"b", 0.4}}, helpersOf([]Helper{{"c", 0.39}, {"b", 0.4}, {"a", 0.8}, {"d", 0}}))
+	must.Len(t, 0, helpersOf([]Helper{{"a", 0}, {"b", 0}}))
+	must.Len(t, 0, helpersOf(nil))
+	var many []Helper
+	for i := range 2 * maxHelpers {
+		many = append(many, Helper{fmt.Sprint(i), 1})
+	}
+	must.Len(t, maxHelpers, helpersOf(many))
+}
+
 // TestStartWithoutStore guards the start of a daemon that the store turns away: it learns from a contact.
 func TestStartWithoutStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/topology/health.go
+++ b/topology/health.go
@@ -174,12 +174,11 @@
 
 // neighbours returns the hosts of the readers of the same region's other data centres, or of all other data centres.
 func (f *Feed) neighbours(all bool) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	view, _ := f.dir.View()
 	var hosts []string
-	for centre, address := range f.readers {
-		if centre != f.self.DataCentre && (all || f.self.Distance(centre) == balancer.SameRegion) {
-			hosts = append(hosts, hostOf(address))
+	for name, centre := range view.Centres {
+		if name != f.self.DataCentre && (all || f.self.Distance(name) == balancer.SameRegion) {
+			hosts = append(hosts, hostOf(centre.Reader))
 		}
 	}
 	return hosts
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -45,6 +45,9 @@
 	Generation uint64 `json:"generation"`
 	Confirmed  uint64 `json:"confirmed"`
 	WaitMS     int64  `json:"wait_ms"`
+	// Cores is the follower's processor share, Centres names the data centres that it knows.
+	Cores   float64 `json:"cores,omitempty"`
+	Centres uint64  `json:"centres,omitempty"`
 }
 
 // pullAnswer holds what is newer; an absent part is unchanged.
@@ -60,10 +63,8 @@
 	Whole   bool              `json:"whole,omitempty"`
 	// AgeMS is the time since the store confirmed the list.
 	AgeMS int64 `json:"age_ms"`
-	// Daemons is the number of daemons of each data centre.
-	Daemons map[string]int `json:"daemons,omitempty"`
-	// Readers holds the address of each data centre's reader.
-	Readers map[string]string `json:"readers,omitempty"`
+	// Centres holds the daemons of all data centres if the follower has others.
+	Centres map[string]Centre `json:"centres,omitempty"`
 }
 
 // peerClient pulls from other daemons. It is safe for concurrent use.
@@ -107,8 +108,9 @@
 	view, _ := f.dir.View()
 	taken := f.peers.last()
 	request := pullRequest{
-		Node: f.self.Node, Address: f.self.Address, Scope: scope, WaitMS: wait.Milliseconds(),
-		Source: taken.source, Generation: taken.generation, Confirmed: taken.confirmed,
+		Node: f.self.Node, Address: f.self.Address, Scope: scope, WaitMS: wait.Milliseconds(), Cores: f.self.Cores,
+		Centres: view.CentresSum,
+		Source:  taken.source, Generation: taken.generation, Confirmed: taken.confirmed,
 	}
 	if view.Table != nil {
 		request.Version = view.Table.Version()
@@ -134,12 +136,7 @@
 		f.peers.taken = name
 		f.peers.mu.Unlock()
 	}
-	f.dir.SetDaemons(answer.Daemons)
-	if len(answer.Readers) > 0 {
-		f.mu.Lock()
-		f.readers = answer.Readers
-		f.mu.Unlock()
-	}
+	f.dir.SetCentres(answer.Centres)
 	return nil
 }
 
@@ -206,7 +203,7 @@
 		return
 	}
 	if request.Scope == f.self.DataCentre && request.Node != f.self.Node {
-		f.following.add(request.Node, request.Address, time.Now())
+		f.following.add(request.Node, Helper{request.Address, request.Cores}, time.Now())
 	}
 	wait := min(time.Duration(request.WaitMS)*time.Millisecond, pullWait)
 	deadline := time.NewTimer(wait)
@@ -248,11 +245,11 @@
 	view, changed, removed, whole := f.dir.Delta(generation)
 	whole = whole || generation == 0
 	answer = pullAnswer{
-		Source: f.source, Generation: view.Generation, Confirmed: view.Confirmed, Daemons: view.Daemons,
+		Source: f.source, Generation: view.Generation, Confirmed: view.Confirmed,
+	}
+	if view.CentresSum != request.Centres {
+		answer.Centres = view.Centres
 	}
-	f.mu.Lock()
-	answer.Readers = f.readers
-	f.mu.Unlock()
 	if view.Table != nil && view.Table.Version() > request.Version {
 		config := view.Table.Config()
 		answer.Config, news = &config, true
--- a/topology/place.go
+++ b/topology/place.go
@@ -1,9 +1,11 @@
 package topology
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -47,9 +49,9 @@
 	address string
 	held    bool
 	lease   kv.LeaseID
-	// revision is that of the claim that this daemon wrote, daemons the number in it.
+	// revision is that of the claim that this daemon wrote, centre what it says of the daemons.
 	revision int64
-	daemons  int
+	centre   Centre
 }
 
 func (p *place) isHeld() bool {
@@ -73,19 +75,17 @@
 	return changed
 }
 
-// claim is the value of a place's key.
+// claim is the value of a place's key. Its centre is that of the holder, with the holder as the reader.
 type claim struct {
-	Node    string `json:"node"`
-	Address string `json:"address"`
-	// Daemons is the number of daemons of the data centre.
-	Daemons int `json:"daemons"`
+	Node string `json:"node"`
+	Centre
 }
 
 func decodeClaim(item kv.Item) (claim, error) {
 	var c claim
 	err := json.Unmarshal(item.Value, &c)
-	if err == nil && (c.Address == "" || c.Node == "") {
-		err = errors.New("no address or node")
+	if err == nil && (c.Reader == "" || c.Node == "") {
+		err = errors.New("no reader or node")
 	}
 	return c, eris.Wrapf(err, "claim at %s", item.Key)
 }
@@ -105,7 +105,7 @@
 		if err != nil {
 			f.reportUnreadable(item, err)
 		} else if c.Node != f.self.Node {
-			f.setReader(p, c.Address, false)
+			f.setReader(p, c.Reader, false)
 			return
 		}
 	}
@@ -146,8 +146,8 @@
 }
 
 func (f *Feed) writeClaim(ctx context.Context, p *place, lease kv.LeaseID, revision int64) (bool, error) {
-	daemons := f.following.count(time.Now()) + 1
-	value, err := json.Marshal(claim{Node: f.self.Node, Address: f.self.Address, Daemons: daemons})
+	centre := f.centre(time.Now())
+	value, err := json.Marshal(claim{Node: f.self.Node, Centre: centre})
 	if err != nil {
 		return false, eris.Wrap(err, "claim")
 	}
@@ -159,7 +159,7 @@
 		return false, err
 	}
 	p.mu.Lock()
-	p.lease, p.revision, p.daemons = lease, result.Revision, daemons
+	p.lease, p.revision, p.centre = lease, result.Revision, centre
 	p.mu.Unlock()
 	return true, nil
 }
@@ -170,12 +170,12 @@
 	for ctx.Err() == nil {
 		sleep(ctx, renewInterval)
 		p.mu.Lock()
-		lease, revision, daemons := p.lease, p.revision, p.daemons
+		lease, revision, centre := p.lease, p.revision, p.centre
 		p.mu.Unlock()
 		begin := time.Now()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		alive, err := f.store.KeepAlive(call, lease)
-		if err == nil && alive && p.scope != fleetScope && f.following.count(begin)+1 != daemons {
+		if err == nil && alive && p.scope != fleetScope && !sameCentre(f.centre(begin), centre) {
 			alive, err = f.writeClaim(call, p, lease, revision)
 		}
 		cancel()
@@ -213,11 +213,36 @@
 	}
 }
 
-// countDaemons sums the daemons of all data centres from their readers' claims, and remembers the readers.
+// centre returns what this daemon knows of the daemons of its data centre.
+func (f *Feed) centre(now time.Time) Centre {
+	all := append(f.following.all(now), Helper{f.self.Address, f.self.Cores})
+	return Centre{Daemons: len(all), Reader: f.self.Address, Helpers: helpersOf(all)}
+}
+
+const (
+	// maxHelpers bounds the helpers of a data centre, and so the size of a claim.
+	maxHelpers = 64
+	// helperFraction of the largest processor share makes a daemon a helper.
+	helperFraction = 0.5
+)
+
+// helpersOf returns the daemons that take queries of others: those with the largest processor shares.
+func helpersOf(daemons []Helper) []Helper {
+	slices.SortFunc(daemons, func(a, b Helper) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Address, b.Address))
+	})
+	n := 0
+	for n < min(len(daemons), maxHelpers) && daemons[n].Cores > 0 && daemons[n].Cores >= helperFraction*daemons[0].Cores {
+		n++
+	}
+	return daemons[:n:n]
+}
+
+// countDaemons collects what the readers of all data centres say of their daemons.
 func (f *Feed) countDaemons(ctx context.Context) {
 	type counted struct {
-		daemons int
-		at      time.Time
+		centre Centre
+		at     time.Time
 	}
 	seen := make(map[string]counted)
 	for ctx.Err() == nil {
@@ -227,29 +252,23 @@
 		f.storeAnswered("claims", err)
 		now := time.Now()
 		if err == nil {
-			readers := make(map[string]string, len(items))
 			for _, item := range items {
 				c, err := decodeClaim(item)
 				if err != nil {
 					f.reportUnreadable(item, err)
 					continue
 				}
-				centre := strings.TrimPrefix(item.Key, f.keys.Readers+centrePrefix)
-				seen[centre] = counted{c.Daemons, now}
-				readers[centre] = c.Address
+				seen[strings.TrimPrefix(item.Key, f.keys.Readers+centrePrefix)] = counted{c.Centre, now}
 			}
-			daemons := make(map[string]int, len(seen))
+			centres := make(map[string]Centre, len(seen))
 			for centre, c := range seen {
 				if now.Sub(c.at) > countHold {
 					delete(seen, centre)
 					continue
 				}
-				daemons[centre] = c.daemons
+				centres[centre] = c.centre
 			}
-			f.dir.SetDaemons(daemons)
-			f.mu.Lock()
-			f.readers = readers
-			f.mu.Unlock()
+			f.dir.SetCentres(centres)
 		}
 		sleep(ctx, countInterval)
 	}
@@ -262,17 +281,17 @@
 }
 
 type follower struct {
-	host string
-	at   time.Time
+	Helper
+	at time.Time
 }
 
 func newFollowers() followers { return followers{seen: make(map[string]follower)} }
 
-func (f *followers) add(node, address string, now time.Time) {
+func (f *followers) add(node string, daemon Helper, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, ok := f.seen[node]; ok || len(f.seen) < maxFollowers {
-		f.seen[node] = follower{hostOf(address), now}
+		f.seen[node] = follower{daemon, now}
 	}
 }
 
@@ -283,19 +302,23 @@
 	hosts := make([]string, 0, len(f.seen))
 	for node, one := range f.seen {
 		if node != except {
-			hosts = append(hosts, one.host)
+			hosts = append(hosts, hostOf(one.Address))
 		}
 	}
 	return hosts
 }
 
-func (f *followers) count(now time.Time) int {
+// all returns the daemons that asked lately.
+func (f *followers) all(now time.Time) []Helper {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	all := make([]Helper, 0, len(f.seen)+1)
 	for node, one := range f.seen {
 		if now.Sub(one.at) > followerHold {
 			delete(f.seen, node)
+			continue
 		}
+		all = append(all, one.Helper)
 	}
-	return len(f.seen)
+	return all
 }
