A replica that answers others is not silent

Change: an attempt counts as silence only if the replica answered nothing since it began; the link is part of the threshold. A long attempt still counts as slowness.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -285,17 +285,23 @@
 	return r.State == Ready && !r.gone && len(r.open) < r.cap
 }
 
-// isSuspect reports whether the replica is in a pause after a failure, or has kept an attempt for so long that it is
-// likely paused or gone.
+// isSuspect reports whether the replica is in a pause after a failure, or has kept an attempt and answered nothing for so
+// long that it is likely paused or gone.
 func (r *replica) isSuspect(expected time.Duration, now time.Time) bool {
 	if now.Before(r.pausedUntil) {
 		return true
 	}
-	return len(r.open) > 0 && now.Sub(r.open[0]) > r.silence(expected)
+	return len(r.open) > 0 && r.isSilent(r.open[0], expected, now)
 }
 
-func (r *replica) silence(expected time.Duration) time.Duration {
-	return max(leastSilence, time.Duration(silenceFactor*float64(expected)))
+// isSilent reports whether the replica has answered nothing for long since an attempt began. One that answers others is
+// busy or slow, which its cost says.
+func (r *replica) isSilent(begin time.Time, expected time.Duration, now time.Time) bool {
+	since := begin
+	if r.answeredAt.After(since) {
+		since = r.answeredAt
+	}
+	return now.Sub(since) > r.link()+max(leastSilence, time.Duration(silenceFactor*float64(expected)))
 }
 
 func (r *replica) pause() time.Duration {
@@ -421,11 +427,11 @@
 	case Broken:
 		r.failed(begin, now)
 	case Abandoned:
-		if took := now.Sub(begin); took > r.silence(expected) {
+		if r.isSilent(begin, expected, now) {
 			r.failed(begin, now)
-			if ratio := float64(took) / float64(expected); ratio > r.slownessAt(now) {
-				r.sample(ratio, now)
-			}
+		}
+		if ratio := float64(now.Sub(begin)-r.link()) / float64(expected); ratio > max(silenceFactor, r.slownessAt(now)) {
+			r.sample(ratio, now)
 		}
 	case Gone:
 		r.gone = true
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -120,6 +120,24 @@
 	must.LessEq(t, 6, counts["near"])
 }
 
+// TestBusyReplicaIsNotSilent answers the pattern of the last sound replica of a shard under load: it keeps some attempts
+// for long and answers others, so it is not passed over for replicas that refuse.
+func TestBusyReplicaIsNotSilent(t *testing.T) {
+	w := newWorld(replicas("near", "far1"))
+	n := 0
+	w.answer["near"] = func(time.Time) (time.Duration, Outcome) { return 2 * time.Millisecond, Refused }
+	w.answer["far1"] = func(time.Time) (time.Duration, Outcome) {
+		n++
+		if n%4 == 0 {
+			return 200 * time.Millisecond, Abandoned
+		}
+		return 70 * time.Millisecond, Answered
+	}
+	w.run(4*time.Second, 20*time.Millisecond)
+	counts := w.run(4*time.Second, 20*time.Millisecond)
+	must.GreaterEq(t, 180, counts["far1"], must.Sprint(counts))
+}
+
 // TestRefusingReplicasAreAskedLess answers the pattern of replicas that refuse 60% while their health is good: the one
 // that serves gets most first attempts.
 func TestRefusingReplicasAreAskedLess(t *testing.T) {
