A list has the same name on all daemons

A list was named after the daemon that sent it, so followers of a lost reader that asked another data centre's got all of it with each answer: 1,466 replicas of 150 B, for 100 followers, until a new reader stood.

Change: a pull names the digest of the follower's list and gets no list if the source has the same; a follower asks the same other data centre again.

--- a/topology/directory.go
+++ b/topology/directory.go
@@ -4,6 +4,7 @@
 package topology
 
 import (
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"slices"
@@ -32,6 +33,8 @@
 	// Servers is the list of replicas, sorted by ID; Generation grows with each change of it and is 0 until it is known.
 	Servers    []balancer.Server
 	Generation uint64
+	// Digest names the contents of Servers: lists that differ at most in distances and remaining cold times have equal ones.
+	Digest uint64
 	// ReadAt is when the store confirmed the list last; Confirmed counts these confirmations.
 	ReadAt    time.Time
 	Confirmed uint64
@@ -269,12 +272,33 @@
 		return 1
 	})
 	d.view.Generation++
+	d.view.Digest = digestOf(d.view.Servers)
 	d.publish()
 	return change, true
 }
 
-// same compares entries without the remaining cold time, which changes with each report of a replica.
+// digestOf returns the digest of a sorted list.
+func digestOf(servers []balancer.Server) uint64 {
+	// Writes to this hash never fail.
+	h := xxhash.New()
+	var numbers []byte
+	for _, s := range servers {
+		for _, field := range []string{s.ID, s.Service, s.Address, s.DataCentre} {
+			_, _ = h.WriteString(field)
+			_, _ = h.Write([]byte{0})
+		}
+		numbers = binary.AppendVarint(numbers[:0], int64(s.State))
+		numbers = binary.AppendVarint(numbers, int64(s.Slots))
+		numbers = binary.AppendVarint(numbers, s.Born)
+		_, _ = h.Write(numbers)
+	}
+	return h.Sum64()
+}
+
+// same compares entries without the remaining cold time, which changes with each report of a replica, and without the
+// distance, which each daemon sets itself.
 func same(a, b balancer.Server) bool {
 	a.ColdFor, b.ColdFor = 0, 0
+	a.Distance, b.Distance = 0, 0
 	return a == b
 }
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -91,6 +92,8 @@
 	// following holds the daemons that follow this one as the reader of their data centre.
 	following followers
 	stopped   atomic.Bool
+	// elsewhere is the other data centre's reader that was asked last. The goroutine of Run owns it.
+	elsewhere string
 
 	mu        sync.Mutex
 	unread    map[string]int64
@@ -248,8 +251,14 @@
 		f.askContacts(ctx)
 		return
 	}
-	address := addresses[rand.IntN(len(addresses))]
+	// The same one again has to send what changed only.
+	address := f.elsewhere
+	if !slices.Contains(addresses, address) {
+		address = addresses[rand.IntN(len(addresses))]
+	}
+	f.elsewhere = address
 	if err := f.pull(ctx, address, "", 0); err != nil {
+		f.elsewhere = ""
 		f.log.Info(eventlog.PeerSilent, zap.String("address", address), zap.Error(err))
 	}
 }
--- a/topology/fleet_test.go
+++ b/topology/fleet_test.go
@@ -137,7 +137,9 @@
 
 // fleet is a set of daemons with one store, in virtual time.
 type fleet struct {
-	store   *kvtest.Memory
+	store *kvtest.Memory
+	// passed counts the bytes that daemons got from daemons.
+	passed  atomic.Int64
 	mu      sync.Mutex
 	daemons map[string]*daemon
 }
@@ -158,6 +160,7 @@
 	if err := req.Context().Err(); err != nil {
 		return nil, err
 	}
+	f.passed.Add(int64(rec.Body.Len()))
 	return rec.Result(), nil
 }
 
@@ -425,6 +428,38 @@
 	must.Len(t, maxHelpers, helpersOf(many))
 }
 
+// TestLossOfAReaderMovesNoLists guards the bytes between data centres: followers of a reader that lost its power ask
+// another data centre's, which has the list that they have. Without a common name of that list each answer held all of it.
+func TestLossOfAReaderMovesNoLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const replicas, bytesEach = 300, 150
+		f := newFleet(t)
+		defer f.stopAll()
+		for i := range replicas {
+			f.putServer(t, fmt.Sprintf("more%d", i), balancer.Ready)
+		}
+		for i := range 40 {
+			f.start(fmt.Sprintf("d%d", i), fmt.Sprintf("c%d", i%2))
+		}
+		testseed.Wait(12 * time.Second)
+		reader := ""
+		for name, d := range f.daemons {
+			view, _ := d.dir.View()
+			if len(view.Servers) != replicas+6 {
+				t.Fatalf("%s knows %d replicas", name, len(view.Servers))
+			}
+			reader = view.Centres["c1"].Reader
+		}
+		lost := f.daemons[reader]
+		lost.network.Store(int32(silent))
+		lost.gate.state.Store(int32(silent))
+		before := f.passed.Load()
+		testseed.Wait(6 * time.Second)
+		// 20 followers, each with fewer bytes than a tenth of the list.
+		must.LessEq(t, int64(20*replicas*bytesEach/10), f.passed.Load()-before)
+	})
+}
+
 // TestStartWithoutStore guards the start of a daemon that the store turns away: it learns from a contact.
 func TestStartWithoutStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -44,7 +44,9 @@
 	Source     string `json:"source"`
 	Generation uint64 `json:"generation"`
 	Confirmed  uint64 `json:"confirmed"`
-	WaitMS     int64  `json:"wait_ms"`
+	// Digest is that of the follower's list. A source whose list has the same sends none.
+	Digest uint64 `json:"digest,omitempty"`
+	WaitMS int64  `json:"wait_ms"`
 	// Cores is the follower's processor share, Centres names the data centres that it knows.
 	Cores   float64 `json:"cores,omitempty"`
 	Centres uint64  `json:"centres,omitempty"`
@@ -109,8 +111,8 @@
 	taken := f.peers.last()
 	request := pullRequest{
 		Node: f.self.Node, Address: f.self.Address, Scope: scope, WaitMS: wait.Milliseconds(), Cores: f.self.Cores,
-		Centres: view.CentresSum,
-		Source:  taken.source, Generation: taken.generation, Confirmed: taken.confirmed,
+		Centres: view.CentresSum, Digest: view.Digest,
+		Source: taken.source, Generation: taken.generation, Confirmed: taken.confirmed,
 	}
 	if view.Table != nil {
 		request.Version = view.Table.Version()
@@ -258,7 +260,7 @@
 		return answer, news
 	}
 	answer.AgeMS = time.Since(view.ReadAt).Milliseconds()
-	if whole || generation != view.Generation {
+	if request.Digest != view.Digest && (whole || generation != view.Generation) {
 		answer.Servers, answer.Removed, answer.Whole = changed, removed, whole
 	}
 	// Each change of the list comes with a confirmation. A follower that could not take a list waits for the next one.
