Resends after a refusal and the budget spent are counted

Change: cause resend beside retry, chivemill_budget_spent, chivemill_delegated_in_flight, resends in the request's line. Tests: TestMachineCountsResends, TestReserveLeavesRoom.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -223,6 +223,17 @@
 	return left
 }
 
+// Spent returns the extra sub-requests since the start, by service.
+func (g *Gateway) Spent() map[string]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	spent := make(map[string]int64, len(g.budgets))
+	for service, w := range g.budgets {
+		spent[service] = w.Spent()
+	}
+	return spent
+}
+
 // InFlight returns the number of requests that are being answered.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -68,7 +68,7 @@
 		metric.WithDescription("Requests by service (the route), profile and result: ok, partial, passed_error, caller_left or an error kind."))
 	keep(err)
 	m.sends, err = meter.Int64Counter("chivemill_sub_requests",
-		metric.WithDescription("Sub-requests to replicas by cause: first, hedge or retry."))
+		metric.WithDescription("Sub-requests to replicas by cause: first, hedge, retry (after a failure) or resend (after a refusal without execution)."))
 	keep(err)
 	m.outcomes, err = meter.Int64Counter("chivemill_sub_request_outcomes",
 		metric.WithDescription("Ended sub-requests by outcome: answered, refused, failed, broken, abandoned or gone."))
@@ -127,6 +127,9 @@
 			observe(left, attribute.String("service", service))
 		}
 	})
+	gauge("chivemill_delegated_in_flight", "Sets of shards of other daemons' queries in flight.", func(_ time.Time, observe observer) {
+		observe(float64(g.delegated.Load()))
+	})
 	gauge("chivemill_replicas", "Replicas by state: ready, draining, paused (broken or silent), refusing, slow or gone.", func(now time.Time, observe observer) {
 		counts := make(map[string]int)
 		for _, s := range g.balancer.Statuses(now) {
@@ -136,7 +139,15 @@
 			observe(float64(counts[condition]), attribute.String("state", condition))
 		}
 	})
-	return errors.Join(errs...)
+	_, err := meter.Int64ObservableCounter("chivemill_budget_spent",
+		metric.WithDescription("Extra sub-requests taken from the budget, by service."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for service, spent := range g.Spent() {
+				o.Observe(spent, metric.WithAttributes(attribute.String("service", service)))
+			}
+			return nil
+		}))
+	return errors.Join(append(errs, err)...)
 }
 
 // labels returns the attributes of a route, a kind and a result.
@@ -175,14 +186,17 @@
 }
 
 // sent counts the sub-requests of a request.
-func (m *instruments) sent(sent, hedges, retries, denied int) {
+func (m *instruments) sent(sent, hedges, retries, resends, denied int) {
 	ctx := context.Background()
 	m.sends.Add(ctx, int64(sent-hedges-retries), m.label("cause", "first"))
 	if hedges > 0 {
 		m.sends.Add(ctx, int64(hedges), m.label("cause", "hedge"))
 	}
-	if retries > 0 {
-		m.sends.Add(ctx, int64(retries), m.label("cause", "retry"))
+	if retries > resends {
+		m.sends.Add(ctx, int64(retries-resends), m.label("cause", "retry"))
+	}
+	if resends > 0 {
+		m.sends.Add(ctx, int64(resends), m.label("cause", "resend"))
 	}
 	if denied > 0 {
 		m.denied.Add(ctx, int64(denied))
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -105,7 +105,7 @@
 		return
 	}
 	sent, hedges, retries := r.machine.Counts()
-	r.gateway.metrics.sent(sent, hedges, retries, r.machine.Denied())
+	r.gateway.metrics.sent(sent, hedges, retries, r.machine.Resends(), r.machine.Denied())
 	if n := len(r.answers); n > 0 && r.route.IsQuery() {
 		if r.request.From == "" {
 			r.gateway.metrics.coverage.Record(context.Background(), float64(r.included)/float64(n),
@@ -146,7 +146,7 @@
 	}
 	return []zap.Field{
 		zap.Int("shards", len(r.answers)), zap.Int("missing", len(missing)), zap.Int("sent", sent),
-		zap.Int("hedges", hedges), zap.Int("retries", retries), zap.Int("denied", r.machine.Denied()),
+		zap.Int("hedges", hedges), zap.Int("retries", retries), zap.Int("resends", r.machine.Resends()), zap.Int("denied", r.machine.Denied()),
 		zap.Strings("attempts", attempts),
 	}
 }
--- a/hedge/window.go
+++ b/hedge/window.go
@@ -22,6 +22,8 @@
 	newest int64
 	needed int
 	extra  int
+	// spent is the number of extra sub-requests since the start.
+	spent int64
 }
 
 type windowSlot struct{ needed, extra int }
@@ -78,6 +80,7 @@
 	}
 	s.extra++
 	w.extra++
+	w.spent++
 	return true
 }
 
@@ -88,9 +91,17 @@
 	if s := w.advance(now); s.extra > 0 {
 		s.extra--
 		w.extra--
+		w.spent--
 	}
 }
 
+// Spent returns the number of extra sub-requests since the window was made.
+func (w *Window) Spent() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.spent
+}
+
 // Left returns how many extra sub-requests are allowed at the time.
 func (w *Window) Left(now time.Time) float64 {
 	w.mu.Lock()
--- a/hedge/window_test.go
+++ b/hedge/window_test.go
@@ -131,5 +131,6 @@
 	must.True(t, w.Take(now, 0))
 	w.Refund(now)
 	must.Eq(t, 5, w.Left(now))
+	must.Eq(t, 15, w.Spent(), must.Sprint("what was not sent is not spent"))
 	must.Eq(t, 0, w.Left(now.Add(2*time.Second)))
 }
--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -56,6 +56,8 @@
 	// sent, hedges and retries count attempts; sent includes the other two. denied counts extra attempts that a budget
 	// refused.
 	sent, hedges, retries, denied int
+	// resends counts the retries that followed a refusal without execution.
+	resends int
 }
 
 type attempt struct {
@@ -262,6 +264,9 @@
 // Counts returns the numbers of sub-requests; sent includes hedges and retries.
 func (m *Machine) Counts() (sent, hedges, retries int) { return m.sent, m.hedges, m.retries }
 
+// Resends returns the number of retries that followed a refusal without execution.
+func (m *Machine) Resends() int { return m.resends }
+
 // Denied returns the number of extra attempts that a budget refused.
 func (m *Machine) Denied() int { return m.denied }
 
@@ -405,6 +410,9 @@
 	if m.send(shard, now) {
 		if again {
 			m.retries++
+			if s.reason == api.MissingRefused {
+				m.resends++
+			}
 		}
 		return
 	}
--- a/scatter/machine_test.go
+++ b/scatter/machine_test.go
@@ -257,6 +257,22 @@
 	}
 }
 
+// Guards the counts that explain a budget: a retry after a refusal is a resend, one after a lost connection is not.
+func TestMachineCountsResends(t *testing.T) {
+	for failure, resends := range map[backend.Failure]int{backend.Refused: 1, backend.ConnectionLost: 0} {
+		plan := scatter.Plan{
+			Map: snapshot.Uniform(1, "s", 1), MaxAttempts: 2, Hedges: &bucket{}, Retries: &bucket{tokens: 10},
+		}
+		m := scatter.NewMachine(&plan, fixedPicker{[]string{"a", "b"}}, begin.Add(time.Second))
+		m.Start(begin)
+		m.Settled(0, 0, &backend.Error{Failure: failure}, begin)
+		_, _, retries := m.Counts()
+		if retries != 1 || m.Resends() != resends {
+			t.Fatalf("%s: %d retries, %d resends", failure, retries, m.Resends())
+		}
+	}
+}
+
 // Guards against losers that keep running while the query waits for other shards: the second shard answers only
 // after the loser's context has ended.
 func TestRunCancelsLoser(t *testing.T) {
