--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -237,8 +237,9 @@
 // InFlight returns the number of requests that are being answered.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// retryAfterStart is the advised wait while the daemon learns the configuration.
-const retryAfterStart = 300 * time.Millisecond
+// retryAfterStart is the advised wait while the daemon learns the configuration, which takes two calls to the store: 20 to
+// 60 ms after the start of the process.
+const retryAfterStart = 100 * time.Millisecond
 
 // Limits returns the operator's limits on requests; ok is false while no configuration is known.
 func (g *Gateway) Limits() (limits routing.Limits, ok bool) {
