--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -102,6 +102,15 @@
 			r.grouped[i] = one
 		}
 	}
+	// A helper makes all attempts of its shards.
+	r.plan.MayHedge = func(shard int) bool { return r.grouped[shard] == nil || r.grouped[shard].isNotTaken() }
+}
+
+// sent returns the number of sub-requests that this daemon sent to replicas: the machine counts one attempt for each
+// shard that a helper got.
+func (r *run) sent() int {
+	sent, _, _ := r.machine.Counts()
+	return sent - len(r.grouped)
 }
 
 // ask passes the group to its helper and returns when that is done. The end of ctx takes the shards back.
@@ -118,6 +127,7 @@
 		From: g.opts.Node, Depth: q.Depth + 1,
 	}
 	if !r.dispatch() {
+		g.helpers.Done(o.Address, delegation.Abandoned, o.begin, time.Now())
 		return
 	}
 	target := float64(r.route.Target)
--- a/gateway/delegate_test.go
+++ b/gateway/delegate_test.go
@@ -121,6 +121,33 @@
 	})
 }
 
+// TestHelpersShardsAreNotHedged guards the budget and the counts that explain it: a shard that a helper answers gets no
+// hedge here, not even one that the budget refuses.
+func TestHelpersShardsAreNotHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, sender, f := newDelegating(t)
+		f.answer = func(ctx context.Context, _ delegation.Query, _ time.Duration, receive func(delegation.Part)) error {
+			if err := sleepOr(ctx, 200*time.Millisecond); err != nil {
+				return err
+			}
+			last := partOf(all(shards)...)
+			last.Last = true
+			receive(last)
+			return nil
+		}
+		g.opts.BudgetFixed, g.opts.BudgetRatio = 0, 0
+		view, _ := g.dir.View()
+		reply, r := g.serve(t.Context(), requestTo("/q/x"), view)
+		must.NotNil(t, reply.Query, must.Sprint(reply.Err))
+		must.Eq(t, 0, r.sent())
+		must.Eq(t, 0, r.machine.Denied())
+		must.Len(t, 0, sender.all())
+		for service, spent := range g.Spent() {
+			must.Eq(t, 0, spent, must.Sprint(service))
+		}
+	})
+}
+
 // TestQueryNotTakenIsAnsweredHere answers the pattern of a helper that is down, frozen or has another configuration: this
 // daemon answers within the target latency, with the route's full number of attempts.
 func TestQueryNotTakenIsAnsweredHere(t *testing.T) {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -104,8 +104,8 @@
 	if r.machine == nil {
 		return
 	}
-	sent, hedges, retries := r.machine.Counts()
-	r.gateway.metrics.sent(sent, hedges, retries, r.machine.Resends(), r.machine.Denied())
+	_, hedges, retries := r.machine.Counts()
+	r.gateway.metrics.sent(r.sent(), hedges, retries, r.machine.Resends(), r.machine.Denied())
 	if n := len(r.answers); n > 0 && r.route.IsQuery() {
 		if r.request.From == "" {
 			r.gateway.metrics.coverage.Record(context.Background(), float64(r.included)/float64(n),
@@ -131,7 +131,7 @@
 	if r.machine == nil {
 		return nil
 	}
-	sent, hedges, retries := r.machine.Counts()
+	_, hedges, retries := r.machine.Counts()
 	missing := make(map[string]bool)
 	for i := range r.answers {
 		if ok, _ := r.machine.Answered(i); !ok {
@@ -145,7 +145,7 @@
 		}
 	}
 	return []zap.Field{
-		zap.Int("shards", len(r.answers)), zap.Int("missing", len(missing)), zap.Int("sent", sent),
+		zap.Int("shards", len(r.answers)), zap.Int("missing", len(missing)), zap.Int("sent", r.sent()),
 		zap.Int("hedges", hedges), zap.Int("retries", retries), zap.Int("resends", r.machine.Resends()), zap.Int("denied", r.machine.Denied()),
 		zap.Strings("attempts", attempts),
 	}
--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -364,6 +364,9 @@
 			continue
 		}
 		m.hedgeAt = now.Add(m.plan.HedgeDelay)
+		if m.plan.MayHedge != nil && !m.plan.MayHedge(i) {
+			continue
+		}
 		budget := m.budgets(i).Hedges
 		switch {
 		case !budget.Take():
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -62,6 +62,8 @@
 	// Once is set if the request may be executed at most once: there are no hedges, and a retry follows only an
 	// attempt that certainly was not executed.
 	Once bool
+	// MayHedge, if set, reports whether a shard gets hedges now. It is called with the Machine's other calls.
+	MayHedge func(shard int) bool
 	// GiveUpBelow ends the query as soon as the shards that are answered or still open cover less than this fraction
 	// of the key space; 0 never does.
 	GiveUpBelow float64
