--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -95,10 +95,10 @@
 	for i, s := range services {
 		r.indices[s] = i
 	}
-	for _, planned := range planned {
-		one := &group{Group: planned, run: r, begin: time.Now(), parts: make(map[int]*part), changed: make(chan struct{})}
+	for _, set := range planned {
+		one := &group{Group: set, run: r, begin: time.Now(), parts: make(map[int]*part), changed: make(chan struct{})}
 		r.groups = append(r.groups, one)
-		for _, i := range planned.Shards {
+		for _, i := range set.Shards {
 			r.grouped[i] = one
 		}
 	}
--- a/gateway/delegate_test.go
+++ b/gateway/delegate_test.go
@@ -18,6 +18,7 @@
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/delegation"
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/topology"
 )
 
@@ -105,7 +106,7 @@
 			return sleepOr(ctx, 0)
 		}
 		request := requestTo("/q/x")
-		time.Sleep(7 * time.Millisecond)
+		testseed.Wait(7 * time.Millisecond)
 		reply := g.Serve(t.Context(), request)
 		must.NotNil(t, reply.Query, must.Sprint(reply.Err))
 		must.Len(t, shards, reply.Query.Signatures)
@@ -155,7 +156,7 @@
 		g, sender, f := newDelegating(t)
 		f.answer = func(ctx context.Context, _ delegation.Query, takenIn time.Duration, _ func(delegation.Part)) error {
 			must.LessEq(t, 75*time.Millisecond, takenIn)
-			time.Sleep(takenIn)
+			testseed.Wait(takenIn)
 			return eris.Wrap(delegation.ErrNotTaken, "silent")
 		}
 		request := requestTo("/q/x")
@@ -176,7 +177,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g, sender, f := newDelegating(t)
 		f.answer = func(ctx context.Context, _ delegation.Query, _ time.Duration, _ func(delegation.Part)) error {
-			time.Sleep(20 * time.Millisecond)
+			testseed.Wait(20 * time.Millisecond)
 			return errors.New("connection reset")
 		}
 		request := requestTo("/q/x")
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -13,6 +13,7 @@
 	"github.com/chivemill/chivemill/backend"
 	standin "github.com/chivemill/chivemill/internal/standin/backend"
 	"github.com/chivemill/chivemill/internal/standin/memfleet"
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/quarantine"
 )
 
@@ -160,7 +161,7 @@
 type pausingClock struct{}
 
 func (pausingClock) Now() time.Time {
-	time.Sleep(time.Millisecond)
+	testseed.Wait(time.Millisecond)
 	return time.Now()
 }
 
