--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -202,6 +202,11 @@
 	for _, i := range received.Shards {
 		o.parts[i] = received
 	}
+	o.notify()
+}
+
+// notify wakes the attempts that wait for the group. The caller holds the lock.
+func (o *group) notify() {
 	close(o.changed)
 	o.changed = make(chan struct{})
 }
@@ -235,8 +240,7 @@
 		// This daemon sends the sub-requests itself, so it counts them.
 		o.run.earn(o.Shards)
 	}
-	close(o.changed)
-	o.changed = make(chan struct{})
+	o.notify()
 }
 
 // log reports what the exchange says of the helper.
