Answers without end are bounded in memory and pause their replica

Cause: the head of a replica's answer was bounded by net/http's default of 10 MiB and its body by 16 MiB each, read whole in every attempt. Measured before on the same load of 42 attempts at once: peak heap 307 MB with an endless head, 692 MB with an endless body, while the smallest VMs have 184 MB. The attempt then counted as a lost connection (head), which also feeds the detection of crashing requests, or as undecodable (body), which cleared the replica's pause.

Change: heads of 64 KiB; a body's bound comes from the gateway (1 MiB for a part of a query, 16 MiB for an answer that is passed through); bodies above 64 KiB share 1/16 of the process's memory, so that ordinary answers are read whole beside endless ones; failure class too_large, which pauses the replica. Parts above 64 KiB keep only the records that can count.

A byte each 5 ms ends with its attempt (TestSlowEndlessAnswerEndsWithItsAttempt).

--- a/backend/client.go
+++ b/backend/client.go
@@ -31,9 +31,11 @@
 	ConnectionLost Failure = "connection_lost"
 	Truncated      Failure = "truncated"
 	Undecodable    Failure = "undecodable"
-	Mismatched     Failure = "mismatched"
-	TimedOut       Failure = "timed_out"
-	ServerError    Failure = "server_error"
+	// TooLarge is an answer without an end, or larger than any that is expected.
+	TooLarge    Failure = "too_large"
+	Mismatched  Failure = "mismatched"
+	TimedOut    Failure = "timed_out"
+	ServerError Failure = "server_error"
 )
 
 // Error is a failed sub-request.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -75,7 +75,7 @@
 	}
 	d.feed = topology.NewFeed(d.dir, store, platform.Decoder{}, platform.Keys(), self, set.Contacts, log.Logger)
 	d.balancer = balancer.New(xxhash.Sum64String(set.Node))
-	d.replicas = platform.NewReplicas(d.balancer.Report)
+	d.replicas = platform.NewReplicas(set.MemoryBytes, d.balancer.Report)
 	d.gateway, err = gateway.New(gateway.Options{
 		BudgetRatio: set.BudgetRatio, BudgetFixed: set.BudgetFixed, BudgetSpan: set.BudgetSpan,
 		Publisher: d.feed, Node: set.Node, Delegates: delegation.NewClient(), Seed: xxhash.Sum64String(set.Node),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,12 +78,29 @@
 
 // Sender sends a request to a replica and returns its answer. A failure is a *backend.Error, whose class states whether
 // the replica may have executed the request; an answer of status 500 and above that may have been executed is returned
-// together with such an error. left is how long the caller still waits. dispatch is called before the first byte is
+// together with such an error. dispatch is called before the first byte is
 // written; if it returns false, nothing is sent. Implementations are safe for concurrent use.
 type Sender interface {
-	Send(ctx context.Context, replica balancer.Choice, request *Request, left time.Duration, dispatch func() bool) (Answer, error)
+	Send(ctx context.Context, replica balancer.Choice, request *Request, bounds Bounds, dispatch func() bool) (Answer, error)
 }
 
+// Bounds is what an answer may take.
+type Bounds struct {
+	// Left is how long the caller still waits.
+	Left time.Duration
+	// Bytes is the size of the body.
+	Bytes int64
+}
+
+const (
+	// maxAnswer bounds the body of an answer that is passed through, in bytes.
+	maxAnswer = 16 << 20
+	// maxPart bounds a shard's part of a query, which is merged in memory with all other parts, in bytes: 65,536 records.
+	maxPart = 1 << 20
+	// largePart is the size in bytes from which a part is cut to the records that can count as soon as it is read.
+	largePart = 64 << 10
+)
+
 // Options are the parameters of a gateway.
 type Options struct {
 	// BudgetRatio, BudgetFixed and BudgetSpan bound the extra sub-requests to a service of all daemons together.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,13 +31,13 @@
 	lefts  []time.Duration
 }
 
-func (f *fakeSender) Send(ctx context.Context, r balancer.Choice, _ *Request, left time.Duration, dispatch func() bool) (Answer, error) {
+func (f *fakeSender) Send(ctx context.Context, r balancer.Choice, _ *Request, bounds Bounds, dispatch func() bool) (Answer, error) {
 	if !dispatch() {
 		return Answer{}, &backend.Error{Failure: backend.NotSent, Cause: errNotListed}
 	}
 	f.mu.Lock()
 	f.sent = append(f.sent, r.ID)
-	f.lefts = append(f.lefts, left)
+	f.lefts = append(f.lefts, bounds.Left)
 	answer := f.answer[r.ID]
 	f.mu.Unlock()
 	return answer(ctx)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -296,7 +296,11 @@
 	}
 	deadline, _ := ctx.Deadline()
 	dispatched := false
-	answer, err := r.gateway.sender.Send(ctx, choice, r.request, time.Until(deadline), func() bool {
+	bounds := Bounds{Left: time.Until(deadline), Bytes: maxAnswer}
+	if r.route.IsQuery() {
+		bounds.Bytes = maxPart
+	}
+	answer, err := r.gateway.sender.Send(ctx, choice, r.request, bounds, func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if !r.closed && !dispatched {
@@ -315,6 +319,9 @@
 		r.record(answer, err, dispatched)
 		return nil, err
 	}
+	if r.route.IsQuery() && len(answer.Body) > largePart {
+		answer.Body = coverage.Top([][]byte{answer.Body}, r.route.Top)
+	}
 	return func() {
 		r.answers[a.Shard] = &answer
 		if r.route.IsQuery() {
@@ -355,7 +362,8 @@
 		return balancer.Failed
 	}
 	switch e.Failure {
-	case backend.NotSent, backend.ConnectionLost:
+	case backend.NotSent, backend.ConnectionLost, backend.TooLarge:
+		// A replica that sends bytes without end costs each further attempt as much as a broken connection and more.
 		return balancer.Broken
 	case backend.Refused:
 		if e.Refusal.Reason == backend.RefusedMisdirected {
--- a/scatter/scatter.go
+++ b/scatter/scatter.go
@@ -157,7 +157,7 @@
 		return api.MissingRefused
 	case backend.Truncated:
 		return api.MissingTruncated
-	case backend.Undecodable, backend.Mismatched:
+	case backend.Undecodable, backend.Mismatched, backend.TooLarge:
 		return api.MissingUndecodable
 	case backend.TimedOut:
 		return api.MissingTimeout
