The fixed part of the retry budget goes to the daemons that send, after a hold

Cause: each daemon had the same part of the fixed budget, although 18 of 195 send nearly all sub-requests, and took a new part as soon as it saw another number of daemons. A starting daemon assumed ten daemons and forgot what its earlier life had spent: after a loss of power of 195 the parts summed to 14 times the whole.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -121,11 +121,17 @@
 	assumedSlots = 4
 )
 
+// Share is this daemon's part of the connections that a replica accepts from all daemons.
+type Share struct {
+	// Connections is the largest number of connections, and so of attempts in flight; Idle is the number of them that may
+	// stay open unused.
+	Connections, Idle int
+}
+
 // replica is what is known of one replica. The balancer's lock protects it.
 type replica struct {
 	Server
-	// cap is the largest number of attempts in flight of this daemon.
-	cap int
+	share Share
 	// open holds the begin of each attempt in flight, the oldest first.
 	open []time.Time
 
@@ -153,7 +159,7 @@
 type Balancer struct {
 	mu       sync.Mutex
 	rng      *rand.Rand
-	capOf    func(Server) int
+	shareOf  func(Server) Share
 	replicas map[string]*replica
 	services map[string][]*replica
 	// expected is the expected time per kind of work without the link, in nanoseconds.
@@ -165,7 +171,7 @@
 // New returns a balancer without replicas. Its random choices follow the seed.
 func New(seed uint64) *Balancer {
 	return &Balancer{
-		rng: rand.New(rand.NewPCG(seed, seed)), capOf: func(Server) int { return 1 },
+		rng: rand.New(rand.NewPCG(seed, seed)), shareOf: func(Server) Share { return Share{Connections: 1} },
 		replicas: make(map[string]*replica), services: make(map[string][]*replica), expected: make(map[string]float64),
 	}
 }
@@ -186,27 +192,26 @@
 			}
 		}
 		r.Server = s
-		r.cap = b.capOf(s)
+		r.share = b.shareOf(s)
 		b.replicas[s.ID] = r
 		b.services[s.Service] = append(b.services[s.Service], r)
 	}
 }
 
-// SetCaps takes the function that returns how many attempts of this daemon a replica may have in flight, at least 1.
-func (b *Balancer) SetCaps(capOf func(Server) int) {
+// SetShares takes the function that returns this daemon's share of a replica, at least one connection.
+func (b *Balancer) SetShares(shareOf func(Server) Share) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.capOf = capOf
+	b.shareOf = shareOf
 	for _, r := range b.replicas {
-		r.cap = capOf(r.Server)
+		r.share = shareOf(r.Server)
 	}
 }
 
 // Choice is a replica that was picked.
 type Choice struct {
 	Server
-	// Cap is the largest number of connections of this daemon to the replica.
-	Cap int
+	Share Share
 }
 
 // Work is a kind of work: requests of one route.
@@ -254,7 +259,7 @@
 		best.pausedUntil = now.Add(best.pause())
 	}
 	best.open = append(best.open, now)
-	return Choice{Server: best.Server, Cap: best.cap}, true
+	return Choice{Server: best.Server, Share: best.share}, true
 }
 
 // Lookup returns a replica that was picked; ok is false if the list no longer has it.
@@ -265,7 +270,7 @@
 	if r == nil {
 		return Choice{}, false
 	}
-	return Choice{Server: r.Server, Cap: r.cap}, true
+	return Choice{Server: r.Server, Share: r.share}, true
 }
 
 // Room returns the number of the services that have a replica with room.
@@ -282,7 +287,7 @@
 }
 
 func (r *replica) usable() bool {
-	return r.State == Ready && !r.gone && len(r.open) < r.cap
+	return r.State == Ready && !r.gone && len(r.open) < r.share.Connections
 }
 
 // isSuspect reports whether the replica is in a pause after a failure, or has kept an attempt and answered nothing for so
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,14 +140,24 @@
 	end    context.CancelFunc
 
 	mu      sync.Mutex
-	daemons int
-	budgets map[string]*hedge.Window
+	shares  *shares
+	budgets map[string]*budget
+	// counted is when this daemon first knew how many daemons there are.
+	counted time.Time
+}
+
+// budget bounds the extra sub-requests to a service.
+type budget struct {
+	*hedge.Window
+	// quota is this daemon's part of the fixed budget.
+	quota *hedge.Quota
 }
 
 // New returns a gateway. draw returns random numbers from [0, 1) and is safe for concurrent use.
 func New(opts Options, dir *topology.Directory, b *balancer.Balancer, sender Sender, draw func() float64, meter metric.Meter, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{
-		opts: opts, dir: dir, balancer: b, sender: sender, draw: draw, log: log, budgets: make(map[string]*hedge.Window),
+		opts: opts, dir: dir, balancer: b, sender: sender, draw: draw, log: log, budgets: make(map[string]*budget),
+		shares: newShares(topology.View{}, opts.Self),
 	}
 	g.helpers = delegation.NewPool(opts.Self, opts.Seed)
 	g.guard = quarantine.NewGuard(quarantine.DefaultRule(), quarantineTime, opts.Publisher, nil)
@@ -179,9 +189,7 @@
 			g.balancer.SetServers(view.Servers, now)
 		}
 		g.helpers.SetView(&view)
-		shares := newShares(view, g.opts.Self)
-		g.balancer.SetCaps(shares.cap)
-		g.setDaemons(shares.daemons)
+		g.setShares(newShares(view, g.opts.Self))
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -189,29 +197,50 @@
 	}
 }
 
-func (g *Gateway) setDaemons(n int) {
+// setShares takes the shares of a view. Budgets exist from the first view on that names their service.
+func (g *Gateway) setShares(s *shares) {
+	g.balancer.SetShares(s.connections)
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.daemons = n
-	for _, w := range g.budgets {
-		w.SetFixed(g.fixed())
+	g.shares = s
+	if g.counted.IsZero() && s.known {
+		g.counted = now
+	}
+	for service := range s.limits {
+		g.ensureBudget(service)
+	}
+	for service, b := range g.budgets {
+		b.quota.Set(s.part(service), now)
 	}
 }
 
-func (g *Gateway) fixed() float64 {
-	return g.opts.BudgetFixed * fixedMargin / float64(max(1, g.daemons))
+// ensureBudget returns the budget of a service. No daemon has used anything of a new service's budget, so its quota only
+// waits for the hold that follows the start of this daemon. The caller holds the lock.
+func (g *Gateway) ensureBudget(service string) *budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = &budget{hedge.NewWindow(g.opts.BudgetSpan, g.opts.BudgetRatio*budgetMargin, 0), hedge.NewQuota(g.opts.BudgetSpan)}
+		if !g.counted.IsZero() {
+			b.quota.Set(g.shares.part(service), g.counted)
+		}
+		g.budgets[service] = b
+	}
+	return b
 }
 
 // budget returns the budget of the extra sub-requests to a service.
 func (g *Gateway) budget(service string) *hedge.Window {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w := g.budgets[service]
-	if w == nil {
-		w = hedge.NewWindow(g.opts.BudgetSpan, g.opts.BudgetRatio*budgetMargin, g.fixed())
-		g.budgets[service] = w
-	}
-	return w
+	b := g.ensureBudget(service)
+	g.update(b, time.Now())
+	return b.Window
+}
+
+// update sets the fixed part of a budget to what the quota allows now. The caller holds the lock.
+func (g *Gateway) update(b *budget, now time.Time) {
+	b.SetFixed(g.opts.BudgetFixed * fixedMargin * b.quota.Part(now))
 }
 
 // Ready reports whether the gateway takes requests.
@@ -234,8 +263,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	left := make(map[string]float64, len(g.budgets))
-	for service, w := range g.budgets {
-		left[service] = w.Left(now)
+	for service, b := range g.budgets {
+		g.update(b, now)
+		left[service] = b.Left(now)
 	}
 	return left
 }
@@ -245,8 +275,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	spent := make(map[string]int64, len(g.budgets))
-	for service, w := range g.budgets {
-		spent[service] = w.Spent()
+	for service, b := range g.budgets {
+		spent[service] = b.Spent()
 	}
 	return spent
 }
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -15,21 +15,24 @@
 	// sharedConnections is the part of a replica's connections that the daemons share. The rest is for connections that
 	// are being closed and for daemons that are not counted yet.
 	sharedConnections = 0.8
-	// leastConnections is the least share. The shares of a large fleet then exceed the limit, but most daemons use few of
-	// the replicas at a time, and a replica resets what is too much.
+	// leastConnections is the number of connections that a daemon may use at the same time whatever its share. One that
+	// exceeds the share is closed after its answer, so that the unused connections of a large fleet stay within the limit.
 	leastConnections = 2
-	// helperShare is the part of the shared connections to replicas of a query's shards that belongs to the daemons that
-	// take queries of others. The rest is for the others, which answer a query themselves when no helper does.
+	// helperShare is the part of the shared connections to replicas of a query's shards, and of the fixed budget, that
+	// belongs to the daemons that take queries of others. The rest is for the others, which answer a query themselves when
+	// no helper does.
 	helperShare = 0.7
 	// unknownConnections is a daemon's share when the configuration states no limit.
 	unknownConnections = 8
 )
 
-// shares divides the connections of a replica between the daemons.
+// shares divides the connections of replicas and the fixed part of the budget between the daemons.
 type shares struct {
-	// limits holds the connections that a replica of each service accepts from all daemons.
-	limits  map[string]int
+	// limits holds the connections that a replica of each service accepts from all daemons, 0 if that is not stated.
+	limits map[string]int
+	// daemons is their number, assumed unless it is known.
 	daemons int
+	known   bool
 	// helpers is the number of daemons that take queries of others, by service of a query's shards: those in a data centre
 	// with a replica of it. helping is set if this daemon is one of them.
 	helpers map[string]int
@@ -39,12 +42,18 @@
 func newShares(view topology.View, self delegation.Self) *shares {
 	s := &shares{limits: make(map[string]int), helpers: make(map[string]int), helping: make(map[string]bool)}
 	if view.Table != nil {
+		for _, route := range view.Table.Config().Routes {
+			for _, service := range route.Services() {
+				s.limits[service] = 0
+			}
+		}
 		for _, service := range view.Table.Config().Services {
 			s.limits[service.Name] = service.Connections
 		}
 	}
 	s.daemons = view.Daemons()
-	if s.daemons == 0 {
+	s.known = s.daemons > 0
+	if !s.known {
 		s.daemons = assumedDaemons
 	}
 	s.countHelpers(view, self)
@@ -75,19 +84,26 @@
 	}
 }
 
-// cap returns the largest number of connections of this daemon to a replica.
-func (s *shares) cap(server balancer.Server) int {
+// part returns this daemon's part of what all daemons share for a service, from 0 to 1.
+func (s *shares) part(service string) float64 {
+	n := s.helpers[service]
+	switch {
+	case n == 0 || n >= s.daemons:
+		return 1 / float64(s.daemons)
+	case s.helping[service]:
+		return helperShare / float64(n)
+	default:
+		return (1 - helperShare) / float64(s.daemons-n)
+	}
+}
+
+// connections returns this daemon's share of the connections to a replica.
+func (s *shares) connections(server balancer.Server) balancer.Share {
 	limit := s.limits[server.Service]
 	if limit == 0 {
-		return unknownConnections
-	}
-	shared, among := sharedConnections*float64(limit), s.daemons
-	if n := s.helpers[server.Service]; n > 0 && n < s.daemons {
-		if s.helping[server.Service] {
-			shared, among = shared*helperShare, n
-		} else {
-			shared, among = shared*(1-helperShare), s.daemons-n
-		}
+		return balancer.Share{Connections: unknownConnections, Idle: unknownConnections}
 	}
-	return max(leastConnections, int(shared)/among)
+	n := int(sharedConnections * float64(limit) * s.part(server.Service))
+	n = max(leastConnections, n)
+	return balancer.Share{Connections: n, Idle: n}
 }
--- a/routing/config.go
+++ b/routing/config.go
@@ -56,6 +56,15 @@
 // IsQuery reports whether the route is a query over shards.
 func (r *Route) IsQuery() bool { return len(r.Shards) > 0 }
 
+// Services returns the services that the route's requests go to.
+func (r *Route) Services() []string {
+	services := slices.Clone(r.Shards)
+	for _, p := range r.Split {
+		services = append(services, p.Service)
+	}
+	return services
+}
+
 // Service is what the configuration states of a service.
 type Service struct {
 	Name string
