--- a/delegation/message.go
+++ b/delegation/message.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/internal/httpjson"
 )
 
@@ -31,7 +32,7 @@
 	maxReason = 1 << 10
 )
 
-// Query is a caller's query, or a part of its shards, as one daemon passes it to another.
+// Query is a caller's query, a part of its shards, or a request to one replica, as one daemon passes it to another.
 type Query struct {
 	ID     string      `json:"id"`
 	Method string      `json:"method"`
@@ -42,7 +43,9 @@
 	Body   []byte      `json:"body,omitempty"`
 	// Version is that of the configuration that the query is bound to, Shards the indices in its route's list of shards.
 	Version int64 `json:"version"`
-	Shards  []int `json:"shards"`
+	Shards  []int `json:"shards,omitempty"`
+	// Service is set for a request to one replica of the service.
+	Service string `json:"service,omitempty"`
 	// Elapsed is the time since the caller's request was read, in nanoseconds, with the expected way there and back. Wait
 	// is how long the caller waits from that reading on; 0 if unknown.
 	Elapsed time.Duration `json:"elapsed_ns"`
@@ -63,6 +66,21 @@
 	// Last is set in the last part: the other shards will not be answered. NotRun is set if no replica executed anything.
 	Last   bool `json:"last,omitempty"`
 	NotRun bool `json:"not_run,omitempty"`
+	// Single is the answer to a request to one replica; it is in the last part.
+	Single *Single `json:"single,omitempty"`
+}
+
+// Single is what a helper answers to a request to one replica: the replica's answer, or an error.
+type Single struct {
+	Status int         `json:"status,omitempty"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+	// Signature proves that the replica gave this answer.
+	Signature string `json:"signature,omitempty"`
+	// Error is the kind of the error, empty for an answer; RetryAfter is the advised wait.
+	Error      api.Kind      `json:"error,omitempty"`
+	Message    string        `json:"message,omitempty"`
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
 }
 
 // ErrNotTaken means that the helper did not take the shards: nothing was sent to a replica.
--- a/delegation/pool.go
+++ b/delegation/pool.go
@@ -195,6 +195,18 @@
 	return groups
 }
 
+// PlanSingle returns a helper near the replicas of a service for a request to one of them; ok is false if none is usable.
+// Done must be called once for a returned helper.
+func (p *Pool) PlanSingle(service string, now time.Time) (h Helper, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := p.pick(p.nearest(p.holders[service]), 0, now)
+	if best == nil {
+		return Helper{}, false
+	}
+	return best.Helper, true
+}
+
 // nearest returns the nearest of the data centres, empty for none.
 func (p *Pool) nearest(centres []string) (best string) {
 	for _, c := range centres {
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -7,13 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/balancer"
-	"github.com/chivemill/chivemill/coverage"
 	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/eventlog"
 )
@@ -31,11 +28,6 @@
 	hopSame   = 2 * time.Millisecond
 	hopRegion = 10 * time.Millisecond
 	hopFar    = 28 * time.Millisecond
-	// delegatedPerCore bounds the queries of other daemons in flight, per core of the processor share. A query of tens of
-	// shards takes about 5 ms of a core, so that many are answered within 0.2 s.
-	delegatedPerCore = 40
-	// leastDelegated is the bound of a daemon with a small share, or with none stated.
-	leastDelegated = 8
 )
 
 // Delegates passes queries to other daemons. Implementations are safe for concurrent use.
@@ -46,6 +38,11 @@
 	Ask(ctx context.Context, address string, q delegation.Query, takenIn time.Duration, receive func(delegation.Part)) error
 }
 
+// takenIn returns how long a helper has to ask for a request of a route with the target latency.
+func takenIn(target time.Duration) time.Duration {
+	return min(mostTaken, max(leastTaken, time.Duration(takenFraction*float64(target))))
+}
+
 func hop(d balancer.Distance) time.Duration {
 	switch d {
 	case balancer.SameDataCentre:
@@ -121,11 +118,8 @@
 	for k, i := range o.Shards {
 		shards[k] = r.routeIndex(i)
 	}
-	query := delegation.Query{
-		ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Path: q.Path, Header: q.Header, Body: q.Body,
-		Version: r.view.Table.Version(), Shards: shards, Elapsed: time.Since(q.Received) + hop(o.Distance), Wait: q.Wait,
-		From: g.opts.Node, Depth: q.Depth + 1,
-	}
+	query := r.passedOn(o.Helper)
+	query.Shards = shards
 	if !r.dispatch() {
 		g.helpers.Done(o.Address, delegation.Abandoned, o.begin, time.Now())
 		return
@@ -139,11 +133,20 @@
 		}
 	})
 	defer silent.Stop()
-	takenIn := min(mostTaken, max(leastTaken, time.Duration(takenFraction*target)))
-	err := g.opts.Delegates.Ask(exchange, o.Address, query, takenIn, func(p delegation.Part) { o.receive(p) })
+	err := g.opts.Delegates.Ask(exchange, o.Address, query, takenIn(r.route.Target), func(p delegation.Part) { o.receive(p) })
 	o.end(ctx, err)
 }
 
+// passedOn returns the request as the helper gets it.
+func (r *run) passedOn(to delegation.Helper) delegation.Query {
+	q := r.request
+	return delegation.Query{
+		ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Path: q.Path, Header: q.Header, Body: q.Body,
+		Version: r.view.Table.Version(), Elapsed: time.Since(q.Received) + hop(to.Distance), Wait: q.Wait,
+		From: r.gateway.opts.Node, Depth: q.Depth + 1,
+	}
+}
+
 // dispatch counts something that replicas may execute, and reports whether it may still be sent.
 func (r *run) dispatch() bool {
 	r.mu.Lock()
@@ -214,18 +217,9 @@
 // end takes the end of the exchange. A query that ended, or whose caller left, says nothing of the helper.
 func (o *group) end(ctx context.Context, err error) {
 	g := o.run.gateway
-	outcome := delegation.Answered
-	switch {
-	case err == nil:
-	case o.run.over.Load(), ctx.Err() != nil:
+	outcome := relayOutcome(ctx, err, time.Since(o.begin))
+	if err != nil && o.run.over.Load() {
 		outcome = delegation.Abandoned
-	case errors.Is(err, delegation.ErrNotTaken):
-		outcome = delegation.Refused
-		if time.Since(o.begin) >= leastTaken {
-			outcome = delegation.Silent
-		}
-	default:
-		outcome = delegation.Silent
 	}
 	paused, recovered := g.helpers.Done(o.Address, outcome, o.begin, time.Now())
 	g.metrics.delegated.Add(context.Background(), 1, g.metrics.label("outcome", outcome.String()))
@@ -245,15 +239,8 @@
 
 // log reports what the exchange says of the helper.
 func (o *group) log(paused, recovered bool, outcome delegation.Outcome, err error) {
-	event := eventlog.ShardsNotTaken
-	switch {
-	case paused:
-		event = eventlog.HelperPaused
-	case recovered:
-		event = eventlog.HelperRecovered
-	case outcome == delegation.Silent:
-		event = eventlog.HelperSilent
-	case outcome == delegation.Answered || outcome == delegation.Abandoned:
+	event := helperEvent(paused, recovered, outcome)
+	if event == "" {
 		return
 	}
 	o.run.gateway.log.Info(event, zap.String("request", o.run.request.ID), zap.String("helper", o.Address),
@@ -287,104 +274,3 @@
 }
 
 var errNoPart = errors.New("the helper got no answer of the shard")
-
-// collector sends the parts of a query to the daemon that passed it on. It is safe for concurrent use.
-type collector struct {
-	top  int
-	send func(delegation.Part)
-
-	mu      sync.Mutex
-	pending []*part
-	flushed bool
-}
-
-// take sends a part, or keeps it until the first flush.
-func (c *collector) take(p *part) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.pending = append(c.pending, p)
-	if c.flushed {
-		c.write(false, false)
-	}
-}
-
-// flush sends what there is, and from then on each part as it comes.
-func (c *collector) flush() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.flushed {
-		c.flushed = true
-		c.write(false, false)
-	}
-}
-
-// end sends the last part. Nothing is sent afterwards.
-func (c *collector) end(notRun bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.flushed = true
-	c.write(true, notRun)
-	c.send = func(delegation.Part) {}
-}
-
-// write merges the pending parts into one. The caller holds the lock.
-func (c *collector) write(last, notRun bool) {
-	merged := delegation.Part{Last: last, NotRun: notRun}
-	var records [][]byte
-	for _, p := range c.pending {
-		merged.Shards = append(merged.Shards, p.Shards...)
-		merged.Signatures = append(merged.Signatures, p.Signatures...)
-		records = append(records, p.Records)
-	}
-	merged.Records = coverage.Top(records, c.top)
-	c.pending = nil
-	c.send(merged)
-}
-
-// Answer implements delegation.Server: it answers shards of a query that another daemon passes on. A query that is bound
-// to another version of the configuration is not taken, so that the answers of one daemon never go back to an older one.
-func (g *Gateway) Answer(ctx context.Context, q delegation.Query, send func(delegation.Part)) error {
-	limit := max(leastDelegated, int64(delegatedPerCore*g.opts.Self.Cores))
-	defer g.delegated.Add(-1)
-	view, _ := g.dir.View()
-	switch n := g.delegated.Add(1); {
-	case !g.Ready(), g.leaving.Load():
-		return eris.Wrap(delegation.ErrNotTaken, "not ready or stopping")
-	case view.Table.Version() != q.Version:
-		return eris.Wrapf(delegation.ErrNotTaken, "version %d is in force, not %d", view.Table.Version(), q.Version)
-	case n > limit:
-		return eris.Wrapf(delegation.ErrNotTaken, "%d queries of other daemons in flight", limit)
-	}
-	route := view.Table.Match(q.Host, q.Path)
-	if route == nil || !route.IsQuery() {
-		return eris.Wrapf(delegation.ErrNotTaken, "host %q and path %q are no query", q.Host, q.Path)
-	}
-	asked := make(map[int]bool, len(q.Shards))
-	for _, i := range q.Shards {
-		if i < 0 || i >= len(route.Shards) || asked[i] {
-			return eris.Wrapf(delegation.ErrNotTaken, "shards %v of %d", q.Shards, len(route.Shards))
-		}
-		asked[i] = true
-	}
-	if len(q.Shards) == 0 {
-		return eris.Wrap(delegation.ErrNotTaken, "no shards")
-	}
-	request := &Request{
-		ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Path: q.Path, Header: q.Header, Body: q.Body,
-		Received: time.Now().Add(-q.Elapsed), Wait: q.Wait, From: q.From, Depth: q.Depth, Shards: q.Shards,
-	}
-	out := &collector{top: route.Top, send: send}
-	// The daemon that asks needs what there is before it ends the query.
-	timer := time.AfterFunc(time.Until(request.Received.Add(partialAfter(route.Target, q.Depth))), out.flush)
-	defer timer.Stop()
-	request.parts = func(p *part) {
-		indices := make([]int, len(p.Shards))
-		for k, i := range p.Shards {
-			indices[k] = q.Shards[i]
-		}
-		out.take(&part{Part: delegation.Part{Shards: indices, Signatures: p.Signatures, Records: p.Records}})
-	}
-	reply := g.serveIn(ctx, request, view)
-	out.end(reply.Err != nil && reply.Err.Kind.Outcome().Run == api.RunNever)
-	return nil
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,10 +37,11 @@
 	Received time.Time
 	Wait     time.Duration
 	// From is the node of the daemon that passed the request on; empty for a caller's own. Depth is the number of daemons
-	// that did, Shards the shards of the route that it asks for, nil for all.
-	From   string
-	Depth  int
-	Shards []int
+	// that did, Shards the shards of the route that it asks for, nil for all, Service the service that it chose.
+	From    string
+	Depth   int
+	Shards  []int
+	Service string
 	// parts takes each part of the answer as it comes; nil for a caller's own request.
 	parts func(*part)
 }
@@ -238,6 +239,13 @@
 	return b.Window
 }
 
+// keepsNone reports whether this daemon keeps no connection to the replicas of a service and helpers do.
+func (g *Gateway) keepsNone(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shares.keepsNone(service)
+}
+
 // update sets the fixed part of a budget to what the quota allows now. The caller holds the lock.
 func (g *Gateway) update(b *budget, now time.Time) {
 	b.SetFixed(g.opts.BudgetFixed * fixedMargin * b.quota.Part(now))
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/delegation"
+	"github.com/chivemill/chivemill/eventlog"
+	"github.com/chivemill/chivemill/routing"
+)
+
+// relay passes a request for one replica of the service to a helper if this daemon keeps no connection to the replicas.
+// In a large fleet a connection of each daemon would exceed what a replica accepts, and opening one takes a replica's
+// slot. ok is false if no helper took the request: then nothing of it was sent to a replica.
+func (r *run) relay(ctx context.Context, service string) (reply Reply, ok bool) {
+	g := r.gateway
+	if g.opts.Delegates == nil || r.request.From != "" || !g.keepsNone(service) {
+		return Reply{}, false
+	}
+	begin := time.Now()
+	helper, ok := g.helpers.PlanSingle(service, begin)
+	if !ok {
+		return Reply{}, false
+	}
+	q := r.passedOn(helper)
+	q.Service = service
+	exchange, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var begun atomic.Bool
+	silent := time.AfterFunc(time.Until(r.request.Received.Add(time.Duration(silentFraction*float64(r.route.Target)))), func() {
+		if !begun.Load() {
+			cancel()
+		}
+	})
+	defer silent.Stop()
+	var single *delegation.Single
+	err := g.opts.Delegates.Ask(exchange, helper.Address, q, takenIn(r.route.Target), func(p delegation.Part) {
+		begun.Store(true)
+		single = p.Single
+	})
+	outcome := relayOutcome(ctx, err, time.Since(begin))
+	paused, recovered := g.helpers.Done(helper.Address, outcome, begin, time.Now())
+	g.metrics.delegated.Add(context.Background(), 1, g.metrics.label("outcome", outcome.String()))
+	if event := helperEvent(paused, recovered, outcome); event != "" {
+		g.log.Info(event, zap.String("request", r.request.ID), zap.String("helper", helper.Address),
+			zap.String("outcome", outcome.String()), zap.String("service", service),
+			zap.Duration("took_ms", time.Since(begin)), zap.Error(err))
+	}
+	r.relayedTo = helper.Address
+	switch {
+	case errors.Is(err, delegation.ErrNotTaken):
+		r.relayedTo = ""
+		return Reply{}, false
+	case err == nil && single != nil:
+		return replyOf(single), true
+	case isPast(ctx):
+		return Reply{Err: api.Errorf(api.DeadlineExceeded, "the helper did not answer")}, true
+	case r.route.Safety == routing.Once:
+		return Reply{Err: api.Errorf(api.OutcomeUnknown, "the helper took the request and did not answer: %v", err)}, true
+	default:
+		return Reply{Err: api.Errorf(api.ReplicasFailed, "the helper took the request and did not answer: %v", err)}, true
+	}
+}
+
+// relayOutcome returns what the end of an exchange that took so long says of the helper.
+func relayOutcome(ctx context.Context, err error, took time.Duration) delegation.Outcome {
+	switch {
+	case err == nil:
+		return delegation.Answered
+	case ctx.Err() != nil:
+		return delegation.Abandoned
+	case errors.Is(err, delegation.ErrNotTaken) && took < leastTaken:
+		return delegation.Refused
+	default:
+		return delegation.Silent
+	}
+}
+
+// helperEvent returns the log event of the end of an exchange, empty for one that says nothing.
+func helperEvent(paused, recovered bool, outcome delegation.Outcome) string {
+	switch {
+	case paused:
+		return eventlog.HelperPaused
+	case recovered:
+		return eventlog.HelperRecovered
+	case outcome == delegation.Silent:
+		return eventlog.HelperSilent
+	case outcome == delegation.Refused:
+		return eventlog.ShardsNotTaken
+	default:
+		return ""
+	}
+}
+
+// replyOf returns the reply that a helper gave.
+func replyOf(single *delegation.Single) Reply {
+	if single.Error != "" {
+		err := api.Errorf(single.Error, "%s", single.Message)
+		err.RetryAfter = single.RetryAfter
+		return Reply{Err: err}
+	}
+	return Reply{Answer: &Answer{Status: single.Status, Header: single.Header, Body: single.Body, Signature: single.Signature}}
+}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -80,8 +80,10 @@
 	if request.From != "" {
 		fields = append(fields, zap.String("from", request.From))
 	}
-	if r != nil && len(r.groups) > 0 {
-		fields = append(fields, zap.Strings("helpers", r.helpers()))
+	if r != nil {
+		if helpers := r.helpers(); len(helpers) > 0 {
+			fields = append(fields, zap.Strings("helpers", helpers))
+		}
 	}
 	if reply.Err != nil {
 		fields = append(fields, zap.String("reason", reply.Err.Message), zap.Duration("retry_after_ms", reply.Err.RetryAfter))
@@ -114,11 +116,14 @@
 	}
 }
 
-// helpers returns the addresses of the daemons that answered shards of the query.
+// helpers returns the addresses of the daemons that answered the request or shards of it.
 func (r *run) helpers() []string {
-	addresses := make([]string, len(r.groups))
-	for i, g := range r.groups {
-		addresses[i] = g.Address
+	var addresses []string
+	for _, g := range r.groups {
+		addresses = append(addresses, g.Address)
+	}
+	if r.relayedTo != "" {
+		addresses = append(addresses, r.relayedTo)
 	}
 	return addresses
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -50,6 +50,8 @@
 	groups  []*group
 	grouped map[int]*group
 	indices map[string]int
+	// relayedTo is the helper that took a request to one replica.
+	relayedTo string
 	// parts holds what a query's answer consists of, included the number of its shards. The goroutine of the machine's
 	// driver owns them.
 	parts    []*part
@@ -198,7 +200,13 @@
 
 // single passes a request to one replica of the route's service.
 func (r *run) single(ctx context.Context) Reply {
-	service := r.route.Choose(r.gateway.draw())
+	service := r.request.Service
+	if service == "" {
+		service = r.route.Choose(r.gateway.draw())
+	}
+	if reply, ok := r.relay(ctx, service); ok {
+		return reply
+	}
 	if r.gateway.balancer.Room([]string{service}) == 0 {
 		return refuse(api.NoReplica, retryAfterRefusal, fmt.Sprintf("service %q has no replica with room", service))
 	}
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -33,8 +33,8 @@
 	// daemons is their number, assumed unless it is known.
 	daemons int
 	known   bool
-	// helpers is the number of daemons that take queries of others, by service of a query's shards: those in a data centre
-	// with a replica of it. helping is set if this daemon is one of them.
+	// helpers is the number of daemons that take requests of others for a service: those in a data centre with a replica of
+	// it. helping is set if this daemon is one of them.
 	helpers map[string]int
 	helping map[string]bool
 }
@@ -60,15 +60,18 @@
 	return s
 }
 
-// countHelpers fills helpers and helping.
+// countHelpers fills helpers and helping, for the shards of queries and for services whose replicas accept fewer
+// connections than there are daemons.
 func (s *shares) countHelpers(view topology.View, self delegation.Self) {
 	if view.Table == nil {
 		return
 	}
 	holders := view.Holders()
 	for _, route := range view.Table.Config().Routes {
-		for _, service := range route.Shards {
-			if _, ok := s.helpers[service]; ok {
+		for _, service := range route.Services() {
+			limit := s.limits[service]
+			isScarce := limit > 0 && sharedConnections*float64(limit) < float64(s.daemons)
+			if _, ok := s.helpers[service]; ok || !route.IsQuery() && !isScarce {
 				continue
 			}
 			n := 0
@@ -104,6 +107,10 @@
 		return balancer.Share{Connections: unknownConnections, Idle: unknownConnections}
 	}
 	n := int(sharedConnections * float64(limit) * s.part(server.Service))
-	n = max(leastConnections, n)
-	return balancer.Share{Connections: n, Idle: n}
+	return balancer.Share{Connections: max(leastConnections, n), Idle: n}
+}
+
+// keepsNone reports whether this daemon keeps no connection to the replicas of a service and helpers do.
+func (s *shares) keepsNone(service string) bool {
+	return s.helpers[service] > 0 && !s.helping[service] && s.connections(balancer.Server{Service: service}).Idle == 0
 }
