A leaving replica gets new work as the last resort, while it is allowed to

Cause: a replica that reports draining got no new work from the moment a daemon knew of it, although the platform lets it serve for the drain time (3 to 6 s) after its report.

Change: the directory keeps when its list last had a draining replica as ready, which is before the report was accepted. Until the drain time less 1.5 s after that the balancer may choose it, at six times its expected time: only while the others of its service are silent, refuse, or are much slower. A daemon that never saw the replica ready never uses it. Tests: balancer TestLeavingReplicaIsTheLastResort, topology TestDrainingReplicaKeepsItsLastReadyTime.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -38,6 +38,9 @@
 	DataCentre string
 	Distance   Distance
 	State      State
+	// ReadyAt is the last time at which the list had a draining replica as ready; zero if it never did here. Each daemon
+	// sets it itself.
+	ReadyAt time.Time `json:"-"`
 	// Slots is the number of requests that the replica executes at the same time.
 	Slots int
 	// ColdFor is how much longer the replica is slow after its start.
@@ -117,6 +120,10 @@
 	// coldCost multiplies the expected time of a replica that has just started.
 	coldCost = 2
 
+	// leavingCost multiplies the expected time of a draining replica: it gets new work only while the others of its service
+	// are away, refuse, or are much slower.
+	leavingCost = 6
+
 	// assumedSlots is used for a replica whose number of slots is not known.
 	assumedSlots = 4
 )
@@ -160,6 +167,8 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	shareOf  func(Server) Share
+	// leavingUse is how long after ReadyAt a draining replica may get new work.
+	leavingUse time.Duration
 	replicas map[string]*replica
 	services map[string][]*replica
 	// expected is the expected time per kind of work without the link, in nanoseconds.
@@ -208,6 +217,10 @@
 	}
 }
 
+// UseLeaving lets a draining replica get new work for a time after the list had it as ready, when the others of its service
+// are worse. It has to be called before the balancer is used.
+func (b *Balancer) UseLeaving(d time.Duration) { b.leavingUse = d }
+
 // Choice is a replica that was picked.
 type Choice struct {
 	Server
@@ -239,7 +252,7 @@
 	}
 	for i := range list {
 		r := list[(start+i)%len(list)]
-		if !r.usable() || slices.Contains(exclude, r.ID) {
+		if !b.isUsable(r, now) || slices.Contains(exclude, r.ID) {
 			continue
 		}
 		suspect := r.isSuspect(expected, now)
@@ -274,20 +287,21 @@
 }
 
 // Room returns the number of the services that have a replica with room.
-func (b *Balancer) Room(services []string) int {
+func (b *Balancer) Room(services []string, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
 	for _, s := range services {
-		if slices.ContainsFunc(b.services[s], (*replica).usable) {
+		if slices.ContainsFunc(b.services[s], func(r *replica) bool { return b.isUsable(r, now) }) {
 			n++
 		}
 	}
 	return n
 }
 
-func (r *replica) usable() bool {
-	return r.State == Ready && !r.gone && len(r.open) < r.share.Connections
+func (b *Balancer) isUsable(r *replica, now time.Time) bool {
+	serves := r.State == Ready || !r.ReadyAt.IsZero() && now.Sub(r.ReadyAt) < b.leavingUse
+	return serves && !r.gone && len(r.open) < r.share.Connections
 }
 
 // isSuspect reports whether the replica is in a pause after a failure, or has kept an attempt and answered nothing for so
@@ -339,6 +353,9 @@
 	if now.Before(r.coldUntil) {
 		work *= coldCost
 	}
+	if r.State == Draining {
+		work *= leavingCost
+	}
 	// A small part of the load counts below the number of slots too, so that equal replicas share the work.
 	queue := 0.15*busy/float64(slots) + max(0, busy+1-float64(slots))/float64(slots)
 	served := max(leastServed, 1-r.refusedFraction(now))
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -177,7 +177,7 @@
 	servers := replicas("a", "b", "c", "d")
 	servers[0].State = Draining
 	b.SetServers(servers, now)
-	must.Eq(t, 1, b.Room([]string{"s", "unknown"}))
+	must.Eq(t, 1, b.Room([]string{"s", "unknown"}, now))
 	first, ok := b.Pick("s", testWork, []string{"c", "d"}, now)
 	must.True(t, ok)
 	must.Eq(t, "b", first.ID)
@@ -192,6 +192,26 @@
 	must.True(t, ok, must.Sprint("b started again"))
 }
 
+// TestLeavingReplicaIsTheLastResort answers the pattern of a planned removal beside a failure: while the other replicas of
+// a shard are silent, one that leaves gets new work, and none once its time is over or while the others are well.
+func TestLeavingReplicaIsTheLastResort(t *testing.T) {
+	servers := replicas("leaving", "far1", "far2")
+	w := newWorld(servers)
+	w.b.UseLeaving(4 * time.Second)
+	w.run(time.Second, 20*time.Millisecond)
+	servers[0].State, servers[0].ReadyAt = Draining, w.now.Add(-time.Second)
+	w.b.SetServers(servers, w.now)
+	counts := w.run(time.Second, 20*time.Millisecond)
+	must.Eq(t, 0, counts["leaving"], must.Sprint(counts))
+	silent := func(time.Time) (time.Duration, Outcome) { return 200 * time.Millisecond, Broken }
+	w.answer["far1"], w.answer["far2"] = silent, silent
+	counts = w.run(time.Second, 20*time.Millisecond)
+	must.GreaterEq(t, 35, counts["leaving"], must.Sprint(counts))
+	w.run(time.Second, 20*time.Millisecond)
+	counts = w.run(time.Second, 20*time.Millisecond)
+	must.Eq(t, 0, counts["leaving"], must.Sprint("its time is over: ", counts))
+}
+
 // TestHealthTravels answers the pattern of many daemons that each meet a replica once a second: what one of them learns
 // keeps the others from losing a request, and ends when the replica is well.
 func TestHealthTravels(t *testing.T) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,6 +38,9 @@
 	// headerTimeout bounds how long a caller takes to send a request's head. It is far above what the operator's limit
 	// allows, which is not known before the first configuration.
 	headerTimeout = 30 * time.Second
+	// leavingMargin is how much earlier than allowed a draining replica gets its last new request: an attempt may wait for a
+	// connection, and the daemons' lists are confirmed with a delay.
+	leavingMargin = 1500 * time.Millisecond
 	// lastAnswers bounds the writing of these answers.
 	lastAnswers = 300 * time.Millisecond
 )
@@ -75,6 +78,7 @@
 	}
 	d.feed = topology.NewFeed(d.dir, store, platform.Decoder{}, platform.Keys(), self, set.Contacts, log.Logger)
 	d.balancer = balancer.New(xxhash.Sum64String(set.Node))
+	d.balancer.UseLeaving(set.DrainTime - leavingMargin)
 	d.replicas = platform.NewReplicas(set.MemoryBytes, d.balancer.Report)
 	d.gateway, err = gateway.New(gateway.Options{
 		BudgetRatio: set.BudgetRatio, BudgetFixed: set.BudgetFixed, BudgetSpan: set.BudgetSpan,
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -137,7 +137,7 @@
 		return Reply{Query: r.merged()}
 	}
 	shards := float64(len(route.Shards))
-	if room := r.gateway.balancer.Room(route.Shards); !scatter.Reaches(float64(room)/shards, route.LeastCoverage) {
+	if room := r.gateway.balancer.Room(route.Shards, time.Now()); !scatter.Reaches(float64(room)/shards, route.LeastCoverage) {
 		return refuse(api.Overloaded, retryAfterRefusal,
 			fmt.Sprintf("%d of %d shards have a replica with room", room, len(route.Shards)))
 	}
@@ -207,7 +207,7 @@
 	if reply, ok := r.relay(ctx, service); ok {
 		return reply
 	}
-	if r.gateway.balancer.Room([]string{service}) == 0 {
+	if r.gateway.balancer.Room([]string{service}, time.Now()) == 0 {
 		return refuse(api.NoReplica, retryAfterRefusal, fmt.Sprintf("service %q has no replica with room", service))
 	}
 	r.prepare(ctx, []string{service})
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -217,6 +217,7 @@
 	if d.view.Generation > 0 && readAt.Sub(d.view.ReadAt) > outageAfter {
 		d.outageEnd = readAt
 	}
+	before := d.view.ReadAt
 	d.view.ReadAt = readAt
 	d.view.Confirmed++
 	listed := make(map[string]balancer.Server, len(servers))
@@ -245,6 +246,11 @@
 			d.removed = append(d.removed, removal{old.ID, next})
 		case s.State == balancer.Draining && old.State != balancer.Draining:
 			change.Draining++
+			s.ReadyAt = before
+			listed[s.ID] = s
+		case s.State == balancer.Draining && s.Born == old.Born:
+			s.ReadyAt = old.ReadyAt
+			listed[s.ID] = s
 		}
 		if ok && !same(old, s) {
 			d.since[s.ID] = next
@@ -296,9 +302,10 @@
 }
 
 // same compares entries without the remaining cold time, which changes with each report of a replica, and without the
-// distance, which each daemon sets itself.
+// distance and the time at which it was ready, which each daemon sets itself.
 func same(a, b balancer.Server) bool {
 	a.ColdFor, b.ColdFor = 0, 0
 	a.Distance, b.Distance = 0, 0
+	a.ReadyAt, b.ReadyAt = time.Time{}, time.Time{}
 	return a == b
 }
--- a/topology/directory_test.go
+++ b/topology/directory_test.go
@@ -96,3 +96,24 @@
 		}
 	})
 }
+
+// TestDrainingReplicaKeepsItsLastReadyTime guards the time from which new work to a leaving replica is bounded: the last
+// list that had it as ready, however often it is confirmed as draining, and nothing for a daemon that never saw it ready.
+func TestDrainingReplicaKeepsItsLastReadyTime(t *testing.T) {
+	d := NewDirectory()
+	at := time.Now()
+	list := servers("a", "b")
+	list[1].State = balancer.Draining
+	d.SetServers(list, at, FromStore)
+	for i := range 3 {
+		draining := servers("a", "b")
+		draining[0].State, draining[1].State = balancer.Draining, balancer.Draining
+		d.SetServers(draining, at.Add(time.Duration(i+1)*time.Second), FromDaemon)
+		view, _ := d.View()
+		must.Eq(t, at, view.Servers[0].ReadyAt)
+		must.True(t, view.Servers[1].ReadyAt.IsZero())
+	}
+	d.SetServers(servers("a", "b"), at.Add(5*time.Second), FromStore)
+	view, _ := d.View()
+	must.True(t, view.Servers[0].ReadyAt.IsZero(), must.Sprint("it is ready again"))
+}
