A start of the whole fleet costs few calls to the store

Change: a starting daemon asks the contact addresses for a fresh list and the readers before it reads the store again; the first claims of daemons that are no contact address spread over 2.5 s; a fresh look comes before a claim; a failed claim tells its holder; the fleet's reader looks for the readers of the data centres each 300 ms at first. A contact address that is down is logged once.

--- a/topology/feed.go
+++ b/topology/feed.go
@@ -33,9 +33,12 @@
 	// reader answers, and so most likely the store is away, the time doubles up to lastOwnRead.
 	firstOwnRead = 1300 * time.Millisecond
 	lastOwnRead  = 6 * time.Second
-	// electionSpread is the span over which daemons spread their first claims, so that one claim usually stands before the
-	// next daemon looks.
+	// electionSpread is the span over which daemons spread their claims of a free place, so that one claim usually stands
+	// before the next daemon looks.
 	electionSpread = 400 * time.Millisecond
+	// startSpread is that span for the first claims of starting daemons, all of which may start at once. Until then they
+	// serve with the view of their start; the contact addresses do not wait, so that the others learn the readers of them.
+	startSpread = 2500 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
@@ -92,8 +95,12 @@
 	// following holds the daemons that follow this one as the reader of their data centre.
 	following followers
 	stopped   atomic.Bool
-	// elsewhere is the other data centre's reader that was asked last. The goroutine of Run owns it.
+	// elsewhere is the other data centre's reader that was asked last, elected is set after the first claim or look at one.
+	// The goroutine of Run owns them.
 	elsewhere string
+	elected   bool
+	// silentContacts holds the contact addresses that did not answer. The goroutine of Run owns it.
+	silentContacts map[string]bool
 
 	mu        sync.Mutex
 	unread    map[string]int64
@@ -106,7 +113,7 @@
 func NewFeed(dir *Directory, store kv.Store, decoder Decoder, keys Keys, self Self, contacts []string, log *zap.Logger) *Feed {
 	f := &Feed{
 		dir: dir, source: self.Node + "/" + strconv.FormatUint(rand.Uint64(), 36), store: store, decoder: decoder, keys: keys, self: self, contacts: contacts, log: log,
-		peers: newPeerClient(), following: newFollowers(), unread: make(map[string]int64),
+		peers: newPeerClient(), following: newFollowers(), unread: make(map[string]int64), silentContacts: make(map[string]bool),
 	}
 	f.levels = []*place{
 		{scope: self.DataCentre, key: keys.Readers + centrePrefix + self.DataCentre, stale: staleCentre},
@@ -133,21 +140,36 @@
 	f.askContacts(ctx)
 }
 
-// askContacts pulls from the contact addresses until the view is known.
+// askContacts pulls from the contact addresses until one of them has a fresh view. One that is down is logged once per
+// start: all daemons may start at once.
 func (f *Feed) askContacts(ctx context.Context) {
 	for _, address := range f.contacts {
-		if view, _ := f.dir.View(); view.Known() || ctx.Err() != nil {
+		if f.age() < staleCentre || ctx.Err() != nil {
 			return
 		}
 		if address == f.self.Address {
 			continue
 		}
-		if err := f.pull(ctx, address, "", 0); err != nil {
+		err := f.pull(ctx, address, "", 0)
+		if err != nil && !f.silentContacts[address] {
+			f.silentContacts[address] = true
 			f.log.Info(eventlog.PeerSilent, zap.String("address", address), zap.Error(err))
 		}
 	}
 }
 
+// learnReader takes the reader of this daemon's data centre from what other daemons say of it, and reports whether there
+// is one.
+func (f *Feed) learnReader(p *place) bool {
+	view, _ := f.dir.View()
+	reader := view.Centres[f.self.DataCentre].Reader
+	if p.scope == fleetScope || reader == "" || reader == f.self.Address {
+		return false
+	}
+	f.setReader(p, reader, false)
+	return true
+}
+
 // serve holds or follows the place of a level until ctx ends. The holder of the last place reads the store.
 func (f *Feed) serve(ctx context.Context, level int) {
 	if level == len(f.levels) {
@@ -174,10 +196,13 @@
 // looks elsewhere: at another data centre's reader, then at the store.
 func (f *Feed) follow(ctx context.Context, p *place) {
 	retry, own := firstRetry, firstOwnRead
-	var ownRead, elected time.Time
+	// The first own read waits too: a starting daemon finds a reader or a contact address within that time.
+	ownRead := time.Now()
+	var elected time.Time
 	for ctx.Err() == nil && !p.isHeld() {
 		err := errNoReader
-		if reader := p.reader(); reader != "" {
+		if reader := p.reader(); reader != "" || f.learnReader(p) {
+			reader = p.reader()
 			err = f.pull(ctx, reader, p.scope, f.pullWait(p))
 		}
 		if err == nil && f.age() < p.stale {
@@ -218,7 +243,7 @@
 	if !f.isStoreLost() {
 		return true
 	}
-	_, _, err := f.look(ctx, p)
+	_, _, err := f.look(ctx, p, kv.GetStale)
 	return err == nil
 }
 
--- a/topology/fleet_test.go
+++ b/topology/fleet_test.go
@@ -209,9 +209,20 @@
 
 // startWith is start for a daemon with a processor share.
 func (f *fleet) startWith(name, centre string, cores float64, contacts ...string) *daemon {
-	d := &daemon{name: name, dir: NewDirectory(), gate: &gate{Store: f.store}, done: make(chan struct{})}
+	d := &daemon{name: name, gate: &gate{Store: f.store}}
+	return f.startDaemon(d, d.gate, centre, cores, contacts)
+}
+
+// startAt is start for a daemon that reaches the given store.
+func (f *fleet) startAt(store kv.Store, name, centre string, contacts ...string) *daemon {
+	return f.startDaemon(&daemon{name: name}, store, centre, 0, contacts)
+}
+
+func (f *fleet) startDaemon(d *daemon, store kv.Store, centre string, cores float64, contacts []string) *daemon {
+	d.dir, d.done = NewDirectory(), make(chan struct{})
+	name := d.name
 	self := Self{Node: name, DataCentre: centre, Address: name, Cores: cores, Distance: func(string) balancer.Distance { return 0 }}
-	d.feed = NewFeed(d.dir, d.gate, jsonDecoder{}, testKeys, self, contacts, zap.NewNop())
+	d.feed = NewFeed(d.dir, store, jsonDecoder{}, testKeys, self, contacts, zap.NewNop())
 	d.feed.peers.http.Transport = f
 	f.mu.Lock()
 	f.daemons[name] = d
@@ -236,6 +247,21 @@
 	}
 }
 
+// killAll ends daemons without a planned stop: they cannot reach anything any more.
+func (f *fleet) killAll(all map[string]*daemon) {
+	for _, d := range all {
+		d.feed.store = unreachable{d.feed.store}
+		f.stop(d)
+	}
+}
+
+// unreachable is a store that no write reaches any more.
+type unreachable struct{ kv.Store }
+
+func (unreachable) Txn(context.Context, kv.Txn) (kv.TxnResult, error) {
+	return kv.TxnResult{}, kv.ErrUnavailable
+}
+
 func (f *fleet) stopAll() {
 	f.mu.Lock()
 	all := make([]*daemon, 0, len(f.daemons))
--- a/topology/place.go
+++ b/topology/place.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -28,6 +29,10 @@
 	resignTimeout = 300 * time.Millisecond
 	// countInterval is the time between two looks at the claims of the data centres.
 	countInterval = 3 * time.Second
+	// firstCounts is the number of looks after the start of a fleet's reader that follow each other in firstCountInterval:
+	// the data centres find their readers then.
+	firstCounts        = 10
+	firstCountInterval = 300 * time.Millisecond
 	// countHold is how long the count of a data centre without a claim is kept: its daemons are most likely restarting or
 	// choosing another reader.
 	countHold = 20 * time.Second
@@ -93,30 +98,57 @@
 // elect finds the holder of a place, or claims the place if it is free. A claim of an earlier life of this daemon, or
 // one that cannot be read, is taken over.
 func (f *Feed) elect(ctx context.Context, p *place) {
-	if p.reader() == "" {
-		sleep(ctx, spread(electionSpread))
+	item, found, err := f.look(ctx, p, kv.GetStale)
+	if err == nil && !found {
+		if p.reader() == "" {
+			sleep(ctx, f.electionPause(p))
+			f.askContacts(ctx)
+			if f.learnReader(p) {
+				return
+			}
+		}
+		// A claim may be younger than what stale reads show, and a claim costs two writes.
+		item, found, err = f.look(ctx, p, getFresh)
 	}
-	item, found, err := f.look(ctx, p)
-	if err != nil {
+	if err != nil || found && f.takeHolder(p, item) {
 		return
 	}
-	if found {
-		c, err := decodeClaim(item)
-		if err != nil {
-			f.reportUnreadable(item, err)
-		} else if c.Node != f.self.Node {
-			f.setReader(p, c.Reader, false)
-			return
-		}
-	}
 	f.claim(ctx, p, item.ModRevision)
 }
 
-// look reads the claim of a place; the answer may be stale.
-func (f *Feed) look(ctx context.Context, p *place) (kv.Item, bool, error) {
+// takeHolder takes the holder of a place from its claim; it returns false for a claim that this daemon may replace.
+func (f *Feed) takeHolder(p *place, item kv.Item) bool {
+	c, err := decodeClaim(item)
+	if err != nil {
+		f.reportUnreadable(item, err)
+		return false
+	}
+	if c.Node == f.self.Node {
+		return false
+	}
+	f.setReader(p, c.Reader, false)
+	return true
+}
+
+// electionPause returns how long to wait before a claim of a free place.
+func (f *Feed) electionPause(p *place) time.Duration {
+	first := !f.elected
+	f.elected = true
+	if first && p.scope != fleetScope && len(f.contacts) > 0 && !slices.Contains(f.contacts, f.self.Address) {
+		return time.Duration(rand.Int64N(int64(startSpread)))
+	}
+	return spread(electionSpread)
+}
+
+func getFresh(ctx context.Context, store kv.Store, key string) (kv.Item, bool, error) {
+	return store.Get(ctx, key)
+}
+
+// look reads the claim of a place with one of the reads of a key.
+func (f *Feed) look(ctx context.Context, p *place, get func(context.Context, kv.Store, string) (kv.Item, bool, error)) (kv.Item, bool, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	item, found, err := kv.GetStale(call, f.store, p.key)
+	item, found, err := get(call, f.store, p.key)
 	f.storeAnswered("claim", err)
 	return item, found, err
 }
@@ -137,31 +169,40 @@
 	if err != nil {
 		return
 	}
-	ok, err := f.writeClaim(call, p, lease, revision)
+	result, err := f.writeClaim(call, p, lease, revision)
 	f.storeAnswered("claim", err)
-	if err != nil || !ok || time.Since(begin) > leaseTime {
+	switch {
+	case err != nil, time.Since(begin) > leaseTime:
+		return
+	case !result.Succeeded:
+		for _, item := range result.Items {
+			f.takeHolder(p, item)
+		}
 		return
 	}
 	f.setReader(p, f.self.Address, true)
 }
 
-func (f *Feed) writeClaim(ctx context.Context, p *place, lease kv.LeaseID, revision int64) (bool, error) {
+// writeClaim writes this daemon's claim if the key still has the revision; otherwise the result holds the claim that
+// stands.
+func (f *Feed) writeClaim(ctx context.Context, p *place, lease kv.LeaseID, revision int64) (kv.TxnResult, error) {
 	centre := f.centre(time.Now())
 	value, err := json.Marshal(claim{Node: f.self.Node, Centre: centre})
 	if err != nil {
-		return false, eris.Wrap(err, "claim")
+		return kv.TxnResult{}, eris.Wrap(err, "claim")
 	}
 	result, err := f.store.Txn(ctx, kv.Txn{
-		If:   []kv.Compare{{Key: p.key, ModRevision: revision}},
-		Puts: []kv.Put{{Key: p.key, Value: value, Lease: lease}},
+		If:        []kv.Compare{{Key: p.key, ModRevision: revision}},
+		Puts:      []kv.Put{{Key: p.key, Value: value, Lease: lease}},
+		Otherwise: []string{p.key},
 	})
 	if err != nil || !result.Succeeded {
-		return false, err
+		return result, err
 	}
 	p.mu.Lock()
 	p.lease, p.revision, p.centre = lease, result.Revision, centre
 	p.mu.Unlock()
-	return true, nil
+	return result, nil
 }
 
 // renew keeps a claim until it is lost or ctx ends. A claim whose renewals fail for its time to live is lost.
@@ -176,7 +217,9 @@
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		alive, err := f.store.KeepAlive(call, lease)
 		if err == nil && alive && p.scope != fleetScope && !sameCentre(f.centre(begin), centre) {
-			alive, err = f.writeClaim(call, p, lease, revision)
+			var result kv.TxnResult
+			result, err = f.writeClaim(call, p, lease, revision)
+			alive = result.Succeeded
 		}
 		cancel()
 		if ctx.Err() != nil {
@@ -245,9 +288,15 @@
 		at     time.Time
 	}
 	seen := make(map[string]counted)
-	for ctx.Err() == nil {
+	for looks := 0; ctx.Err() == nil; looks++ {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		items, _, err := kv.ListStale(call, f.store, f.keys.Readers+centrePrefix)
+		interval, items, err := countInterval, []kv.Item(nil), error(nil)
+		if looks < firstCounts {
+			interval = firstCountInterval
+			items, _, err = f.store.List(call, f.keys.Readers+centrePrefix)
+		} else {
+			items, _, err = kv.ListStale(call, f.store, f.keys.Readers+centrePrefix)
+		}
 		cancel()
 		f.storeAnswered("claims", err)
 		now := time.Now()
@@ -270,7 +319,7 @@
 			}
 			f.dir.SetCentres(centres)
 		}
-		sleep(ctx, countInterval)
+		sleep(ctx, interval)
 	}
 }
 
