The throttle counts failures of saturated shards only, and admits 1.5 queries for each served

Change: a query that was not answered in time counts only if one of its shards is saturated: at each of its usable replicas as many requests waited as it has slots when it reported its load last. The factor is 1.5, so a pool that answers two thirds in time is left alone.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -109,6 +109,9 @@
 	// reportHalfLife is how fast a reported load loses its weight.
 	reportHalfLife = 150 * time.Millisecond
 
+	// freshReport is the age up to which a reported load says whether a replica is saturated.
+	freshReport = time.Second
+
 	// silenceFactor times the expected time is the age of an attempt from which its replica counts as silent.
 	silenceFactor = 3
 	// leastSilence is the least such age; jitter and short queues stay below it.
@@ -299,6 +302,25 @@
 	return n
 }
 
+// Saturated reports whether at each usable replica of the service as many requests waited as it has slots when it reported
+// its load last. Replicas whose reports are older than freshReport, or that are paused, have no slot to offer; a service
+// without any fresh report is not saturated as far as this daemon knows.
+func (b *Balancer) Saturated(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	full := false
+	for _, r := range b.services[service] {
+		switch {
+		case !b.isUsable(r, now), now.Before(r.pausedUntil), now.Sub(r.loadAt) > freshReport:
+		case r.load.Waiting < r.load.Slots:
+			return false
+		default:
+			full = true
+		}
+	}
+	return full
+}
+
 func (b *Balancer) isUsable(r *replica, now time.Time) bool {
 	serves := r.State == Ready || !r.ReadyAt.IsZero() && now.Sub(r.ReadyAt) < b.leavingUse
 	return serves && !r.gone && len(r.open) < r.share.Connections
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -192,6 +192,22 @@
 	must.True(t, ok, must.Sprint("b started again"))
 }
 
+// TestSaturated guards the difference between replicas that refuse since they are full and ones that refuse with hardly a
+// queue: only the former are helped by less load.
+func TestSaturated(t *testing.T) {
+	b, now := New(1), time.Unix(1000, 0)
+	b.SetShares(func(Server) Share { return Share{Connections: 8, Idle: 8} })
+	b.SetServers(replicas("a", "b"), now)
+	must.False(t, b.Saturated("s", now), must.Sprint("no report"))
+	b.Report("a", Load{Running: 5, Waiting: 8, Slots: 5}, now)
+	must.True(t, b.Saturated("s", now))
+	b.Report("b", Load{Running: 5, Waiting: 1, Slots: 5}, now)
+	must.False(t, b.Saturated("s", now), must.Sprint("b has one soon"))
+	b.Report("b", Load{Running: 5, Waiting: 5, Slots: 5}, now)
+	must.True(t, b.Saturated("s", now))
+	must.False(t, b.Saturated("s", now.Add(2*freshReport)), must.Sprint("old reports"))
+}
+
 // TestLeavingReplicaIsTheLastResort answers the pattern of a planned removal beside a failure: while the other replicas of
 // a shard are silent, one that leaves gets new work, and none once its time is over or while the others are well.
 func TestLeavingReplicaIsTheLastResort(t *testing.T) {
--- a/delegation/message.go
+++ b/delegation/message.go
@@ -68,6 +68,8 @@
 	Last       bool          `json:"last,omitempty"`
 	NotRun     bool          `json:"not_run,omitempty"`
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+	// Saturated is set if a shard was saturated when the part was sent.
+	Saturated bool `json:"saturated,omitempty"`
 	// Single is the answer to a request to one replica; it is in the last part.
 	Single *Single `json:"single,omitempty"`
 }
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/chivemill/chivemill/limit"
@@ -28,14 +29,29 @@
 	return t.(*limit.Throttle)
 }
 
-// record tells the throttle how an admitted query ended. A caller that left early says nothing.
+// record tells the throttle how an admitted query ended. A query that was not answered in time counts only if one of its
+// shards is saturated: less load does not help against replicas that fail or refuse for other reasons. A caller that
+// left early says nothing.
 func (r *run) record(ctx context.Context, t *limit.Throttle, now time.Time) {
 	took := now.Sub(r.request.Received)
 	isCovered := scatter.Reaches(float64(r.included)/float64(len(r.route.Shards)), r.route.LeastCoverage)
-	if !isCovered && ctx.Err() != nil && took < partialAfter(r.route.Target, r.request.Depth) {
-		return
+	switch {
+	case isCovered && took <= r.route.Target+throttleSlack:
+		t.Done(true, now)
+	case !isCovered && ctx.Err() != nil && took < partialAfter(r.route.Target, r.request.Depth):
+	case r.isSaturated(now):
+		t.Done(false, now)
 	}
-	t.Done(isCovered && took <= r.route.Target+throttleSlack, now)
+}
+
+// isSaturated reports whether a shard of the run is saturated, as far as this daemon and its helpers know.
+func (r *run) isSaturated(now time.Time) bool {
+	for i, s := range r.plan.Map.Shards {
+		if r.grouped[i] == nil && r.gateway.balancer.Saturated(s.ID, now) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(r.groups, (*group).isSaturated)
 }
 
 // overloadRetryAfter returns the advised wait after a refusal for overload.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -25,8 +25,10 @@
 
 // collector sends the parts of a query to the daemon that passed it on. It is safe for concurrent use.
 type collector struct {
-	top  int
-	send func(delegation.Part)
+	top int
+	// isSaturated reports whether a shard is saturated; nil for a request to one replica.
+	isSaturated func() bool
+	send        func(delegation.Part)
 
 	mu      sync.Mutex
 	pending []*part
@@ -84,6 +86,7 @@
 		records = append(records, p.Records)
 	}
 	merged.Records = coverage.Top(records, c.top)
+	merged.Saturated = c.isSaturated != nil && c.isSaturated()
 	c.pending = nil
 	c.send(merged)
 }
@@ -130,7 +133,10 @@
 		return eris.Wrap(delegation.ErrNotTaken, "no shards")
 	}
 	request.Shards = shards
-	out := &collector{top: route.Top, send: send}
+	isSaturated := func() bool {
+		return slices.ContainsFunc(shards, func(i int) bool { return g.balancer.Saturated(route.Shards[i], time.Now()) })
+	}
+	out := &collector{top: route.Top, isSaturated: isSaturated, send: send}
 	// The daemon that asks needs what there is before it ends the query.
 	timer := time.AfterFunc(time.Until(request.Received.Add(partialAfter(route.Target, request.Depth))), out.flush)
 	defer timer.Stop()
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -69,8 +69,9 @@
 	// not take the shards, notRun if no replica executed anything for it.
 	first, ended, notTaken, notRun bool
 	err                            error
-	// retryAfter is the wait that the helper advises with notRun.
+	// retryAfter is the wait that the helper advises with notRun. saturated is set once the helper said so of a shard.
 	retryAfter time.Duration
+	saturated  bool
 }
 
 // part is an answer of one or more shards.
@@ -190,6 +191,12 @@
 	return o.notTaken
 }
 
+func (o *group) isSaturated() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.saturated
+}
+
 func (o *group) hasFirst() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -201,6 +208,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.first, o.notRun, o.retryAfter = true, p.NotRun, p.RetryAfter
+	o.saturated = o.saturated || p.Saturated
 	received := &part{Part: delegation.Part{Signatures: p.Signatures, Records: p.Records}}
 	for _, index := range p.Shards {
 		for _, i := range o.Shards {
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -49,6 +49,7 @@
 		return load, &backend.Error{Failure: backend.NotSent, Cause: errSimGone}
 	}
 	if s.waiting >= simQueue {
+		load = balancer.Load{Running: s.running, Waiting: s.waiting, Slots: simSlots}
 		s.mu.Unlock()
 		return load, &backend.Error{Failure: backend.Refused, Refusal: backend.Refusal{Reason: backend.RefusedShedding}}
 	}
@@ -139,10 +140,12 @@
 	s.fleet.mu.Unlock()
 	load, err := r.serve(ctx, work)
 	time.Sleep(hop)
+	if load.Slots > 0 {
+		s.fleet.gateways[s.helper].balancer.Report(c.ID, load, time.Now())
+	}
 	if err != nil {
 		return Answer{}, err
 	}
-	s.fleet.gateways[s.helper].balancer.Report(c.ID, load, time.Now())
 	body := make([]byte, 16)
 	copy(body, c.ID)
 	return Answer{Status: http.StatusOK, Body: body, Signature: c.ID}, nil
--- a/limit/throttle.go
+++ b/limit/throttle.go
@@ -10,7 +10,7 @@
 	// throttleHalfLife is how fast the outcome of a query loses its weight.
 	throttleHalfLife = time.Second
 	// throttleFactor is how many queries are admitted for each that was served. What exceeds 1 looks for more capacity.
-	throttleFactor = 1.2
+	throttleFactor = 1.5
 	// throttlePrior is the number of queries below which their outcomes say little.
 	throttlePrior = 4
 )
