Hedges follow the expected time of the work and the age of each attempt

Cause: a third of the target latency before a hedge is 50 ms for a query of 9 ms of work.

Change: the delay is 10 ms plus 2.5 times the expected time of the work, at most a third of the target; the machine compares it with the age of each shard's open attempt. Tests: scatter TestHedgeWaitsForEachAttempt, gateway TestHedgeDelayFollowsTheWork.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -344,3 +344,11 @@
 	must.NoError(t, err)
 	must.Eq(t, api.NoConfiguration, empty.Serve(context.Background(), requestTo("/o/1")).Err.Kind)
 }
+
+// TestHedgeDelayFollowsTheWork guards short queries: the second attempt of a shard leaves while an answer can still come
+// within the target latency, and that of long work not before most first attempts have ended.
+func TestHedgeDelayFollowsTheWork(t *testing.T) {
+	must.Eq(t, 35*time.Millisecond, hedgeDelay(150*time.Millisecond, 10*time.Millisecond))
+	must.Eq(t, 85*time.Millisecond, hedgeDelay(400*time.Millisecond, 30*time.Millisecond))
+	must.Eq(t, 50*time.Millisecond, hedgeDelay(150*time.Millisecond, 100*time.Millisecond))
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -22,8 +22,11 @@
 )
 
 const (
-	// hedgeFraction of a route's target latency is the wait before a second attempt.
+	// hedgeFraction of a route's target latency is the longest wait before a second attempt. The wait is shorter where the
+	// work is: hedgeFactor times the expected time of an attempt, and hedgeLink for the way there and back.
 	hedgeFraction = 1.0 / 3
+	hedgeFactor   = 2.5
+	hedgeLink     = 10 * time.Millisecond
 	// partialReserve is the fraction of the target latency before its end when a query ends with the shards that it has;
 	// leastReserve is the least such time, for the way to the caller and the opening of its connection.
 	partialReserve = 0.1
@@ -85,7 +88,7 @@
 func (r *run) prepare(ctx context.Context, services []string) {
 	r.answers = make([]*Answer, len(services))
 	r.plan.Request, r.plan.Map, r.plan.MaxAttempts = r.request.ID, evenMap(services), r.route.MaxAttempts
-	r.plan.HedgeDelay = time.Duration(hedgeFraction * float64(r.route.Target))
+	r.plan.HedgeDelay = hedgeDelay(r.route.Target, r.gateway.balancer.Expected(r.route.Name))
 	r.plan.Once = r.route.Safety == routing.Once
 	if r.route.IsQuery() {
 		r.planGroups(services)
@@ -103,6 +106,11 @@
 	r.machine = scatter.NewMachine(&r.plan, r, deadline)
 }
 
+// hedgeDelay returns the wait before a second attempt of work with a target latency and an expected time.
+func hedgeDelay(target, expected time.Duration) time.Duration {
+	return min(time.Duration(hedgeFraction*float64(target)), hedgeLink+time.Duration(hedgeFactor*float64(expected)))
+}
+
 // earn counts the needed sub-requests for shards that this daemon sends itself.
 func (r *run) earn(shards []int) {
 	for _, i := range shards {
--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/chivemill/chivemill/api"
@@ -188,6 +189,16 @@
 // tried returns the number of attempts that a replica may have got.
 func (s *shardState) tried() int { return len(s.attempts) - s.unsent }
 
+// openSince returns the begin of the newest open attempt.
+func (s *shardState) openSince() time.Time {
+	for _, a := range slices.Backward(s.attempts) {
+		if a.open {
+			return a.begin
+		}
+	}
+	return time.Time{}
+}
+
 // giveUpUncovered ends the query if it cannot reach the coverage that the plan requires any more.
 func (m *Machine) giveUpUncovered(now time.Time) {
 	if m.plan.GiveUpBelow == 0 || m.pending == 0 || Reaches(m.reachable(), m.plan.GiveUpBelow) {
@@ -354,8 +365,8 @@
 	}
 }
 
-// hedge sends one more attempt for each shard that is still on an attempt, and rearms itself, because a hedge
-// that the budget refused now may be allowed later.
+// hedge sends one more attempt for each shard whose only open attempt is older than the hedge delay, and rearms itself: a
+// younger attempt turns old, and a hedge that the budget refused now may be allowed later.
 func (m *Machine) hedge(now time.Time) {
 	m.hedgeAt = time.Time{}
 	for i := range m.shards {
@@ -363,7 +374,11 @@
 		if s.done || s.open == 0 || s.open > 1 || s.tried() >= m.plan.MaxAttempts {
 			continue
 		}
-		m.hedgeAt = now.Add(m.plan.HedgeDelay)
+		if due := s.openSince().Add(m.plan.HedgeDelay); now.Before(due) {
+			m.hedgeAt = earlier(due, m.hedgeAt)
+			continue
+		}
+		m.hedgeAt = earlier(now.Add(m.plan.HedgeDelay), m.hedgeAt)
 		if m.plan.MayHedge != nil && !m.plan.MayHedge(i) {
 			continue
 		}
--- a/scatter/machine_test.go
+++ b/scatter/machine_test.go
@@ -309,3 +309,28 @@
 func (f senderFunc) Send(ctx context.Context, replica string, sub backend.Sub) (backend.SubAnswer, error) {
 	return f(ctx, replica, sub)
 }
+
+// TestHedgeWaitsForEachAttempt guards the budget against hedges of attempts that have just begun: an attempt that follows
+// one that never left gets a hedge only when it is itself older than the delay.
+func TestHedgeWaitsForEachAttempt(t *testing.T) {
+	const delay = 40 * time.Millisecond
+	plan := scatter.Plan{
+		Request: "r", Version: snapshot.Version{Index: 1, Map: 1}, Map: snapshot.Uniform(1, "s", 1),
+		HedgeDelay: delay, MaxAttempts: 3, Hedges: &bucket{tokens: 5}, Retries: &bucket{tokens: 5},
+	}
+	m := scatter.NewMachine(&plan, fixedPicker{[]string{"a", "b", "c"}}, begin.Add(time.Second))
+	m.Start(begin)
+	again := begin.Add(30 * time.Millisecond)
+	if actions, _ := m.Settled(0, 0, &backend.Error{Failure: backend.NotSent}, again); len(actions) != 1 {
+		t.Fatalf("actions %v after an attempt that never left", actions)
+	}
+	if actions := m.Tick(begin.Add(delay)); len(actions) != 0 {
+		t.Fatalf("actions %v for an attempt of 10 ms", actions)
+	}
+	if at, ok := m.Wake(); !ok || !at.Equal(again.Add(delay)) {
+		t.Fatalf("wakes at %v, %v", at, ok)
+	}
+	if actions := m.Tick(again.Add(delay)); len(actions) != 1 || actions[0].Kind != scatter.ActionSend {
+		t.Fatalf("actions %v for an attempt as old as the delay", actions)
+	}
+}
