--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -37,6 +37,8 @@
 	HelperSilent    = "helper silent"
 	ShardsNotTaken  = "shards not taken by helper"
 	PartUnusable    = "part of a helper cannot be used"
+	// PanicContained is a panic that ended one request, attempt or message and not the process.
+	PanicContained = "panic contained"
 
 	// Requests.
 	RequestFailed   = "request failed"
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -117,6 +117,11 @@
 func (o *group) ask(ctx context.Context) {
 	r := o.run
 	g, q := r.gateway, r.request
+	defer func() {
+		if p := recover(); p != nil {
+			o.end(ctx, g.contained(p, inExchange, q.ID))
+		}
+	}()
 	shards := make([]int, len(o.Shards))
 	for k, i := range o.Shards {
 		shards[k] = r.routeIndex(i)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -319,9 +319,15 @@
 }
 
 // serveIn answers a request in a view.
-func (g *Gateway) serveIn(ctx context.Context, request *Request, view topology.View) Reply {
+func (g *Gateway) serveIn(ctx context.Context, request *Request, view topology.View) (answer Reply) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer func() {
+		if p := recover(); p != nil {
+			err := g.contained(p, inRequest, request.ID)
+			answer = Reply{Err: api.Wrap(api.Internal, err, "the request could not be answered")}
+		}
+	}()
 	reply, r := g.serve(ctx, request, view)
 	g.report(ctx, request, reply, r)
 	return reply
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -44,6 +44,8 @@
 	denied   metric.Int64Counter
 	// delegated counts the sets of shards that were passed to helpers.
 	delegated metric.Int64Counter
+	// panics counts the contained panics by where they came up.
+	panics metric.Int64Counter
 
 	// sets caches attribute sets, whose construction costs more than the count.
 	sets sync.Map
@@ -79,6 +81,9 @@
 	m.delegated, err = meter.Int64Counter("chivemill_delegated",
 		metric.WithDescription("Sets of shards passed to helpers by outcome: answered, refused, silent or abandoned."))
 	keep(err)
+	m.panics, err = meter.Int64Counter("chivemill_panics",
+		metric.WithDescription("Panics that ended one request, attempt or exchange with a helper and not the process, by where they came up."))
+	keep(err)
 	keep(registerGauges(meter, g))
 	return m, errors.Join(errs...)
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -307,8 +307,13 @@
 	return scatter.Target{ID: choice.ID, Done: done}, true
 }
 
-// attempt implements scatter.SendFunc.
-func (r *run) attempt(ctx context.Context, a scatter.Action) (func(), error) {
+// attempt implements scatter.SendFunc. After a panic the replica may have executed the request.
+func (r *run) attempt(ctx context.Context, a scatter.Action) (take func(), err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			take, err = nil, &backend.Error{Failure: backend.ConnectionLost, Cause: r.gateway.contained(p, inAttempt, r.request.ID)}
+		}
+	}()
 	if g := r.grouped[a.Shard]; g != nil && a.Attempt == 0 {
 		p, err := g.wait(ctx, a.Shard)
 		return func() { r.take(p) }, err
--- a/topology/health.go
+++ b/topology/health.go
@@ -114,24 +114,34 @@
 		if err != nil {
 			return err
 		}
-		var m healthMessage
-		if err := json.Unmarshal(buf[:n], &m); err != nil {
-			f.log.Warn(eventlog.DatagramUnusable, zap.Int("bytes", n), zap.Error(err))
-			continue
-		}
-		if m.Node == f.self.Node {
-			continue
-		}
-		if changed := source.Hear(m.News, time.Now()); changed > 0 {
-			f.log.Debug(eventlog.HealthHeard, zap.String("from", m.Node), zap.Int("replicas", changed))
-		}
-		for _, notice := range m.Crashing {
-			learner.Learn(notice)
-		}
-		if f.levels[0].isHeld() {
-			m.Hops++
-			f.spread(conn, m)
+		f.take(conn, buf[:n], source, learner)
+	}
+}
+
+// take takes a datagram. One that cannot be used, whatever it holds, is logged and ends nothing.
+func (f *Feed) take(conn net.PacketConn, data []byte, source HealthSource, learner Learner) {
+	defer func() {
+		if p := recover(); p != nil {
+			f.log.Error(eventlog.PanicContained, zap.Int("bytes", len(data)), zap.Any("panic", p), zap.Stack("stack"))
 		}
+	}()
+	var m healthMessage
+	if err := json.Unmarshal(data, &m); err != nil {
+		f.log.Warn(eventlog.DatagramUnusable, zap.Int("bytes", len(data)), zap.Error(err))
+		return
+	}
+	if m.Node == f.self.Node {
+		return
+	}
+	if changed := source.Hear(m.News, time.Now()); changed > 0 {
+		f.log.Debug(eventlog.HealthHeard, zap.String("from", m.Node), zap.Int("replicas", changed))
+	}
+	for _, notice := range m.Crashing {
+		learner.Learn(notice)
+	}
+	if f.levels[0].isHeld() {
+		m.Hops++
+		f.spread(conn, m)
 	}
 }
 
