--- a/delegation/message.go
+++ b/delegation/message.go
@@ -22,6 +22,8 @@
 	PathQuery = "/v1/query"
 	// maxMessage bounds a query and an answer in bytes.
 	maxMessage = 32 << 20
+	// maxHead bounds the head of an answer in bytes.
+	maxHead = 64 << 10
 	// idleTimeout is how long an unused connection to a helper is kept.
 	idleTimeout = 15 * time.Second
 	// idlePerHelper bounds the unused connections to a helper.
@@ -127,11 +129,12 @@
 // NewClient returns a client without connections.
 func NewClient() *Client {
 	return &Client{&http.Client{Transport: &http.Transport{
-		DialContext:           (&net.Dialer{}).DialContext,
-		MaxIdleConnsPerHost:   idlePerHelper,
-		IdleConnTimeout:       idleTimeout,
-		ExpectContinueTimeout: continueTimeout,
-		DisableCompression:    true,
+		DialContext:            (&net.Dialer{}).DialContext,
+		MaxIdleConnsPerHost:    idlePerHelper,
+		IdleConnTimeout:        idleTimeout,
+		ExpectContinueTimeout:  continueTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHead,
 	}}}
 }
 
--- a/delegation/pool.go
+++ b/delegation/pool.go
@@ -160,12 +160,7 @@
 		return nil
 	}
 	if depth == 0 {
-		centre := p.bestCentre(shards)
-		least := 0.0
-		if centre == p.self.DataCentre {
-			least = coresGain * p.self.Cores
-		}
-		if h := p.pick(centre, least, now); h != nil {
+		if h := p.pickWhole(shards, now); h != nil {
 			all := make([]int, len(shards))
 			for i := range all {
 				all[i] = i
@@ -195,6 +190,29 @@
 	return groups
 }
 
+// PassesOn reports whether Plan would pass a caller's query over the shards on to one helper.
+func (p *Pool) PassesOn(shards []string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	centre, least := p.whole(shards)
+	return len(shards) >= leastGroup && slices.ContainsFunc(p.centres[centre], func(h *helper) bool { return h.isUsable(least, now) })
+}
+
+// whole returns the data centre whose helpers answer a whole query, and the least number of cores that they have.
+func (p *Pool) whole(shards []string) (centre string, least float64) {
+	centre = p.bestCentre(shards)
+	if centre == p.self.DataCentre {
+		least = coresGain * p.self.Cores
+	}
+	return centre, least
+}
+
+// pickWhole chooses a helper for a whole query, nil if none is usable.
+func (p *Pool) pickWhole(shards []string, now time.Time) *helper {
+	centre, least := p.whole(shards)
+	return p.pick(centre, least, now)
+}
+
 // PlanSingle returns a helper near the replicas of a service for a request to one of them; ok is false if none is usable.
 // Done must be called once for a returned helper.
 func (p *Pool) PlanSingle(service string, now time.Time) (h Helper, ok bool) {
@@ -227,7 +245,7 @@
 	}
 	for i := range list {
 		h := list[(start+i)%len(list)]
-		if now.Before(h.pausedUntil) || h.cores < leastCores {
+		if !h.isUsable(leastCores, now) {
 			continue
 		}
 		if best == nil || h.load() < best.load() {
@@ -276,6 +294,10 @@
 	return best
 }
 
+func (h *helper) isUsable(leastCores float64, now time.Time) bool {
+	return !now.Before(h.pausedUntil) && h.cores >= leastCores
+}
+
 func (h *helper) load() float64 { return float64(h.inFlight+1) / h.cores }
 
 func (h *helper) pause() time.Duration { return min(longestPause, firstPause<<min(h.failures-1, 10)) }
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -213,7 +213,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.first, o.notRun, o.retryAfter = true, p.NotRun, p.RetryAfter
-	o.saturated = o.saturated || p.Saturated
+	if p.Saturated {
+		o.saturated = true
+		o.run.gateway.saturatedAt.Store(o.run.route.Name, time.Now())
+	}
 	received := &part{Part: delegation.Part{Signatures: p.Signatures, Records: p.Records}}
 	for _, index := range p.Shards {
 		for _, i := range o.Shards {
--- a/gateway/delegate_test.go
+++ b/gateway/delegate_test.go
@@ -337,6 +337,9 @@
 			throttle.Done(false, time.Now())
 		}
 		helper.throttles.Store("query", throttle)
+		for _, id := range []string{"s1-0", "s1-1"} {
+			helper.balancer.Report(id, balancer.Load{Running: 4, Waiting: 9, Slots: 4}, time.Now())
+		}
 		g, _, f := newDelegating(t)
 		f.answer = func(ctx context.Context, q delegation.Query, _ time.Duration, receive func(delegation.Part)) error {
 			return helper.Answer(ctx, q, receive)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,6 +142,8 @@
 
 	// throttles holds a *limit.Throttle per route name.
 	throttles sync.Map
+	// saturatedAt holds the time.Time of the last part of a helper with a saturated shard, per route name.
+	saturatedAt sync.Map
 
 	mu      sync.Mutex
 	shares  *shares
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -142,8 +142,9 @@
 				fmt.Sprintf("%d of %d shards have a replica with room", room, len(route.Shards)))
 		}
 	}
-	if t := r.throttle(); t != nil {
-		if !t.Admit(r.gateway.draw(), now) {
+	if t := r.throttle(now); t != nil {
+		saturated := func() bool { return r.gateway.isSaturated(route, now) }
+		if !t.Admit(r.gateway.draw(), saturated, now) {
 			return refuse(api.Overloaded, r.gateway.overloadRetryAfter(), "too few queries were answered in time lately")
 		}
 		defer func() { r.record(ctx, t, time.Now()) }()
--- a/limit/throttle.go
+++ b/limit/throttle.go
@@ -10,7 +10,7 @@
 	// throttleHalfLife is how fast the outcome of a query loses its weight.
 	throttleHalfLife = time.Second
 	// throttleFactor is how many queries are admitted for each that was served. What exceeds 1 looks for more capacity.
-	throttleFactor = 1.5
+	throttleFactor = 1.25
 	// throttlePrior is the number of queries below which their outcomes say little.
 	throttlePrior = 4
 )
@@ -29,12 +29,14 @@
 // NewThrottle returns a throttle that admits all queries until some were not served.
 func NewThrottle() *Throttle { return &Throttle{} }
 
-// Admit decides on a query; draw is a random number from [0, 1). A query that is admitted ends with Done.
-func (t *Throttle) Admit(draw float64, now time.Time) bool {
+// Admit decides on a query; draw is a random number from [0, 1). While the pool is not saturated as far as is known, all
+// are admitted: the outcomes of the last second are slow to show that its capacity is back. A query that is admitted ends
+// with Done.
+func (t *Throttle) Admit(draw float64, saturated func() bool, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fade(now)
-	if draw < (t.offered-throttleFactor*t.served)/(t.offered+throttlePrior) {
+	if draw < (t.offered-throttleFactor*t.served)/(t.offered+throttlePrior) && saturated() {
 		t.offered++
 		return false
 	}
