The operator's limits on heads and idle connections are enforced

Cause: MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs were read and not enforced, since the fields of http.Server cannot change while it serves. A thousand callers could hold a megabyte of head each, and idle connections stayed for good.

Change: internal/connlimit wraps callers' connections: the phase of a connection (opened, waiting, head, serving) gives the deadline of its reads, limits are read anew for each and every 5 s while it waits, a head that is too large gets 431.

Tests: connlimit TestIdleConnectionsEnd, TestSlowHeadsEnd, TestLargeHeadsAreRefused, TestLimitsChangeWhileConnectionsAreOpen (none of these limits held before).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/chivemill/chivemill/drain"
 	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/gateway"
+	"github.com/chivemill/chivemill/internal/connlimit"
 	"github.com/chivemill/chivemill/metrics"
 	"github.com/chivemill/chivemill/platform"
 	"github.com/chivemill/chivemill/topology"
@@ -35,9 +36,11 @@
 	refuseFraction = 0.5
 	// endFraction of the grace time is when the requests in flight get a final answer.
 	endFraction = 5.0 / 6
-	// headerTimeout bounds how long a caller takes to send a request's head. It is far above what the operator's limit
-	// allows, which is not known before the first configuration.
+	// headerTimeout bounds how long a caller takes to send a request's head while the operator's limit is not known.
 	headerTimeout = 30 * time.Second
+	// internalHeadTimeout and internalHeadBytes bound the heads of requests from daemons and the platform.
+	internalHeadTimeout = 5 * time.Second
+	internalHeadBytes   = 64 << 10
 	// leavingMargin is how much earlier than allowed a draining replica gets its last new request: an attempt may wait for a
 	// connection, and the daemons' lists are confirmed with a delay.
 	leavingMargin = 1500 * time.Millisecond
@@ -108,17 +111,23 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	internal := func(h http.Handler) *http.Server {
+		return &http.Server{Handler: h, ReadHeaderTimeout: internalHeadTimeout, MaxHeaderBytes: internalHeadBytes}
+	}
 	for _, s := range []struct {
 		server  *http.Server
 		address string
 	}{
-		{d.callers, d.set.Callers}, {&http.Server{Handler: ready}, d.set.Ready},
-		{&http.Server{Handler: peers}, d.set.Peers}, {&http.Server{Handler: collected}, d.set.MetricsAddress()},
+		{d.callers, d.set.Callers}, {internal(ready), d.set.Ready}, {internal(peers), d.set.Peers},
+		{internal(collected), d.set.MetricsAddress()},
 	} {
 		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
+		if s.server == d.callers {
+			listener = connlimit.Install(s.server, listener, d.callerLimits)
+		}
 		go func() {
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				d.failed <- eris.Wrapf(err, "server at %s", s.address)
@@ -128,6 +137,16 @@
 	return nil
 }
 
+// callerLimits returns the operator's limits on connections of callers; before the first configuration heads have
+// headerTimeout and idle connections are kept.
+func (d *Daemon) callerLimits() connlimit.Limits {
+	limits, ok := d.gateway.Limits()
+	if !ok {
+		return connlimit.Limits{}
+	}
+	return connlimit.Limits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
+}
+
 // hooks connects the planned stop to the daemon: while the balancer may send more, requests are served and their
 // connections closed; then new ones are refused, and those in flight get a final answer before the grace time ends.
 func (d *Daemon) hooks() drain.Hooks {
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -31,6 +31,9 @@
 	pullTimeout = 300 * time.Millisecond
 	// maxPull bounds the body of an answer in bytes.
 	maxPull = 16 << 20
+	// maxPullRequest bounds the body of a pull, maxPullHead the head of its answer, in bytes.
+	maxPullRequest = 64 << 10
+	maxPullHead    = 64 << 10
 )
 
 // pullRequest asks for what is newer than the follower's view.
@@ -85,10 +88,11 @@
 
 func newPeerClient() peerClient {
 	return peerClient{http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: pullTimeout}).DialContext,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     10 * time.Second,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: pullTimeout}).DialContext,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        10 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxPullHead,
 	}}}
 }
 
@@ -192,7 +196,7 @@
 
 func (f *Feed) servePull(w http.ResponseWriter, r *http.Request) {
 	var request pullRequest
-	if err := httpjson.Read(r.Body, maxPull, &request); err != nil {
+	if err := httpjson.Read(r.Body, maxPullRequest, &request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
