--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -276,3 +276,47 @@
 		})
 	}
 }
+
+// TestFleetSpreadsItsLoad answers the pattern of a fleet that all learned the same of a service, half of whose replicas
+// are slow: the daemons, each with a request now and then, share the others evenly and do not all choose the same one.
+func TestFleetSpreadsItsLoad(t *testing.T) {
+	const (
+		daemons, size = 195, 22
+		// mostOfMean is how much more than the mean one replica may get.
+		mostOfMean = 1.5
+	)
+	servers := make([]Server, size)
+	var news []Health
+	for i := range servers {
+		servers[i] = Server{ID: fmt.Sprint("r", i), Service: "s", Address: "10.0.0.1:1", Distance: SameRegion, Slots: 2}
+		if i%2 == 0 {
+			news = append(news, Health{Replica: servers[i].ID, Slowness: 8})
+		}
+	}
+	now := time.Unix(1000, 0)
+	var fleet []*Balancer
+	for d := range daemons {
+		b := New(uint64(d))
+		b.SetShares(func(Server) Share { return Share{Connections: 4, Idle: 4} })
+		b.SetServers(servers, now)
+		fleet = append(fleet, b)
+	}
+	counts := make(map[string]int)
+	const rounds = 40
+	for range rounds {
+		for _, b := range fleet {
+			b.Hear(news, now)
+			c, ok := b.Pick("s", testWork, nil, now)
+			must.True(t, ok)
+			counts[c.ID]++
+			// Replicas of equal worth differ by a fifth from request to request.
+			took := time.Duration(100+7*(counts[c.ID]%4)) * time.Millisecond
+			b.Report(c.ID, Load{Running: 1, Slots: 2}, now.Add(took))
+			b.Done(c.ID, testWork.Kind, now, Answered, now.Add(took))
+		}
+		now = now.Add(time.Second)
+	}
+	for id, n := range counts {
+		must.LessEq(t, mostOfMean*daemons*rounds/(size/2), float64(n), must.Sprint(id))
+	}
+}
