--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -21,6 +21,7 @@
 
 // Env is what the commands use of the outside world.
 type Env struct {
+	In       io.Reader
 	Out, Err io.Writer
 	// Author is recorded with changes unless --author is given.
 	Author string
@@ -36,7 +37,7 @@
 func DefaultEnv() Env {
 	client := &http.Client{Timeout: statusTimeout}
 	return Env{
-		Out: os.Stdout, Err: os.Stderr, Author: os.Getenv("USER"),
+		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Author: os.Getenv("USER"),
 		Open:       func(endpoints []string) (kv.Store, error) { return etcdjson.New(endpoints) },
 		Status:     httpStatus[entry.Status](client),
 		EdgeStatus: httpStatus[edge.Status](client),
@@ -87,6 +88,7 @@
 			{Name: "service", Usage: "change and show which profile each service runs under", Commands: a.serviceCommands()},
 			a.statusCommand(),
 			a.edgeCommand(),
+			a.explainCommand(),
 		},
 	}
 	prepare(cmd)
--- a/internal/ctl/edge_test.go
+++ b/internal/ctl/edge_test.go
@@ -36,3 +36,25 @@
 	code, _ = run("edge")
 	must.NotEq(t, ExitOK, code)
 }
+
+// TestExplain guards the command that operators use after a complaint: a file, standard input, JSON, and a request of which
+// the logs have no line.
+func TestExplain(t *testing.T) {
+	f := newFleet(t)
+	const line = `{"ts":"2026-12-04T12:00:00Z","msg":"request refused","node":"e1","request":"r1","result":"overloaded","took_ms":0,"wait_ms":900,"reason":"8 of 10 shards have a replica with room"}`
+	log := f.file("e1.log", line+"\n")
+	code, out, _ := f.run("explain", "r1", log)
+	must.Eq(t, ExitOK, code)
+	must.StrContains(t, out, "cause: it was refused before anything was sent: 8 of 10 shards have a replica with room")
+	code, out, _ = f.run("--output", "json", "explain", "r1", log)
+	must.Eq(t, ExitOK, code)
+	must.StrContains(t, out, `"result": "overloaded"`)
+	code, out, _ = f.run("explain", "r2", log)
+	must.Eq(t, ExitNotFound, code)
+	must.StrContains(t, out, "no line of request r2")
+	code, _, errs := f.run("explain", "r1", f.dir+"/none.log")
+	must.NotEq(t, ExitOK, code)
+	must.StrContains(t, errs, "none.log")
+	code, _, _ = f.run("explain")
+	must.Eq(t, ExitInvalid, code)
+}
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -28,7 +28,7 @@
   0  done
   1  usage error, or a document or name that is not valid; nothing was changed
   2  conflict: another change was accepted first; nothing was changed
-  3  the profile or binding does not exist
+  3  the profile or binding does not exist, or the logs have no line of the request
   4  refused: the profile is in use or retired; nothing was changed
   5  the store or an entry daemon cannot be reached; nothing was changed
   6  the store's answer was lost and the outcome could not be determined; check before you repeat
