--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -56,7 +57,7 @@
 	case errors.Is(err, delegation.ErrNotTaken):
 		r.relayedTo = ""
 		return Reply{}, false
-	case err == nil && single != nil:
+	case err == nil && isUsable(single):
 		return replyOf(single), true
 	case isPast(ctx):
 		return Reply{Err: api.Errorf(api.DeadlineExceeded, "the helper did not answer")}, true
@@ -97,6 +98,11 @@
 	}
 }
 
+// isUsable reports whether a helper gave an answer with a final status, or an error.
+func isUsable(single *delegation.Single) bool {
+	return single != nil && (single.Error != "" || single.Status >= http.StatusOK && single.Status < 600)
+}
+
 // replyOf returns the reply that a helper gave.
 func replyOf(single *delegation.Single) Reply {
 	if single.Error != "" {
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// TestUnusableRelayAnswerIsNone guards callers, and the server that writes to them, against an answer without a final status.
+func TestUnusableRelayAnswerIsNone(t *testing.T) {
+	for _, single := range []*delegation.Single{nil, {}, {Status: -1}, {Status: 101}, {Status: 999}} {
+		synctest.Test(t, func(t *testing.T) {
+			g, _, f := newRelaying(t)
+			f.answer = func(_ context.Context, _ delegation.Query, _ time.Duration, receive func(delegation.Part)) error {
+				receive(delegation.Part{Last: true, Single: single})
+				return nil
+			}
+			must.Eq(t, api.OutcomeUnknown, g.Serve(t.Context(), requestTo("/o/1")).Err.Kind)
+		})
+	}
+}
+
 // TestSilentRelayEndsSoon answers the pattern of a helper that took a request and lost its power: the caller learns of it
 // soon after the target latency. One that says that it works on the request has until the deadline.
 func TestSilentRelayEndsSoon(t *testing.T) {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/chivemill/chivemill/api"
@@ -56,6 +57,9 @@
 			text = format
 		}
 	}
+	if helpers := v.lostHelpers(); len(helpers) > 0 {
+		text += fmt.Sprintf("; helpers that took shards and whose answer did not come: %s", strings.Join(helpers, ", "))
+	}
 	if attempts := v.attempts(); len(attempts) > 0 {
 		text += "; attempts without an answer: " + strings.Join(attempts, ", ")
 	}
@@ -64,3 +68,14 @@
 	}
 	return text
 }
+
+// lostHelpers returns the helpers whose answer was lost or did not come in time.
+func (v *Visit) lostHelpers() (lost []string) {
+	for _, a := range v.Attempts {
+		fields := strings.Fields(a)
+		if len(fields) == 5 && fields[2] == "broken" && slices.Contains(v.Helpers, fields[1]) && !slices.Contains(lost, fields[1]) {
+			lost = append(lost, fields[1])
+		}
+	}
+	return lost
+}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -46,6 +46,7 @@
 		must.Eq(t, "edge-coimbra-a-3", first.Asked[0].Asked[0].Node)
 		must.SliceEmpty(t, e.Lacking)
 		must.StrContains(t, e.Cause, "too few shards answered")
+		must.StrContains(t, e.Cause, "whose answer did not come: 10.5.0.9:8346")
 		must.StrContains(t, e.Cause, "6 abandoned cancelled")
 		must.StrContains(t, e.Cause, "the budget of extra attempts refused 13")
 		var out bytes.Buffer
