--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -44,28 +44,42 @@
 		begun.Store(true)
 		single = p.Single
 	})
-	outcome := relayOutcome(ctx, err, time.Since(begin))
+	r.reportRelay(ctx, helper, service, begin, err)
+	switch {
+	case errors.Is(err, delegation.ErrNotTaken):
+		return Reply{}, false
+	case err == nil && isUsable(single):
+		r.relayedTo = helper.Address
+		return replyOf(single), true
+	default:
+		r.relayedTo = helper.Address
+		return Reply{Err: r.lostRelay(ctx, err)}, true
+	}
+}
+
+// reportRelay tells the pool, the metrics and the log how an exchange with a helper ended.
+func (r *run) reportRelay(ctx context.Context, helper delegation.Helper, service string, begin time.Time, err error) {
+	g := r.gateway
+	took := time.Since(begin)
+	outcome := relayOutcome(ctx, err, took)
 	paused, recovered := g.helpers.Done(helper.Address, outcome, begin, time.Now())
 	g.metrics.delegated.Add(context.Background(), 1, g.metrics.label("outcome", outcome.String()))
 	if event := helperEvent(paused, recovered, outcome); event != "" {
 		g.log.Info(event, zap.String("request", r.request.ID), zap.String("helper", helper.Address),
-			zap.String("outcome", outcome.String()), zap.String("service", service),
-			zap.Duration("took_ms", time.Since(begin)), zap.Error(err))
+			zap.String("outcome", outcome.String()), zap.String("service", service), zap.Duration("took_ms", took), zap.Error(err))
 	}
-	r.relayedTo = helper.Address
+}
+
+// lostRelay returns the error of a request that a helper took and did not answer: a replica may have executed it.
+func (r *run) lostRelay(ctx context.Context, err error) *api.Error {
+	kind := api.ReplicasFailed
 	switch {
-	case errors.Is(err, delegation.ErrNotTaken):
-		r.relayedTo = ""
-		return Reply{}, false
-	case err == nil && isUsable(single):
-		return replyOf(single), true
 	case isPast(ctx):
-		return Reply{Err: api.Errorf(api.DeadlineExceeded, "the helper did not answer")}, true
+		kind = api.DeadlineExceeded
 	case r.route.Safety == routing.Once:
-		return Reply{Err: api.Errorf(api.OutcomeUnknown, "the helper took the request and did not answer: %v", err)}, true
-	default:
-		return Reply{Err: api.Errorf(api.ReplicasFailed, "the helper took the request and did not answer: %v", err)}, true
+		kind = api.OutcomeUnknown
 	}
+	return api.Errorf(kind, "the helper took the request and gave no usable answer: %v", err)
 }
 
 // relayOutcome returns what the end of an exchange that took so long says of the helper.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -28,8 +28,8 @@
 	hedgeFactor   = 2.5
 	hedgeLink     = 10 * time.Millisecond
 	// partialReserve is the fraction of the target latency before its end when a query ends with the shards that it has;
-	// leastReserve is the least such time: the opening of the caller's connection and the answer take two round trips to it, and a
-	// daemon with a small processor share ends a query some milliseconds late.
+	// leastReserve is the least such time: the opening of the caller's connection and the answer take two round trips to
+	// it, and a daemon with a small processor share ends a query some milliseconds late.
 	partialReserve = 0.1
 	leastReserve   = 26 * time.Millisecond
 	// groupReserve is how much earlier a query ends that helpers answer, and how much earlier a helper sends what it has
--- a/topology/fuzz_test.go
+++ b/topology/fuzz_test.go
@@ -49,7 +49,7 @@
 		b := balancer.New(1)
 		now := time.Now()
 		b.SetServers(servers("a", "b"), now)
-		feed.take(deaf{}, data, heard{b}, heard{b})
+		feed.takeDatagram(deaf{}, data, heard{b}, heard{b})
 		for _, s := range b.Statuses(now) {
 			must.Between(t, 0.4, s.Slowness, 21)
 		}
--- a/topology/health.go
+++ b/topology/health.go
@@ -114,12 +114,12 @@
 		if err != nil {
 			return err
 		}
-		f.take(conn, buf[:n], source, learner)
+		f.takeDatagram(conn, buf[:n], source, learner)
 	}
 }
 
-// take takes a datagram. One that cannot be used, whatever it holds, is logged and ends nothing.
-func (f *Feed) take(conn net.PacketConn, data []byte, source HealthSource, learner Learner) {
+// takeDatagram takes a message about health or crashing requests. One that cannot be used, whatever it holds, is logged and ends nothing.
+func (f *Feed) takeDatagram(conn net.PacketConn, data []byte, source HealthSource, learner Learner) {
 	defer func() {
 		if p := recover(); p != nil {
 			f.log.Error(eventlog.PanicContained, zap.Int("bytes", len(data)), zap.Any("panic", p), zap.Stack("stack"))
