--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// leave makes the replica refuse connections from now on.
+func (s *simReplica) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = true
+}
+
+// slowDown multiplies the time of the replica's work from now on.
+func (s *simReplica) slowDown(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow *= factor
+}
+
 // simFleet is a set of helpers with one set of replicas, in virtual time.
 type simFleet struct {
 	rng      *rand.Rand
@@ -178,7 +192,7 @@
 		must.NoError(t, err)
 		sender := &simSender{fleet: f, helper: h}
 		b := balancer.New(uint64(h))
-		g, err := New(Options{BudgetRatio: 0.2, BudgetFixed: 430, BudgetSpan: 10 * time.Second}, dir, b, sender, f.rng.Float64, noop.Meter{}, zap.NewNop())
+		g, err := New(Options{BudgetRatio: 0.2, BudgetFixed: 430, BudgetSpan: 10 * time.Second}, dir, b, sender, f.draw, noop.Meter{}, zap.NewNop())
 		must.NoError(t, err)
 		f.gateways = append(f.gateways, g)
 		g.setShares(&shares{daemons: simHelpers, known: true, limits: limitsOf(services)})
@@ -196,6 +210,13 @@
 	return limits
 }
 
+// draw returns a random number from [0, 1).
+func (f *simFleet) draw() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Float64()
+}
+
 // setList gives all helpers the list of replicas, each with its own distances.
 func (f *simFleet) setList() {
 	for h, g := range f.gateways {
@@ -293,13 +314,14 @@
 			var wg sync.WaitGroup
 			f.load(calm, 2*time.Second, &wg)
 			for i := range simShards {
-				switch away, slow := f.replicas[simID(i, 0)], f.replicas[simID(i, 1)]; {
+				switch {
 				case i < 2:
-					away.gone, slow.gone = true, true
-					f.replicas[simID(i, 2)].slow *= 11
+					f.replicas[simID(i, 0)].leave()
+					f.replicas[simID(i, 1)].leave()
+					f.replicas[simID(i, 2)].slowDown(11)
 				case i%3 == 0:
-					away.gone = true
-					slow.slow *= 7
+					f.replicas[simID(i, 0)].leave()
+					f.replicas[simID(i, 1)].slowDown(7)
 				}
 			}
 			f.load(calm, 2*time.Second, &wg)
