--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -19,6 +19,7 @@
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/topology"
 )
@@ -153,7 +154,7 @@
 	r := s.fleet.replicas[c.ID]
 	s.fleet.mu.Unlock()
 	load, err := r.serve(ctx, work)
-	time.Sleep(hop)
+	testseed.Wait(hop)
 	if load.Slots > 0 {
 		s.fleet.gateways[s.helper].balancer.Report(c.ID, load, time.Now())
 	}
@@ -243,7 +244,7 @@
 			path = "/s/1"
 		}
 		f.mu.Unlock()
-		time.Sleep(pause)
+		testseed.Wait(pause)
 		wg.Go(func() { f.ask(path, helper) })
 	}
 }
@@ -327,7 +328,7 @@
 			f.load(calm, 2*time.Second, &wg)
 			f.load(burst, 5*time.Second, &wg)
 			wg.Wait()
-			time.Sleep(time.Second) // cancelled attempts end
+			testseed.Wait(time.Second) // cancelled attempts end
 			for k := begin; k < end; k++ {
 				s := f.seconds[k]
 				t.Logf("seed %d, second %d: %+v", seed+1, k, *s)
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/delegation"
+	"github.com/chivemill/chivemill/internal/testseed"
 )
 
 // newRelaying is newDelegating for a daemon of a fleet that is larger than the connections to the replicas of service o.
@@ -52,7 +53,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g, sender, f := newRelaying(t)
 		f.answer = func(_ context.Context, _ delegation.Query, takenIn time.Duration, _ func(delegation.Part)) error {
-			time.Sleep(takenIn)
+			testseed.Wait(takenIn)
 			return delegation.ErrNotTaken
 		}
 		reply := g.Serve(t.Context(), requestTo("/o/1"))
--- a/topology/start_test.go
+++ b/topology/start_test.go
@@ -50,7 +50,7 @@
 	s.kinds[kind]++
 	s.mu.Unlock()
 	s.tenths.Add(tenths)
-	time.Sleep(callTime)
+	testseed.Wait(callTime)
 }
 
 // record keeps the states that stale reads are served from, until ctx ends.
