A starting daemon asks other daemons before it takes a stale list

Cause: a start took the list of a stale read, which may be seconds old, and served with it until another daemon answered: a replica that had left longer ago than it has to be known got requests in between. TestStartUsesNoReplicaThatHadLeft failed first (stale reads 5 s old, 24 ms between daemons).

Change: the contact addresses are asked first, for at most 80 ms; a fresh view from one of them needs no read of the store. A start of the whole fleet, in which none of them is fresh, goes on as before, 80 ms later where they do not refuse.

--- a/topology/feed.go
+++ b/topology/feed.go
@@ -39,6 +39,9 @@
 	// startSpread is that span for the first claims of starting daemons, all of which may start at once. Until then they
 	// serve with the view of their start; the contact addresses do not wait, so that the others learn the readers of them.
 	startSpread = 2500 * time.Millisecond
+	// startAsk bounds the questions to the contact addresses before the first read: a few round trips to another region. A
+	// contact address without power does not refuse.
+	startAsk = 80 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
@@ -130,9 +133,16 @@
 	f.resign()
 }
 
-// start gets a first view with two calls: from the store, or from another daemon if the store does not answer. The
-// reads may be stale, since fresh ones follow within a second.
+// start gets a first view: a fresh one from a contact address that answers at once, or one from two stale reads of the
+// store, or from another daemon if the store does not answer. A stale list may name replicas that left seconds ago as
+// ready, so it is only taken while no daemon has a fresh one; fresh reads follow within a second.
 func (f *Feed) start(ctx context.Context) {
+	ask, cancel := context.WithTimeout(ctx, startAsk)
+	f.askContacts(ask)
+	cancel()
+	if f.age() < staleCentre {
+		return
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() { f.readConfig(ctx, mayBeStale) })
 	wg.Go(func() { f.readServers(ctx, mayBeStale) })
--- a/topology/fleet_test.go
+++ b/topology/fleet_test.go
@@ -139,7 +139,9 @@
 type fleet struct {
 	store *kvtest.Memory
 	// passed counts the bytes that daemons got from daemons.
-	passed  atomic.Int64
+	passed atomic.Int64
+	// delay is the time of a message to a daemon and back.
+	delay   time.Duration
 	mu      sync.Mutex
 	daemons map[string]*daemon
 }
@@ -155,6 +157,7 @@
 	if err := reach(d.network.Load()).wait(req.Context()); err != nil {
 		return nil, err
 	}
+	testseed.Wait(f.delay)
 	rec := httptest.NewRecorder()
 	d.feed.Handler().ServeHTTP(rec, req)
 	if err := req.Context().Err(); err != nil {
--- a/topology/start_test.go
+++ b/topology/start_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/internal/testseed"
 	"github.com/chivemill/chivemill/kv"
 )
@@ -179,3 +180,30 @@
 		})
 	}
 }
+
+// TestStartUsesNoReplicaThatHadLeft guards callers against a daemon that starts beside others and a store whose stale reads
+// are seconds old: a replica that left longer ago than leaving has to be known is in no view that it serves with.
+func TestStartUsesNoReplicaThatHadLeft(t *testing.T) {
+	const left = "r3"
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		f.delay = 24 * time.Millisecond
+		s := &laggingStore{Store: f.store, lag: 5 * time.Second, kinds: make(map[string]int)}
+		recording, end := context.WithCancel(t.Context())
+		defer end()
+		go s.record(recording)
+		testseed.Wait(time.Second)
+		f.startAt(s, "d0", "c0")
+		f.startAt(s, "d1", "c1", "d0")
+		testseed.Wait(6 * time.Second)
+		f.putServer(t, left, balancer.Draining)
+		testseed.Wait(bound + time.Second)
+		d := f.startAt(s, "d2", "c1", "d0")
+		for range 200 {
+			testseed.Wait(time.Millisecond)
+			view, _ := d.dir.View()
+			must.True(t, !view.Known() || d.knows(left), must.Sprint("the daemon serves with a list in which ", left, " is ready"))
+		}
+	})
+}
