A list that is not fresh is sent only to a daemon that has none

Cause: during a start of all daemons each looks for a fresh list, at the contact addresses and at other readers, each 100 to 500 ms; each answer brought a whole list, since lists differ while replicas register, although it was no fresher.

Change: to a daemon that only looks and has a list, one without a fresh list sends none.

Test: topology TestStaleListsAreNotPassedOn (failed first).

--- a/topology/peer.go
+++ b/topology/peer.go
@@ -263,6 +263,11 @@
 	if view.Generation == 0 {
 		return answer, news
 	}
+	if request.Scope == "" && request.Digest != 0 && time.Since(view.ReadAt) >= staleCentre {
+		// A daemon that looks for a fresh list has one as old as this; after a start of all it would get it on each look.
+		answer.Generation = 0
+		return answer, news
+	}
 	answer.AgeMS = time.Since(view.ReadAt).Milliseconds()
 	if request.Digest != view.Digest && (whole || generation != view.Generation) {
 		answer.Servers, answer.Removed, answer.Whole = changed, removed, whole
--- a/topology/start_test.go
+++ b/topology/start_test.go
@@ -207,3 +207,21 @@
 		}
 	})
 }
+
+// TestStaleListsAreNotPassedOn answers the pattern of a start of all daemons at once: those that look for a fresh list ask
+// each other often, and a daemon whose own list is no fresher sends it only to one that has none.
+func TestStaleListsAreNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fuzzedFeed(t)
+		lists := func(r pullRequest) int {
+			answer, _ := f.answer(r)
+			return len(answer.Servers)
+		}
+		look := pullRequest{Node: "d2", Digest: 1}
+		must.Eq(t, 2, lists(look), must.Sprint("a fresh list"))
+		testseed.Wait(staleCentre)
+		must.Eq(t, 0, lists(look))
+		must.Eq(t, 2, lists(pullRequest{Node: "d2"}), must.Sprint("the other daemon has none"))
+		must.Eq(t, 2, lists(pullRequest{Node: "d2", Digest: 1, Scope: f.self.DataCentre}), must.Sprint("a follower"))
+	})
+}
