Read-through: one way to list claims, a plainer loop, a name

Cause: read as a newcomer, countDaemons declared three values to choose between two reads, the follow loop asked for the reader twice, and relayOutcome also served groups of shards, which are no relays (now exchangeOutcome).

Change: listFresh beside getFresh, one question for the reader, the names. No change of behaviour; no check was touched.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -309,7 +309,7 @@
 			c, ok := b.Pick("s", testWork, nil, now)
 			must.True(t, ok)
 			counts[c.ID]++
-			// Replicas of equal worth differ by a fifth from request to request.
+			// The times of equally fast replicas differ by a fifth from request to request.
 			took := time.Duration(100+7*(counts[c.ID]%4)) * time.Millisecond
 			b.Report(c.ID, Load{Running: 1, Slots: 2}, now.Add(took))
 			b.Done(c.ID, testWork.Kind, now, Answered, now.Add(took))
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -245,7 +245,7 @@
 // end takes the end of the exchange. A query that ended, or whose caller left, says nothing of the helper.
 func (o *group) end(ctx context.Context, err error) {
 	g := o.run.gateway
-	outcome := relayOutcome(ctx, err, time.Since(o.begin))
+	outcome := exchangeOutcome(ctx, err, time.Since(o.begin))
 	if err != nil && o.run.over.Load() {
 		outcome = delegation.Abandoned
 	}
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -301,7 +301,7 @@
 		// begin and end are the seconds of the burst in which the throttle has seen its beginning.
 		begin, end = 5, 9
 		// scarcest is the rate at which the shards with one replica of the slowest kind can serve the mix of queries, and
-		// leastCredit what that is worth without the two shards.
+		// leastCredit the credit of that rate without the two shards.
 		scarcest    = simSlots / (1.3 * 0.0233)
 		leastCredit = scarcest / burst * 40 * 40 / (42 * 42)
 		// mostFailed is the part of the queries that may fail after replicas worked on them.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -61,7 +61,7 @@
 func (r *run) reportRelay(ctx context.Context, helper delegation.Helper, service string, begin time.Time, err error) {
 	g := r.gateway
 	took := time.Since(begin)
-	outcome := relayOutcome(ctx, err, took)
+	outcome := exchangeOutcome(ctx, err, took)
 	paused, recovered := g.helpers.Done(helper.Address, outcome, begin, time.Now())
 	g.metrics.delegated.Add(context.Background(), 1, g.metrics.label("outcome", outcome.String()))
 	if event := helperEvent(paused, recovered, outcome); event != "" {
@@ -82,8 +82,8 @@
 	return api.Errorf(kind, "the helper took the request and gave no usable answer: %v", err)
 }
 
-// relayOutcome returns what the end of an exchange that took so long says of the helper.
-func relayOutcome(ctx context.Context, err error, took time.Duration) delegation.Outcome {
+// exchangeOutcome returns what the end of an exchange that took so long says of the helper.
+func exchangeOutcome(ctx context.Context, err error, took time.Duration) delegation.Outcome {
 	switch {
 	case err == nil:
 		return delegation.Answered
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -211,8 +211,10 @@
 	var elected time.Time
 	for ctx.Err() == nil && !p.isHeld() {
 		err := errNoReader
-		if reader := p.reader(); reader != "" || f.learnReader(p) {
-			reader = p.reader()
+		if p.reader() == "" {
+			f.learnReader(p)
+		}
+		if reader := p.reader(); reader != "" {
 			err = f.pull(ctx, reader, p.scope, f.pullWait(p))
 		}
 		if err == nil && f.age() < p.stale {
--- a/topology/place.go
+++ b/topology/place.go
@@ -144,6 +144,10 @@
 	return store.Get(ctx, key)
 }
 
+func listFresh(ctx context.Context, store kv.Store, prefix string) ([]kv.Item, int64, error) {
+	return store.List(ctx, prefix)
+}
+
 // look reads the claim of a place with one of the reads of a key.
 func (f *Feed) look(ctx context.Context, p *place, get func(context.Context, kv.Store, string) (kv.Item, bool, error)) (kv.Item, bool, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -290,13 +294,11 @@
 	seen := make(map[string]counted)
 	for looks := 0; ctx.Err() == nil; looks++ {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		interval, items, err := countInterval, []kv.Item(nil), error(nil)
+		interval, list := countInterval, kv.ListStale
 		if looks < firstCounts {
-			interval = firstCountInterval
-			items, _, err = f.store.List(call, f.keys.Readers+centrePrefix)
-		} else {
-			items, _, err = kv.ListStale(call, f.store, f.keys.Readers+centrePrefix)
+			interval, list = firstCountInterval, listFresh
 		}
+		items, _, err := list(call, f.store, f.keys.Readers+centrePrefix)
 		cancel()
 		f.storeAnswered("claims", err)
 		now := time.Now()
