Library messages share the limit of one log event

Cause: net/http logs each response that arrives on an idle connection, with up to 4 KiB of its text.

Evidence: TestLibraryMessagesAreBounded failed before (100 of 100 lines of 4 KiB written, none dropped) and passes now.

--- a/cmd/chivemill-edge/main.go
+++ b/cmd/chivemill-edge/main.go
@@ -48,7 +48,7 @@
 	}
 	log := eventlog.New(os.Stdout, eventlog.Options{}, zap.String("node", cfg.Node))
 	defer log.Close()
-	defer zap.RedirectStdLog(log.Logger)()
+	defer log.RedirectStandardLog()()
 	edgeDaemon, err := edge.New(file, cfg, log)
 	if err != nil {
 		return err
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"log"
 	"strings"
 	"sync"
 	"testing"
@@ -71,6 +72,24 @@
 	must.Eq(t, int64(out.buf.Len()), l.Counts().Bytes)
 }
 
+// TestLibraryMessagesAreBounded guards against an unlimited log volume from libraries: net/http logs each response that
+// arrives on an idle connection, with up to 4 KiB of its text, so that replicas that respond twice would fill the log.
+func TestLibraryMessagesAreBounded(t *testing.T) {
+	out := &lockedBuffer{}
+	l := New(out, Options{MaxPerSecond: 5})
+	restore := l.RedirectStandardLog()
+	for i := range 100 {
+		log.Printf("unsolicited response %d: %s", i, strings.Repeat("x", 4<<10))
+	}
+	restore()
+	l.Close()
+	// The limit applies to each second of the clock, and the loop may run into the next second.
+	must.LessEq(t, 10, strings.Count(out.buf.String(), LibraryMessage))
+	must.GreaterEq(t, 90, l.Counts().RateLimited)
+	must.Less(t, 10<<10, out.buf.Len())
+	must.StrContains(t, out.buf.String(), "unsolicited response 0: xxx")
+}
+
 type failingWriter struct{}
 
 func (failingWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -9,6 +9,9 @@
 	SettingsReloaded = "settings read again"
 	SettingsInvalid  = "settings cannot be read"
 	LinesDropped     = "log lines dropped"
+	// LibraryMessage holds a line that a library wrote to package log, such as net/http about a response that no request
+	// waits for.
+	LibraryMessage = "message of a library"
 
 	// Configuration, replicas and readers.
 	ConfigurationApplied    = "configuration applied"
