gateway: count failed attempts by class and parts by status class

chivemill_sub_request_failures counts failed attempts with the word that the request line has for them, and chivemill_parts counts the responses that became parts of queries by status class. A part without a success status also has a log event. No answer is treated differently.

--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -14,8 +14,8 @@
 
 // Defaults of Options.
 const (
-	// DefaultMaxPerSecond is the maximum number of lines per second for each event. About 20 events can repeat, so a
-	// daemon writes at most about 400 lines per second; in normal operation it writes only a few.
+	// DefaultMaxPerSecond is the maximum number of lines per second for each event. About 25 events can repeat, so a
+	// daemon writes at most about 500 lines per second; in normal operation it writes only a few.
 	DefaultMaxPerSecond = 20
 	// DefaultQueueSize is the capacity of the queue in lines, enough for about one second at that maximum.
 	DefaultQueueSize = 512
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -47,4 +47,15 @@
 	RequestServed   = "request served"
 	CallerLeft      = "caller left"
 	RequestCrashing = "request crashes replicas"
+
+	// Responses of replicas.
+
+	// ResponseMismatched reports a response that was refused because it does not carry the id of the request in flight.
+	ResponseMismatched = "response of another request"
+	// ResponseEarly reports a response that was received before its request was written.
+	ResponseEarly = "response before its request"
+	// RequestIDRepeated reports a request on a connection that has already carried one with the same id.
+	RequestIDRepeated = "request id repeated on connection"
+	// PartNotSuccessful reports a part of a query whose status is not a success.
+	PartNotSuccessful = "part without a success status"
 )
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -41,7 +41,11 @@
 	requests    metric.Int64Counter
 	subRequests metric.Int64Counter
 	outcomes    metric.Int64Counter
-	denied      metric.Int64Counter
+	// failures counts failed attempts by failure, parts the replicas' responses that became parts of queries by status
+	// class.
+	failures metric.Int64Counter
+	parts    metric.Int64Counter
+	denied   metric.Int64Counter
 	// delegated counts the groups of shards that were delegated to helpers.
 	delegated metric.Int64Counter
 	// panics counts recovered panics by the place where they occurred.
@@ -75,6 +79,12 @@
 	m.outcomes, err = meter.Int64Counter("chivemill_sub_request_outcomes",
 		metric.WithDescription("Ended sub-requests by outcome: answered, refused, failed, broken, abandoned or gone."))
 	collect(err)
+	m.failures, err = meter.Int64Counter("chivemill_sub_request_failures",
+		metric.WithDescription("Failed sub-requests by failure: a failure class such as mismatched, or cancelled or deadline."))
+	collect(err)
+	m.parts, err = meter.Int64Counter("chivemill_parts",
+		metric.WithDescription("Responses of replicas that became parts of queries, by status class such as 2xx."))
+	collect(err)
 	m.denied, err = meter.Int64Counter("chivemill_budget_denied",
 		metric.WithDescription("Hedges and retries that a service's budget refused."))
 	collect(err)
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,7 +25,9 @@
 	transition := g.balancer.Done(choice.ID, r.route.Name, start, outcome, time.Now())
 	g.metrics.outcomes.Add(context.Background(), 1, g.metrics.label("outcome", outcome.String()))
 	if err != nil {
-		r.failedAttempts = append(r.failedAttempts, failedAttempt{shard, choice.ID, outcome, err, elapsed})
+		failed := failedAttempt{shard, choice.ID, outcome, err, elapsed}
+		r.failedAttempts = append(r.failedAttempts, failed)
+		g.metrics.failures.Add(context.Background(), 1, g.metrics.label("failure", failed.failure()))
 	}
 	event := ""
 	switch transition {
@@ -158,14 +161,41 @@
 	}
 }
 
-// String returns the shard, replica, outcome, cause and duration of an attempt.
+// Values of failedAttempt.failure for an attempt that did not end by itself.
+const (
+	failureCancelled = "cancelled"
+	failureDeadline  = "deadline"
+)
+
+// failure returns the class of the failure for metrics and logs: a backend.Failure, or for an abandoned attempt whether
+// it was cancelled or reached its deadline.
+func (a failedAttempt) failure() string {
+	switch {
+	case a.outcome != balancer.Abandoned:
+		return string(backend.FailureOf(a.cause))
+	case errors.Is(a.cause, context.DeadlineExceeded):
+		return failureDeadline
+	default:
+		return failureCancelled
+	}
+}
+
+// String returns the shard, replica, outcome, failure and duration of an attempt.
 func (a failedAttempt) String() string {
-	cause := string(backend.FailureOf(a.cause))
-	if a.outcome == balancer.Abandoned {
-		cause = "cancelled"
-		if errors.Is(a.cause, context.DeadlineExceeded) {
-			cause = "deadline"
-		}
+	return fmt.Sprintf("%s %s %s %s %dms", a.shard, a.replica, a.outcome, a.failure(), a.elapsed.Milliseconds())
+}
+
+// recordPart counts a replica's response that became a part of a query's answer by its status class, and logs one whose
+// status is not a success.
+func (r *run) recordPart(shard, replica string, answer *Answer) {
+	g := r.gateway
+	g.metrics.parts.Add(context.Background(), 1, g.metrics.label("status", statusClass(answer.Status)))
+	if answer.OK() {
+		return
 	}
-	return fmt.Sprintf("%s %s %s %s %dms", a.shard, a.replica, a.outcome, cause, a.elapsed.Milliseconds())
+	g.log.Warn(eventlog.PartNotSuccessful, zap.String("request", r.request.ID), zap.String("service", shard),
+		zap.String("replica", replica), zap.Int("status", answer.Status), zap.String("route", r.route.Name))
 }
+
+// statusClass returns the class of a status code, such as 2xx.
+func statusClass(status int) string { return strconv.Itoa(status/100) + "xx" }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -366,6 +366,7 @@
 	return func() {
 		r.answers[a.Shard] = &answer
 		if r.route.IsQuery() {
+			r.recordPart(r.plan.ShardMap.Shards[a.Shard].ID, choice.ID, &answer)
 			r.addPart(&part{PartialAnswer: delegation.PartialAnswer{
 				Shards: []int{a.Shard}, Signatures: []string{answer.Signature}, Records: answer.Body,
 			}})
