edge: counters and log lines for unexpected responses of replicas

Connects the observer of the replica client to the metrics chivemill_mismatched_responses, chivemill_early_responses, chivemill_repeated_request_ids and chivemill_responses_without_length, and to three log events.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -87,6 +87,11 @@
 	d.balancer = balancer.New(xxhash.Sum64String(settings.Node))
 	d.balancer.SetDrainingGrace(settings.DrainTime - drainMargin)
 	d.replicas = platform.NewReplicaClient(settings.MemoryBytes, d.balancer.ReportLoad)
+	replicaObserver, err := newReplicaObserver(metricsProvider.Meter(), log.Logger)
+	if err != nil {
+		return nil, eris.Wrap(err, "metrics")
+	}
+	d.replicas.SetObserver(replicaObserver)
 	d.gateway, err = gateway.New(gateway.Options{
 		BudgetRatio: settings.RetryBudgetRatio, BudgetFixed: settings.RetryBudgetFixed, BudgetWindow: settings.RetryBudgetWindow,
 		Publisher: d.feed, Node: settings.Node, DelegationClient: delegation.NewClient(), Seed: xxhash.Sum64String(settings.Node),
