explain: name mismatched responses as the cause

A request whose replicas responded with other ids was explained by the shards without an answer only, whose reason is undecodable, and a served request had no trace of refused responses at all.

The cause now counts the responses that belong to other requests or carry no id. The explanation also describes each log line of an unexpected response that concerns the request, as the request in flight or by the received id.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/balancer"
 )
 
 // causeFormats describes the cause of each error kind; %s stands for the reason in the log line.
@@ -60,6 +62,9 @@
 	if helpers := v.lostHelpers(); len(helpers) > 0 {
 		text += fmt.Sprintf("; helpers that accepted shards and whose answer was lost or late: %s", strings.Join(helpers, ", "))
 	}
+	if n := v.countMismatched(); n > 0 {
+		text += fmt.Sprintf("; replicas sent %d responses that belong to other requests or carry no id, which were refused", n)
+	}
 	if attempts := v.attemptCounts(); len(attempts) > 0 {
 		text += "; attempts without an answer: " + strings.Join(attempts, ", ")
 	}
@@ -79,3 +84,13 @@
 	}
 	return lost
 }
+
+// mismatchedAttempt is the outcome and cause of an attempt whose response did not carry the request's id.
+var mismatchedAttempt = fmt.Sprintf("%s %s", balancer.Failed, backend.Mismatched)
+
+// countMismatched returns the number of attempts that got the response to another request, or one without an id.
+func (v *Visit) countMismatched() int {
+	counts := make(map[string]int)
+	v.countAttempts(counts)
+	return counts[mismatchedAttempt]
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -64,6 +64,8 @@
 	Visits []*Visit `json:"visits"`
 	// Cause is one sentence, empty if the logs do not contain the request.
 	Cause string `json:"cause"`
+	// Responses describes the unexpected responses of replicas that concern the request, in order of time.
+	Responses []string `json:"responses,omitempty"`
 	// MissingLogs describes the information that is missing from the logs.
 	MissingLogs []string `json:"lacking,omitempty"`
 }
@@ -72,6 +74,8 @@
 type Reader struct {
 	request string
 	lines   []LogLine
+	// responses holds the lines of unexpected responses that concern the request.
+	responses []responseLine
 	// dropped holds the nodes that reported dropped log lines; unreadable counts the lines that are not valid JSON.
 	dropped    []string
 	unreadable int
@@ -110,6 +114,12 @@
 		r.unreadable++
 		return
 	}
+	if response, ok := parseResponse(line.Event, text[start:]); ok {
+		if response.concerns(r.request) {
+			r.responses = append(r.responses, response)
+		}
+		return
+	}
 	switch {
 	case line.Event == eventlog.LinesDropped:
 		if !slices.Contains(r.dropped, line.Node) {
@@ -140,6 +150,10 @@
 			e.Visits = append(e.Visits, v)
 		}
 	}
+	slices.SortStableFunc(r.responses, func(a, b responseLine) int { return a.Time.Compare(b.Time) })
+	for _, response := range r.responses {
+		e.Responses = append(e.Responses, response.String())
+	}
 	e.MissingLogs = r.describeMissing(visitByNode)
 	if len(e.Visits) > 0 {
 		e.Cause = cause(e.Visits[0])
@@ -226,6 +240,9 @@
 	if e.Cause != "" {
 		fmt.Fprintf(&b, "cause: %s\n", e.Cause)
 	}
+	for _, response := range e.Responses {
+		fmt.Fprintf(&b, "response: %s\n", response)
+	}
 	for _, description := range e.MissingLogs {
 		fmt.Fprintf(&b, "not in these logs: %s\n", description)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/eventlog"
 )
 
 // lostHelperLog was recorded on three daemons of a fleet of 195. The first daemon delegated to a helper, which delegated to
@@ -70,6 +72,59 @@
 	must.StrContains(t, e.MissingLogs[0], "no line of request "+requestID)
 }
 
+// mismatchedLog was recorded on one daemon. Both replicas of two of five shards responded with the id of another request.
+const (
+	mismatchedLog       = "testdata/mismatched-responses.log"
+	mismatchedRequestID = "5c1e0a7794b2d3f6"
+)
+
+// TestExplainMismatchedResponses guards against a request that failed because of the responses to other requests, and whose
+// explanation names only the shards without an answer.
+func TestExplainMismatchedResponses(t *testing.T) {
+	data, err := os.ReadFile(mismatchedLog)
+	must.NoError(t, err)
+	r := NewReader(mismatchedRequestID)
+	must.NoError(t, r.Read(bytes.NewReader(data)))
+	e := r.Explain()
+	must.Len(t, 1, e.Visits)
+	must.StrContains(t, e.Cause, "too few shards answered: 3 of 5")
+	must.StrContains(t, e.Cause, "; replicas sent 4 responses that belong to other requests or carry no id, which were refused; "+
+		"attempts without an answer: 4 failed mismatched")
+	must.Len(t, 4, e.Responses)
+	must.Eq(t, "15:37:26.528 edge-1: request 5c1e0a7794b2d3f6 to replica s2-1: a response with the id 05c1e0a7794b2d3f6, which none of the "+
+		"latest requests on the connection has, with status 200 was refused", e.Responses[0])
+	var out bytes.Buffer
+	must.NoError(t, e.Write(&out))
+	must.StrContains(t, out.String(), "\nresponse: 15:37:26.528 edge-1: request")
+}
+
+// TestExplainUnexpectedResponses checks the sentence for each event about a response, with the request's id as that of the
+// request in flight or as the received one. A request that was served has no other trace in the logs.
+func TestExplainUnexpectedResponses(t *testing.T) {
+	const start = `{"ts":"2026-12-04T15:37:26.5Z","node":"edge-1","replica":"i-1",`
+	for _, c := range []struct{ event, fields, want string }{
+		{eventlog.ResponseMismatched, `"request":"r2","kind":"late_copy","received_id":"r1","requests_ago":1,"status":200`,
+			"request r2 to replica i-1: a late second response to r1, the previous request on the connection, with status 200 was refused"},
+		{eventlog.ResponseMismatched, `"request":"r3","kind":"other_id","received_id":"r1","requests_ago":2,"status":200`,
+			"request r3 to replica i-1: a late second response to r1, 2 requests earlier on the connection, with status 200 was refused"},
+		{eventlog.ResponseMismatched, `"request":"r1","kind":"no_id","received_id":"","status":503`,
+			"request r1 to replica i-1: a response without an id with status 503 was refused"},
+		{eventlog.ResponseEarly, `"request":"r1","received_id":"r1","status":200`,
+			`request r1 to replica i-1: a response with the id "r1" and status 200 was received before the request was written`},
+		{eventlog.ResponseEarly, `"request":"r1","received_id":"","status":0,"error":"reset"`,
+			"request r1 to replica i-1: part of a response was received before the request was written"},
+		{eventlog.RequestIDRepeated, `"request":"r1","requests_ago":3`,
+			"request r1 to replica i-1: the connection carried the same id 3 requests earlier, so a late response has the expected id"},
+		{eventlog.PartNotSuccessful, `"request":"r1","status":404`,
+			"request r1 to replica i-1: a response with status 404 became a part of the answer"},
+	} {
+		line := fmt.Sprintf("%s%q:%q,%s}\n", start, "msg", c.event, c.fields)
+		r := NewReader("r1")
+		must.NoError(t, r.Read(strings.NewReader(line+strings.ReplaceAll(line, `"r1"`, `"r1-other"`))))
+		must.Eq(t, []string{"15:37:26.500 edge-1: " + c.want}, r.Explain().Responses)
+	}
+}
+
 // TestReadGzip checks that logs compressed by a collector can be read.
 func TestReadGzip(t *testing.T) {
 	var compressed bytes.Buffer
