Signed failures of replicas are not parts of a query

Callers of a query could get records and a signature of a response that is no answer: any signed response with a status from 300 to 499, or 206, counted as the part of its shard, since only 500 and above counted as failures.

Change: the gateway takes only a success with the whole body as a part. Any other response ends the attempt as a server error, so that another replica is asked or the shard is reported missing. Requests to a single replica still pass on the replica's status.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,10 @@
 // OK reports whether the status is a success.
 func (a Answer) OK() bool { return a.Status >= 200 && a.Status < 300 }
 
+// isPart reports whether the answer is a shard's part of a query: a success with the whole body. The signature alone does
+// not show this, since replicas sign failures too.
+func (a Answer) isPart() bool { return a.OK() && a.Status != http.StatusPartialContent }
+
 // Reply is the result for the caller: the answer of a replica, the merged answer of a query, or an error.
 type Reply struct {
 	// Answer is the answer of a single replica, passed through.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -273,6 +273,30 @@
 	}
 }
 
+// TestFailedReplicaIsNoPart guards the merged answer against a replica's failure: a signed response whose status is not a
+// success, or that is only a range of the body, is not a shard's part. Another replica is asked; without one, the shard is
+// missing.
+func TestFailedReplicaIsNoPart(t *testing.T) {
+	for _, status := range []int{http.StatusPartialContent, http.StatusFound, http.StatusNotModified, http.StatusNotFound,
+		http.StatusRequestTimeout, http.StatusTooManyRequests} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, f := newGateway(t)
+				failure := Answer{Status: status, Body: []byte("zzzzzzzzzzzzzzzz"), Signature: "failure"}
+				for _, replica := range []string{"s3-0", "s4-0", "s4-1"} {
+					f.responses[replica] = respondAfter(20*time.Millisecond, failure, nil)
+				}
+				reply := g.Serve(context.Background(), newRequest("/q/1"))
+				must.Nil(t, reply.Err)
+				must.SliceNotContains(t, reply.Query.Signatures, "failure")
+				must.SliceContains(t, reply.Query.Signatures, "s3-1")
+				must.Eq(t, 1, reply.Query.MissingShards)
+				must.Eq(t, "s9-0", string(reply.Query.Records[:4]))
+			})
+		})
+	}
+}
+
 // TestServerErrorIsPassedThrough guards against hiding a replica's own error response from the caller.
 func TestServerErrorIsPassedThrough(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/balancer"
@@ -350,6 +352,9 @@
 		}
 		return !r.dispatchClosed
 	})
+	if err == nil && r.route.IsQuery() && !answer.isPart() {
+		err = &backend.Error{Failure: backend.ServerError, Cause: eris.Errorf("status %d is not a part of a query", answer.Status)}
+	}
 	switch {
 	case err == nil, backend.FailureOf(err) == backend.ServerError:
 		r.quarantineRun.Answered()
