Refused parts are counted and logged where they are decided

The log line and the counter for parts without a success status were written when a part was taken, which no longer happens since such responses are refused.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -59,6 +59,7 @@
 	ResponseEarly = "response before its request"
 	// RequestIDRepeated reports a request on a connection that has already carried one with the same id.
 	RequestIDRepeated = "request id repeated on connection"
-	// PartNotSuccessful reports a part of a query whose status is not a success.
+	// PartNotSuccessful reports a replica's complete response that is not a part of a query, since its status is not a
+	// success.
 	PartNotSuccessful = "part without a success status"
 )
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -41,7 +41,7 @@
 	requests    metric.Int64Counter
 	subRequests metric.Int64Counter
 	outcomes    metric.Int64Counter
-	// failures counts failed attempts by failure, parts the replicas' responses that became parts of queries by status
+	// failures counts failed attempts by failure, parts the complete responses of replicas to shards of queries by status
 	// class.
 	failures metric.Int64Counter
 	parts    metric.Int64Counter
@@ -83,7 +83,7 @@
 		metric.WithDescription("Failed sub-requests by failure: a failure class such as mismatched, or cancelled or deadline."))
 	collect(err)
 	m.parts, err = meter.Int64Counter("chivemill_parts",
-		metric.WithDescription("Responses of replicas that became parts of queries, by status class such as 2xx."))
+		metric.WithDescription("Complete responses of replicas to shards of queries, by status class such as 2xx; only successes become parts."))
 	collect(err)
 	m.denied, err = meter.Int64Counter("chivemill_budget_denied",
 		metric.WithDescription("Hedges and retries that a service's budget refused."))
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/api"
@@ -185,16 +186,17 @@
 	return fmt.Sprintf("%s %s %s %s %dms", a.shard, a.replica, a.outcome, a.failure(), a.elapsed.Milliseconds())
 }
 
-// recordPart counts a replica's response that became a part of a query's answer by its status class, and logs one whose
-// status is not a success.
-func (r *run) recordPart(shard, replica string, answer *Answer) {
+// checkPart counts a complete response to a shard of a query by its status class. It logs one that is not a part of the
+// query's answer and returns a *backend.Error for it.
+func (r *run) checkPart(shard, replica string, answer *Answer) error {
 	g := r.gateway
 	g.metrics.parts.Add(context.Background(), 1, g.metrics.label("status", statusClass(answer.Status)))
-	if answer.OK() {
-		return
+	if answer.isPart() {
+		return nil
 	}
 	g.log.Warn(eventlog.PartNotSuccessful, zap.String("request", r.request.ID), zap.String("service", shard),
 		zap.String("replica", replica), zap.Int("status", answer.Status), zap.String("route", r.route.Name))
+	return &backend.Error{Failure: backend.ServerError, Cause: eris.Errorf("status %d is not a part of a query", answer.Status)}
 }
 
 // statusClass returns the class of a status code, such as 2xx.
--- a/gateway/report_test.go
+++ b/gateway/report_test.go
@@ -60,13 +60,12 @@
 	})
 }
 
-// TestPartWithoutSuccessStatusIsReported guards against a replica's failure that becomes a part of a query unnoticed. It
-// checks the report only; whether such a response is a part is decided elsewhere.
+// TestPartWithoutSuccessStatusIsReported guards against a replica's failure in the place of a part that nothing reports.
 func TestPartWithoutSuccessStatusIsReported(t *testing.T) {
 	g := newObservedGateway(t)
 	r := &run{gateway: g.Gateway, request: newRequest("/q/1"), route: &routing.Route{Name: "query"}}
-	r.recordPart("s3", "s3-0", &Answer{Status: http.StatusNotFound, Signature: "stamp"})
-	r.recordPart("s4", "s4-0", &Answer{Status: http.StatusOK, Signature: "stamp"})
+	must.Error(t, r.checkPart("s3", "s3-0", &Answer{Status: http.StatusNotFound, Signature: "stamp"}))
+	must.NoError(t, r.checkPart("s4", "s4-0", &Answer{Status: http.StatusOK, Signature: "stamp"}))
 	lines := g.logs.FilterMessage(eventlog.PartNotSuccessful).All()
 	must.Len(t, 1, lines)
 	must.Eq(t, map[string]any{"request": "r1", "service": "s3", "replica": "s3-0", "status": int64(404), "route": "query"},
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/balancer"
@@ -352,8 +350,8 @@
 		}
 		return !r.dispatchClosed
 	})
-	if err == nil && r.route.IsQuery() && !answer.isPart() {
-		err = &backend.Error{Failure: backend.ServerError, Cause: eris.Errorf("status %d is not a part of a query", answer.Status)}
+	if err == nil && r.route.IsQuery() {
+		err = r.checkPart(r.plan.ShardMap.Shards[a.Shard].ID, choice.ID, &answer)
 	}
 	switch {
 	case err == nil, backend.FailureOf(err) == backend.ServerError:
@@ -371,7 +369,6 @@
 	return func() {
 		r.answers[a.Shard] = &answer
 		if r.route.IsQuery() {
-			r.recordPart(r.plan.ShardMap.Shards[a.Shard].ID, choice.ID, &answer)
 			r.addPart(&part{PartialAnswer: delegation.PartialAnswer{
 				Shards: []int{a.Shard}, Signatures: []string{answer.Signature}, Records: answer.Body,
 			}})
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -116,7 +116,7 @@
 		{eventlog.RequestIDRepeated, `"request":"r1","requests_ago":3`,
 			"request r1 to replica i-1: the connection carried the same id 3 requests earlier, so a late response has the expected id"},
 		{eventlog.PartNotSuccessful, `"request":"r1","status":404`,
-			"request r1 to replica i-1: a response with status 404 became a part of the answer"},
+			"request r1 to replica i-1: a response with status 404 was refused as a part of the answer"},
 	} {
 		line := fmt.Sprintf("%s%q:%q,%s}\n", start, "msg", c.event, c.fields)
 		r := NewReader("r1")
--- a/internal/explain/response.go
+++ b/internal/explain/response.go
@@ -52,7 +52,7 @@
 		return prefix + fmt.Sprintf("the connection carried the same id %d requests earlier, so a late response has the expected id",
 			l.RequestsAgo)
 	default:
-		return prefix + fmt.Sprintf("a response with status %d became a part of the answer", l.Status)
+		return prefix + fmt.Sprintf("a response with status %d was refused as a part of the answer", l.Status)
 	}
 }
 
