A connection carries a request id once

Cause: all attempts of a request carry the caller's id, so the id cannot tell a late second response to one attempt from the response to another one on the same connection. Nothing kept two attempts off one connection but the rule that one daemon asks no replica twice for a shard. A second attempt by any other path, or a caller that uses an id twice, would get the first attempt's response.

--- a/edge/replica_observer.go
+++ b/edge/replica_observer.go
@@ -35,7 +35,7 @@
 		{&o.mismatched, "chivemill_mismatched_responses",
 			"Responses refused because they do not carry the id of their request, by kind: late_copy, other_id or no_id."},
 		{&o.early, "chivemill_early_responses", "Responses received before the first byte of their request was written."},
-		{&o.repeated, "chivemill_repeated_request_ids", "Requests on a connection that has carried one with the same id."},
+		{&o.repeated, "chivemill_repeated_request_ids", "Connections closed instead of used for a request, since they have carried one with the same id."},
 		{&o.withoutLength, "chivemill_responses_without_length", "Responses whose body ends with the connection."},
 	} {
 		var err error
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -57,7 +57,8 @@
 	ResponseMismatched = "response of another request"
 	// ResponseEarly reports a response that was received before its request was written.
 	ResponseEarly = "response before its request"
-	// RequestIDRepeated reports a request on a connection that has already carried one with the same id.
+	// RequestIDRepeated reports a connection that was closed instead of used, since it has carried a request with the same
+	// id.
 	RequestIDRepeated = "request id repeated on connection"
 	// PartNotSuccessful reports a replica's complete response that is not a part of a query, since its status is not a
 	// success.
--- a/internal/explain/response.go
+++ b/internal/explain/response.go
@@ -49,7 +49,7 @@
 	case eventlog.ResponseEarly:
 		return prefix + fmt.Sprintf("%s was received before the request was written", l.describeEarly())
 	case eventlog.RequestIDRepeated:
-		return prefix + fmt.Sprintf("the connection carried the same id %d requests earlier, so a late response has the expected id",
+		return prefix + fmt.Sprintf("the connection carried the same id %d requests earlier and was closed; another one was used",
 			l.RequestsAgo)
 	default:
 		return prefix + fmt.Sprintf("a response with status %d was refused as a part of the answer", l.Status)
