--- a/gateway/run.go
+++ b/gateway/run.go
@@ -350,6 +350,9 @@
 		}
 		return !r.dispatchClosed
 	})
+	if err == nil && r.route.IsQuery() {
+		err = r.checkPart(r.plan.ShardMap.Shards[a.Shard].ID, choice.ID, &answer)
+	}
 	switch {
 	case err == nil, backend.FailureOf(err) == backend.ServerError:
 		r.quarantineRun.Answered()
@@ -366,7 +369,6 @@
 	return func() {
 		r.answers[a.Shard] = &answer
 		if r.route.IsQuery() {
-			r.recordPart(r.plan.ShardMap.Shards[a.Shard].ID, choice.ID, &answer)
 			r.addPart(&part{PartialAnswer: delegation.PartialAnswer{
 				Shards: []int{a.Shard}, Signatures: []string{answer.Signature}, Records: answer.Body,
 			}})
