backend: close a connection whose response is not that of the attempt

A replica that sends a second, late response shifts every later response on the connection by one. Client.Send read such a response to its end and left the connection in use, so each later sub-request on it failed too: an answer of another attempt, a refusal of another attempt, another status, an undecodable body or one without end mark.

Ruled out: a sub-request that is reported as not sent and leaves afterwards. TestResponseBeforeRequestIsWritten holds back the write while a response or garbage arrives. net/http returns an error only after its write loop has ended, and only a response can be returned before the write; NotSent depends on GotConn, which precedes both.

A replica that answers with status 500 now costs a new connection for each such answer.

--- a/backend/client.go
+++ b/backend/client.go
@@ -237,9 +237,8 @@
 	if sub.Key != "" {
 		path = PathExecute
 	}
-	var gotConn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+	var trip roundTrip
+	ctx = trip.trace(ctx)
 	// For a plain reader, net/http does not set GetBody, so the transport cannot send the body a second time.
 	body := struct{ io.Reader }{strings.NewReader(sub.Query)}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+path, body)
@@ -251,10 +250,15 @@
 	c.setDataCentreHeader(req.Header)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return SubResponse{}, classify(ctx, err, gotConn.Load())
+		return SubResponse{}, classify(ctx, err, trip.conn != nil)
 	}
 	defer resp.Body.Close()
-	return readAnswer(ctx, resp, sub)
+	answer, err := readAnswer(ctx, resp, sub)
+	if err != nil && FailureOf(err) != Refused {
+		// The response may belong to an earlier request on this connection, so every later response would be off by one.
+		trip.closeConn()
+	}
+	return answer, err
 }
 
 func (c *Client) setDataCentreHeader(h http.Header) {
@@ -278,6 +282,21 @@
 	}
 }
 
+// roundTrip tracks the connection that carries one request.
+type roundTrip struct{ conn net.Conn }
+
+// trace returns a context that records the connection assigned to a request in t before anything is written to it.
+func (t *roundTrip) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { t.conn = info.Conn }})
+}
+
+// closeConn closes the connection, so that no other request uses it.
+func (t *roundTrip) closeConn() {
+	if t.conn != nil {
+		_ = t.conn.Close()
+	}
+}
+
 // classify returns the failure class of a transport error. gotConn reports whether there was a connection, so that the
 // request may have been written.
 func classify(ctx context.Context, err error, gotConn bool) *Error {
--- /dev/null
+++ b/backend/extra_response_test.go
@@ -0,0 +1,163 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/backend"
+)
+
+// okHealth and okLoad are valid responses of the health and load endpoints.
+var (
+	okHealth = rawResponse(200, 3, "ok\n")
+	okLoad   = rawResponse(200, 64, `{"replica":"a","incarnation":1,"state":"ready","slots":4}       `)
+)
+
+// validResponse returns the response of a working server to any request of a client.
+func validResponse(r *http.Request) string {
+	switch r.URL.Path {
+	case backend.PathHealth:
+		return okHealth
+	case backend.PathLoad:
+		return okLoad
+	case backend.PathMaps + "7":
+		body := `{"version":7,"service":"s","shards":[{"id":"s0","low":0,"high":4294967296}]}`
+		return rawResponse(200, len(body), body)
+	default:
+		return validAnswer(r)
+	}
+}
+
+// extraResponder answers the first request and sends an extra response where the second response is expected. From then
+// on, each response on the first connection arrives one request late: it is sent when the next request has been read.
+func extraResponder(extra string) responder {
+	first, late := true, extra
+	return func(conn int, r *http.Request) string {
+		switch response := validResponse(r); {
+		case conn > 1:
+			return response
+		case first:
+			first = false
+			return response
+		default:
+			response, late = late, response
+			return response
+		}
+	}
+}
+
+// extraResponses are responses that a server may send a second time, late, to the sub-request with the attempt r/1.
+var extraResponses = map[string]string{
+	"answer":                  rawResponse(200, 43, `{"request":"r","attempt":"r/1","end":"r/1"}`),
+	"refusal":                 rawResponse(503, 52, `{"refused":"shedding","ran":"never","attempt":"r/1"}`),
+	"refusal without attempt": rawResponse(503, 36, `{"refused":"shedding","ran":"never"}`),
+	"server error":            rawResponse(500, 0, ""),
+	"not an object":           rawResponse(200, 4, `"no"`),
+	"no end mark":             rawResponse(200, 31, `{"request":"r","attempt":"r/1"}`),
+	"no body":                 rawResponse(200, 0, ""),
+}
+
+// TestExtraResponseDoesNotSpoilConnection guards against a connection that stays in use after a response to an earlier
+// request: each later request on it would get the response to the one before, so one extra response would fail all of
+// them.
+func TestExtraResponseDoesNotSpoilConnection(t *testing.T) {
+	for name, extra := range extraResponses {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startRawServer(t, extraResponder(extra))
+			client := backend.NewClient(address, 1)
+			defer client.Close()
+			failures := 0
+			for i := range 6 {
+				sub := nonIdempotentSub
+				sub.Attempt = fmt.Sprintf("r/%d", i+1)
+				_, err := client.Send(t.Context(), sub)
+				if i == 0 {
+					must.NoError(t, err)
+				}
+				if err != nil {
+					failures++
+				}
+			}
+			must.LessEq(t, 1, failures, must.Sprint("failed sub-requests after one extra response"))
+		})
+	}
+}
+
+// heldConn is a connection whose first write waits until release is closed or the connection is closed, and whose reads
+// return text meanwhile. Like a write that the operating system has already accepted, a held write succeeds even if the
+// connection is closed.
+type heldConn struct {
+	net.Conn
+	text    io.Reader
+	writing func()
+	started chan struct{}
+	release chan struct{}
+	closed  chan struct{}
+	close   func()
+	written atomic.Int64
+}
+
+func newHeldConn(conn net.Conn, text string) *heldConn {
+	c := &heldConn{Conn: conn, text: strings.NewReader(text), started: make(chan struct{}), release: make(chan struct{}),
+		closed: make(chan struct{})}
+	c.writing = sync.OnceFunc(func() { close(c.started) })
+	c.close = sync.OnceFunc(func() { close(c.closed) })
+	return c
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	<-c.started
+	if n, _ := c.text.Read(p); n > 0 {
+		return n, nil
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	c.writing()
+	select {
+	case <-c.release:
+	case <-c.closed:
+	}
+	c.written.Add(int64(len(p)))
+	return len(p), nil
+}
+
+func (c *heldConn) Close() error {
+	c.close()
+	return c.Conn.Close()
+}
+
+// TestResponseBeforeRequestIsWritten guards against a sub-request that is reported as not executed although its write is
+// still to come, and against an answer that was received before the request was sent. The transport returns as soon as
+// it reads a response or an error, whether or not the request has been written.
+func TestResponseBeforeRequestIsWritten(t *testing.T) {
+	texts := map[string]string{"garbage": "no response at all\r\n\r\n", "unexpected 101": "HTTP/1.1 101 X\r\n\r\n"}
+	for name, extra := range extraResponses {
+		texts[name] = strings.ReplaceAll(extra, "r/1", "r/0")
+	}
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) {
+			ours, theirs := net.Pipe()
+			defer theirs.Close()
+			conn := newHeldConn(ours, text)
+			client := backend.NewClientWithDial("replica:1", 1, func(context.Context, string, string) (net.Conn, error) { return conn, nil })
+			defer client.Close()
+			_, err := client.Send(t.Context(), nonIdempotentSub)
+			close(conn.release)
+			var e *backend.Error
+			must.True(t, errors.As(err, &e))
+			must.True(t, e.MayHaveExecuted(), must.Sprintf("reported as not executed before the write: %v", err))
+		})
+	}
+}
