backend: a refusal without attempt proves nothing on a reused connection

A search may be refused without attempt. On a reused connection such a refusal can be a late second response to an earlier sub-request, but it counted as proof that this one was not executed, and the caller was told "run: never" (backend_refused).

Error.Unconfirmed marks it. It still counts as a refusal for the choice of replicas and for the missing reason, so servers that leave the attempt out keep their treatment and their connections; only MayHaveExecuted changes. On the first response of a connection no earlier request exists, so the refusal is confirmed. A peer reports an unconfirmed refusal as mismatched, because daemons of the present version take Refused as proof.

--- a/backend/client.go
+++ b/backend/client.go
@@ -24,7 +24,7 @@
 // Failure is the class of a failed sub-request.
 type Failure string
 
-// Values of Failure. Only NotSent and Refused guarantee that the sub-request was not executed.
+// Values of Failure. Only NotSent and a confirmed Refused guarantee that the sub-request was not executed.
 const (
 	NotSent        Failure = "not_sent"
 	Refused        Failure = "refused"
@@ -44,9 +44,11 @@
 // Error is a failed sub-request.
 type Error struct {
 	Failure Failure
-	// Refusal is set if Failure is Refused.
-	Refusal Refusal
-	Cause   error
+	// Refusal is set if Failure is Refused. Unconfirmed means that it may belong to an earlier request on the connection, so
+	// that it does not guarantee that this sub-request was not executed.
+	Refusal     Refusal
+	Unconfirmed bool
+	Cause       error
 }
 
 // Error implements error.
@@ -62,7 +64,9 @@
 
 // MayHaveExecuted reports whether the backend server may have executed the sub-request. It is false only if it
 // certainly has not.
-func (e *Error) MayHaveExecuted() bool { return e.Failure != NotSent && e.Failure != Refused }
+func (e *Error) MayHaveExecuted() bool {
+	return e.Failure != NotSent && (e.Failure != Refused || e.Unconfirmed)
+}
 
 // errMissingEnd means that a body was decoded, but its end field does not repeat the attempt.
 var errMissingEnd = errors.New("end mark missing")
@@ -253,7 +257,7 @@
 		return SubResponse{}, classify(ctx, err, trip.conn != nil)
 	}
 	defer resp.Body.Close()
-	answer, err := readAnswer(ctx, resp, sub)
+	answer, err := readAnswer(ctx, resp, sub, trip.reused)
 	if err != nil && FailureOf(err) != Refused {
 		// The response may belong to an earlier request on this connection, so every later response would be off by one.
 		trip.closeConn()
@@ -283,11 +287,17 @@
 }
 
 // roundTrip tracks the connection that carries one request.
-type roundTrip struct{ conn net.Conn }
+type roundTrip struct {
+	conn net.Conn
+	// reused reports whether the connection carried an earlier request.
+	reused bool
+}
 
 // trace returns a context that records the connection assigned to a request in t before anything is written to it.
 func (t *roundTrip) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { t.conn = info.Conn }})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		t.conn, t.reused = info.Conn, info.Reused
+	}})
 }
 
 // closeConn closes the connection, so that no other request uses it.
@@ -310,7 +320,9 @@
 	}
 }
 
-func readAnswer(ctx context.Context, resp *http.Response, sub SubRequest) (SubResponse, error) {
+// readAnswer reads and validates the response to a sub-request. reused reports whether its connection carried an earlier
+// request, to which the response may belong.
+func readAnswer(ctx context.Context, resp *http.Response, sub SubRequest, reused bool) (SubResponse, error) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
 	if err != nil && ctx.Err() != nil {
 		return SubResponse{}, &Error{Failure: TimedOut, Cause: ctx.Err()}
@@ -320,8 +332,8 @@
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		var refusal Refusal
-		if json.Unmarshal(data, &refusal) == nil && refusal.provesNotExecuted(sub) {
-			return SubResponse{}, &Error{Failure: Refused, Refusal: refusal}
+		if json.Unmarshal(data, &refusal) == nil && refusal.mayConcern(sub) {
+			return SubResponse{}, &Error{Failure: Refused, Refusal: refusal, Unconfirmed: reused && refusal.Attempt == ""}
 		}
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/backend/extra_response_test.go
+++ b/backend/extra_response_test.go
@@ -93,6 +93,23 @@
 	}
 }
 
+// TestRefusalWithoutAttempt guards against a refusal of an earlier sub-request that is taken as proof that this one was
+// not executed. Only the first response on a connection can be attributed without the attempt.
+func TestRefusalWithoutAttempt(t *testing.T) {
+	refusal := extraResponses["refusal without attempt"]
+	address, _ := startRawServer(t, func(int, *http.Request) string { return refusal })
+	client := backend.NewClient(address, 1)
+	defer client.Close()
+	sub := backend.SubRequest{Service: "s", Request: "r", Attempt: "r/1", Query: "q"}
+	for i, wantProof := range []bool{true, false} {
+		_, err := client.Send(t.Context(), sub)
+		var e *backend.Error
+		must.True(t, errors.As(err, &e))
+		must.Eq(t, backend.Refused, e.Failure, must.Sprint("the refusal still shows that the replica sheds load"))
+		must.Eq(t, wantProof, !e.MayHaveExecuted(), must.Sprintf("request %d on the connection", i+1))
+	}
+}
+
 // heldConn is a connection whose first write waits until release is closed or the connection is closed, and whose reads
 // return text meanwhile. Like a write that the operating system has already accepted, a held write succeeds even if the
 // connection is closed.
--- a/backend/wire.go
+++ b/backend/wire.go
@@ -104,8 +104,9 @@
 	Incarnation int64  `json:"incarnation"`
 }
 
-// provesNotExecuted reports whether the refusal proves that this sub-request was not executed.
-func (r Refusal) provesNotExecuted(sub SubRequest) bool {
+// mayConcern reports whether this can be the refusal of a sub-request. A refusal without attempt of a sub-request without
+// key may also be that of an earlier one on the connection.
+func (r Refusal) mayConcern(sub SubRequest) bool {
 	if r.Ran != "never" {
 		return false
 	}
--- a/relay/local.go
+++ b/relay/local.go
@@ -78,10 +78,16 @@
 	return SubResult{ID: s.ID, Attempt: s.Attempt, Answer: data}
 }
 
+// failureResult returns the result of a failed sub-request. A result with the failure Refused guarantees that nothing was
+// executed, so an unconfirmed refusal is reported as Mismatched.
 func failureResult(s SubRequest, err error) SubResult {
 	r := SubResult{ID: s.ID, Attempt: s.Attempt, Failure: backend.FailureOf(err)}
 	var e *backend.Error
-	if errors.As(err, &e) && e.Failure == backend.Refused {
+	switch {
+	case !errors.As(err, &e) || e.Failure != backend.Refused:
+	case e.Unconfirmed:
+		r.Failure = backend.Mismatched
+	default:
 		r.Reason = e.Refusal.Reason
 	}
 	if errors.Is(err, context.DeadlineExceeded) && r.Failure == backend.ServerError {
