backend: no late response to a sub-request as load report or health response

Load reports, shard maps and health requests share the connections of sub-requests. A late answer to a sub-request decoded as a load report without state, slots and holdings, and was believed: the replica was out of use until the next poll, and its holdings were dropped. A shard map was safe because of its version, but its connection stayed in use, as did that of a health request.

A load report needs a state, the body has to be whole, and a connection with a response that is not that of the request is closed.

Left: a second, late load report is one poll old and of the same incarnation; the connection remains one response late until its next sub-request, which fails and closes it.

--- a/backend/client.go
+++ b/backend/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -199,19 +200,15 @@
 	wg.Wait()
 }
 
-// checkHealth requests the health endpoint once and ignores the result.
+// checkHealth requests the health endpoint once and ignores the result, but closes the connection if the response is that
+// of a sub-request.
 func (c *Client) checkHealth(ctx context.Context) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+PathHealth, nil)
-	if err != nil {
-		return
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return
+	var trip roundTrip
+	data, err := c.get(trip.trace(ctx), PathHealth, nil)
+	var answer SubResponse
+	if err != nil || json.Unmarshal(data, &answer) == nil && answer.Attempt != "" {
+		trip.closeConn()
 	}
-	// A connection can be reused only after the body has been read completely.
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBodyBytes))
-	resp.Body.Close()
 }
 
 // Close closes idle connections. Those in use stay open until their requests end.
@@ -356,38 +353,74 @@
 	return answer, nil
 }
 
+// errNotLoadReport means that the load endpoint's response is not a load report.
+var errNotLoadReport = errors.New("response is not a load report")
+
 // FetchLoad fetches a load report from the load endpoint.
 func (c *Client) FetchLoad(ctx context.Context) (LoadReport, error) {
 	var load LoadReport
-	err := c.getJSON(ctx, PathLoad, &load)
+	err := c.getJSON(ctx, PathLoad, &load, func() error {
+		if load.State == "" {
+			return errNotLoadReport
+		}
+		return nil
+	})
 	return load, err
 }
 
 // FetchShardMap fetches a version of the shard map.
 func (c *Client) FetchShardMap(ctx context.Context, version int64) (snapshot.ShardMap, error) {
 	var m snapshot.ShardMap
-	if err := c.getJSON(ctx, PathMaps+strconv.FormatInt(version, 10), &m); err != nil {
+	err := c.getJSON(ctx, PathMaps+strconv.FormatInt(version, 10), &m, func() error {
+		if m.Version != version {
+			return fmt.Errorf("received shard map %d instead of %d", m.Version, version)
+		}
+		return m.Check()
+	})
+	if err != nil {
 		return snapshot.ShardMap{}, err
 	}
-	if m.Version != version {
-		return snapshot.ShardMap{}, fmt.Errorf("received shard map %d instead of %d", m.Version, version)
+	return m, nil
+}
+
+// getJSON requests path and decodes the response into out. If that or check fails, the response may belong to an earlier
+// request, so the connection is closed.
+func (c *Client) getJSON(ctx context.Context, path string, out any, check func() error) error {
+	var trip roundTrip
+	header := make(http.Header)
+	c.setDataCentreHeader(header)
+	data, err := c.get(trip.trace(ctx), path, header)
+	if err == nil {
+		err = json.Unmarshal(data, out)
 	}
-	return m, m.Check()
+	if err == nil {
+		err = check()
+	}
+	if err != nil {
+		trip.closeConn()
+	}
+	return err
 }
 
-func (c *Client) getJSON(ctx context.Context, path string, out any) error {
+// get requests path and returns the body of a response with status 200. The body is read to its end, because the
+// connection can be reused only then.
+func (c *Client) get(ctx context.Context, path string, header http.Header) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	c.setDataCentreHeader(req.Header)
+	maps.Copy(req.Header, header)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("request for %s returned status %d", path, resp.StatusCode)
+		return nil, fmt.Errorf("request for %s returned status %d", path, resp.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(out)
+	return data, nil
 }
--- a/backend/extra_response_test.go
+++ b/backend/extra_response_test.go
@@ -93,6 +93,71 @@
 	}
 }
 
+// TestExtraResponseToControlRequest guards against a late response to a sub-request that is taken for a load report or a
+// shard map: a load report without slots or state would take the replica out of use. The connection must not stay in
+// use either.
+func TestExtraResponseToControlRequest(t *testing.T) {
+	for name, extra := range extraResponses {
+		for _, kind := range []string{"load", "map"} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				address, _ := startRawServer(t, extraResponder(extra))
+				client := backend.NewClient(address, 1)
+				defer client.Close()
+				_, err := client.Send(t.Context(), nonIdempotentSub)
+				must.NoError(t, err)
+				fetch := func() error {
+					if kind == "map" {
+						_, err := client.FetchShardMap(t.Context(), 7)
+						return err
+					}
+					_, err := client.FetchLoad(t.Context())
+					return err
+				}
+				must.Error(t, fetch(), must.Sprint("the extra response was believed"))
+				must.NoError(t, fetch(), must.Sprint("the connection stayed in use"))
+			})
+		}
+	}
+}
+
+// closeRecorder records whether a connection was closed.
+type closeRecorder struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (c *closeRecorder) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// TestExtraResponseToHealthRequest guards against a connection that OpenIdle keeps although a late response to a
+// sub-request arrived on it. Bodies of the health endpoint are not specified, so only a status or an attempt shows that.
+func TestExtraResponseToHealthRequest(t *testing.T) {
+	for _, name := range []string{"answer", "no end mark", "refusal", "refusal without attempt", "server error"} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startRawServer(t, extraResponder(extraResponses[name]))
+			var mu sync.Mutex
+			var conns []*closeRecorder
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				conn, err := net.Dial("tcp", address)
+				mu.Lock()
+				defer mu.Unlock()
+				conns = append(conns, &closeRecorder{Conn: conn})
+				return conns[len(conns)-1], err
+			}
+			client := backend.NewClientWithDial(address, 2, dial)
+			defer client.Close()
+			_, err := client.Send(t.Context(), nonIdempotentSub)
+			must.NoError(t, err)
+			client.OpenIdle(t.Context(), 2)
+			mu.Lock()
+			defer mu.Unlock()
+			must.True(t, conns[0].closed.Load(), must.Sprint("the connection with the extra response stayed open"))
+		})
+	}
+}
+
 // TestRefusalWithoutAttempt guards against a refusal of an earlier sub-request that is taken as proof that this one was
 // not executed. Only the first response on a connection can be attributed without the attempt.
 func TestRefusalWithoutAttempt(t *testing.T) {
