backend: nothing was sent on a connection that was closed before its use

The transport hands a connection to a waiting request with the last byte of a response. If that response turns out not to be that of its attempt, the connection is closed under the waiting request: its write fails, and the outcome counted as unknown although nothing was sent.

A request now waits until the response before it on the connection has been checked, and counts as not sent if the connection is closed by then.

--- a/backend/client.go
+++ b/backend/client.go
@@ -9,7 +9,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -204,6 +203,7 @@
 // of a sub-request.
 func (c *Client) checkHealth(ctx context.Context) {
 	var trip roundTrip
+	defer trip.end()
 	data, err := c.get(trip.trace(ctx), PathHealth, nil)
 	var answer SubResponse
 	if err != nil || json.Unmarshal(data, &answer) == nil && answer.Attempt != "" {
@@ -214,20 +214,6 @@
 // Close closes idle connections. Those in use stay open until their requests end.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// countedConn decrements the client's count of open connections when it is closed.
-type countedConn struct {
-	net.Conn
-	openCount *atomic.Int64
-	closed    atomic.Bool
-}
-
-func (c *countedConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.openCount.Add(-1)
-	}
-	return c.Conn.Close()
-}
-
 // Send sends a sub-request and returns its validated answer or an *Error. The deadline of ctx is sent as the remaining
 // time. A call that is cancelled or times out closes its connection, so that a late answer cannot be taken for that of
 // another request.
@@ -239,6 +225,7 @@
 		path = PathExecute
 	}
 	var trip roundTrip
+	defer trip.end()
 	ctx = trip.trace(ctx)
 	// For a plain reader, net/http does not set GetBody, so the transport cannot send the body a second time.
 	body := struct{ io.Reader }{strings.NewReader(sub.Query)}
@@ -250,10 +237,15 @@
 	setSubRequestHeaders(ctx, req.Header, sub)
 	c.setDataCentreHeader(req.Header)
 	resp, err := c.http.Do(req)
-	if err != nil {
+	if err == nil {
+		defer resp.Body.Close()
+	}
+	switch {
+	case trip.closedBefore:
+		return SubResponse{}, &Error{Failure: NotSent, Cause: net.ErrClosed}
+	case err != nil:
 		return SubResponse{}, classify(ctx, err, trip.conn != nil)
 	}
-	defer resp.Body.Close()
 	answer, err := readAnswer(ctx, resp, sub, trip.reused)
 	if err != nil && FailureOf(err) != Refused {
 		// The response may belong to an earlier request on this connection, so every later response would be off by one.
@@ -283,27 +275,6 @@
 	}
 }
 
-// roundTrip tracks the connection that carries one request.
-type roundTrip struct {
-	conn net.Conn
-	// reused reports whether the connection carried an earlier request.
-	reused bool
-}
-
-// trace returns a context that records the connection assigned to a request in t before anything is written to it.
-func (t *roundTrip) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		t.conn, t.reused = info.Conn, info.Reused
-	}})
-}
-
-// closeConn closes the connection, so that no other request uses it.
-func (t *roundTrip) closeConn() {
-	if t.conn != nil {
-		_ = t.conn.Close()
-	}
-}
-
 // classify returns the failure class of a transport error. gotConn reports whether there was a connection, so that the
 // request may have been written.
 func classify(ctx context.Context, err error, gotConn bool) *Error {
@@ -387,6 +358,7 @@
 // request, so the connection is closed.
 func (c *Client) getJSON(ctx context.Context, path string, out any, check func() error) error {
 	var trip roundTrip
+	defer trip.end()
 	header := make(http.Header)
 	c.setDataCentreHeader(header)
 	data, err := c.get(trip.trace(ctx), path, header)
--- a/backend/extra_response_test.go
+++ b/backend/extra_response_test.go
@@ -175,6 +175,46 @@
 	}
 }
 
+// TestConnectionClosedBeforeUse guards against an unknown outcome of a sub-request that only waits for a connection: the
+// connection becomes idle with the last byte of a response, and is closed once that response turns out not to be that
+// of its attempt. Nothing has been written for the waiting sub-request then.
+func TestConnectionClosedBeforeUse(t *testing.T) {
+	const rounds = 200
+	for range rounds {
+		arrived, answer := make(chan struct{}), make(chan struct{})
+		address, _ := startRawServer(t, func(conn int, r *http.Request) string {
+			if conn > 1 {
+				return validAnswer(r)
+			}
+			close(arrived)
+			<-answer
+			return rawResponse(200, 4, `"no"`)
+		})
+		dials, dialing, dialAllowed := 0, make(chan struct{}), make(chan struct{})
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			if dials > 1 {
+				close(dialing)
+				<-dialAllowed
+			}
+			return net.Dial("tcp", address)
+		}
+		client := backend.NewClientWithDial(address, 2, dial)
+		first, second := make(chan error, 1), make(chan error, 1)
+		go func() { _, err := client.Send(t.Context(), nonIdempotentSub); first <- err }()
+		<-arrived
+		go func() { _, err := client.Send(t.Context(), nonIdempotentSub); second <- err }()
+		<-dialing
+		close(answer)
+		must.Eq(t, backend.Undecodable, backend.FailureOf(<-first))
+		close(dialAllowed)
+		if err := <-second; err != nil {
+			must.Eq(t, backend.NotSent, backend.FailureOf(err), must.Sprint(err))
+		}
+		client.Close()
+	}
+}
+
 // heldConn is a connection whose first write waits until release is closed or the connection is closed, and whose reads
 // return text meanwhile. Like a write that the operating system has already accepted, a held write succeeds even if the
 // connection is closed.
