delegation: no answer to a query that has not been sent

An answer with status 200 that arrived before that, such as a late one to an earlier query on the kept connection, was taken for the answer to a query that had not left this daemon. The query is now withdrawn and counts as not accepted.

TestAnswerBeforeQueryIsSent failed before.

--- /dev/null
+++ b/delegation/foreign_answer_test.go
@@ -0,0 +1,99 @@
+package delegation
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// rawHelper is a helper that writes HTTP responses byte by byte. respond returns the response to the request with the
+// given number on a connection; sent before the query is read if early is true, and after a 100 Continue otherwise.
+type rawHelper struct {
+	early   func(number int) bool
+	respond func(number int, r *http.Request) string
+}
+
+// start serves connections on the loopback interface until the test ends and returns the address.
+func (h rawHelper) start(t *testing.T) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go h.serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (h rawHelper) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for number := 1; ; number++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !h.early(number) {
+			if _, err := io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		if _, err := io.WriteString(conn, h.respond(number, request)); err != nil {
+			return
+		}
+	}
+}
+
+func never(int) bool { return false }
+
+// answerResponse returns the complete response with the last part of a query over one shard. headers are additional
+// header lines.
+func answerResponse(signature string, headers ...string) string {
+	body := fmt.Sprintf("{\"shards\":[0],\"signatures\":[%q],\"last\":true}\n", signature)
+	lines := append([]string{"HTTP/1.1 200 OK", fmt.Sprintf("Content-Length: %d", len(body))}, headers...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
+
+// delegateTwice delegates two queries to the helper over one client and returns the parts and the error of the second.
+func delegateTwice(t *testing.T, address string) (parts []PartialAnswer, err error) {
+	t.Helper()
+	client := NewClient()
+	defer client.http.CloseIdleConnections()
+	query := Query{ID: "q", Shards: []int{0}}
+	must.NoError(t, client.Delegate(t.Context(), address, query, testTimeout, func(PartialAnswer) {}))
+	err = client.Delegate(t.Context(), address, query, testTimeout, func(p PartialAnswer) { parts = append(parts, p) })
+	return parts, err
+}
+
+// TestAnswerBeforeQueryIsSent guards against an answer that arrives before the query has been sent, and is therefore that
+// of an earlier query on the connection. The query is never sent then.
+func TestAnswerBeforeQueryIsSent(t *testing.T) {
+	helper := rawHelper{
+		early:   func(number int) bool { return number == 2 },
+		respond: func(int, *http.Request) string { return answerResponse("first") },
+	}
+	parts, err := delegateTwice(t, helper.start(t))
+	must.ErrorIs(t, err, ErrNotAccepted)
+	must.Len(t, 0, parts)
+}
+
+// TestHelperWithoutExchange guards the compatibility with helpers that do not repeat the id of the exchange.
+func TestHelperWithoutExchange(t *testing.T) {
+	helper := rawHelper{early: never, respond: func(number int, _ *http.Request) string { return answerResponse(fmt.Sprint(number)) }}
+	parts, err := delegateTwice(t, helper.start(t))
+	must.NoError(t, err)
+	must.Eq(t, []PartialAnswer{{Shards: []int{0}, Signatures: []string{"2"}, Last: true}}, parts)
+}
--- a/delegation/message.go
+++ b/delegation/message.go
@@ -166,6 +166,11 @@
 // Close implements io.Closer.
 func (body) Close() error { return nil }
 
+// sent withdraws the body if it is pending, and reports whether any of it may have been sent.
+func sent(state *atomic.Int32) bool {
+	return !state.CompareAndSwap(bodyPending, bodyWithdrawn) && state.Load() == bodySent
+}
+
 // Delegate delegates a query to the helper at the address and calls receive with each part. If the helper doesn't
 // respond with 100 Continue within acceptTimeout, the query is withdrawn. An error that wraps ErrNotAccepted means that
 // nothing was sent to a replica; after any other error replicas may have executed the query.
@@ -191,12 +196,16 @@
 	req.Header.Set("Expect", "100-continue")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		if state.CompareAndSwap(bodyPending, bodyWithdrawn) || state.Load() == bodyWithdrawn {
+		if !sent(state) {
 			return eris.Wrapf(ErrNotAccepted, "%v", err)
 		}
 		return eris.Wrap(err, "ask")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !sent(state) && resp.StatusCode == http.StatusOK {
+		// The answer is that of an earlier query on the connection.
+		return eris.Wrap(ErrNotAccepted, "answer before the query was sent")
+	}
 	if resp.StatusCode != http.StatusOK {
 		reason, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
 		if err != nil {
