delegation: only a client error refuses a query, and redirects are not followed

Every status but 200 counted as a refusal, also after the query had been sent, so the query was executed a second time after a status 500, 307 or 204. A status 302 made net/http request its target, and the body of that response was taken for the answer. Daemons refuse with client errors only (400 and 409, 404 and 405 from the multiplexer).

--- a/delegation/foreign_answer_test.go
+++ b/delegation/foreign_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -97,3 +98,29 @@
 	must.NoError(t, err)
 	must.Eq(t, []PartialAnswer{{Shards: []int{0}, Signatures: []string{"2"}, Last: true}}, parts)
 }
+
+// TestUnexpectedStatusAfterQuery guards against a query that is answered a second time because a status that no daemon
+// uses for a refusal counts as one, and against the body of a redirect's target that is taken for the answer.
+func TestUnexpectedStatusAfterQuery(t *testing.T) {
+	for _, status := range []string{"302 Found", "307 Temporary Redirect", "500 Internal Server Error", "204 No Content"} {
+		t.Run(status, func(t *testing.T) {
+			var address string
+			helper := rawHelper{early: never, respond: func(_ int, r *http.Request) string {
+				if r.Method == http.MethodGet {
+					return answerResponse("other")
+				}
+				length := "Content-Length: 0\r\n"
+				if strings.HasPrefix(status, "204") {
+					length = ""
+				}
+				return "HTTP/1.1 " + status + "\r\nLocation: http://" + address + "/other\r\n" + length + "\r\n"
+			}}
+			address = helper.start(t)
+			parts := 0
+			err := NewClient().Delegate(t.Context(), address, Query{ID: "q"}, testTimeout, func(PartialAnswer) { parts++ })
+			must.Error(t, err)
+			must.False(t, errors.Is(err, ErrNotAccepted), must.Sprint(err))
+			must.Eq(t, 0, parts)
+		})
+	}
+}
--- a/delegation/message.go
+++ b/delegation/message.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -137,7 +138,10 @@
 		ExpectContinueTimeout:  continueTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}}
+	},
+		// The target of a redirect would answer another request.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // body is the request body of a query. It can be withdrawn until the transport starts to read it.
@@ -202,18 +206,14 @@
 		return eris.Wrap(err, "ask")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if !sent(state) && resp.StatusCode == http.StatusOK {
+	wasSent := sent(state)
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		return statusError(resp, wasSent)
+	case !wasSent:
 		// The answer is that of an earlier query on the connection.
 		return eris.Wrap(ErrNotAccepted, "answer before the query was sent")
 	}
-	if resp.StatusCode != http.StatusOK {
-		reason, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
-		if err != nil {
-			reason = []byte(err.Error())
-		}
-		// A daemon responds with another status only if it does not accept the query.
-		return eris.Wrapf(ErrNotAccepted, "status %d: %s", resp.StatusCode, bytes.TrimSpace(reason))
-	}
 	decoder := json.NewDecoder(io.LimitReader(resp.Body, maxMessageBytes))
 	for {
 		var part PartialAnswer
@@ -228,3 +228,18 @@
 		}
 	}
 }
+
+// statusError returns the error for a response with another status than 200. A daemon that does not accept a query
+// responds with a client error; any other status shows that nothing was executed only if the query was not sent.
+func statusError(resp *http.Response, wasSent bool) error {
+	reason, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	if err != nil {
+		reason = []byte(err.Error())
+	}
+	text := fmt.Sprintf("status %d: %s", resp.StatusCode, bytes.TrimSpace(reason))
+	isClientError := resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError
+	if wasSent && !isClientError {
+		return eris.New(text)
+	}
+	return eris.Wrap(ErrNotAccepted, text)
+}
