delegation: a response names its exchange

Messages between daemons carried nothing that tells the answer to one query from that to another on the same connection, and a refusal (409) of an earlier query counted as that of the next one, which was then executed a second time. Both sides treat it as optional, so daemons of the present version take part.

TestAnswerOfAnotherExchange failed before in both cases. No path was found on which a daemon of this version sends two responses; the id makes the check independent of that.

--- a/delegation/foreign_answer_test.go
+++ b/delegation/foreign_answer_test.go
@@ -91,6 +91,31 @@
 	must.Len(t, 0, parts)
 }
 
+// TestAnswerOfAnotherExchange guards against the answer or the refusal of an earlier query that arrives where that of the
+// next one is expected. Such a refusal does not show that the query was not accepted.
+func TestAnswerOfAnotherExchange(t *testing.T) {
+	for name, late := range map[string]func(exchange string) string{
+		"answer": func(exchange string) string { return answerResponse("first", headerExchange+": "+exchange) },
+		"refusal": func(exchange string) string {
+			return "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n" + headerExchange + ": " + exchange + "\r\n\r\n"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var first string
+			parts, err := delegateTwice(t, rawHelper{early: never, respond: func(number int, r *http.Request) string {
+				if number == 1 {
+					first = r.Header.Get(headerExchange)
+					return answerResponse("first", headerExchange+": "+first)
+				}
+				return late(first)
+			}}.start(t))
+			must.Error(t, err)
+			must.False(t, errors.Is(err, ErrNotAccepted), must.Sprint(err))
+			must.Len(t, 0, parts)
+		})
+	}
+}
+
 // TestHelperWithoutExchange guards the compatibility with helpers that do not repeat the id of the exchange.
 func TestHelperWithoutExchange(t *testing.T) {
 	helper := rawHelper{early: never, respond: func(number int, _ *http.Request) string { return answerResponse(fmt.Sprint(number)) }}
--- a/delegation/message.go
+++ b/delegation/message.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
 	"github.com/chivemill/chivemill/api"
@@ -21,6 +22,9 @@
 const (
 	// PathQuery is the path at which Handler serves delegated queries.
 	PathQuery = "/v1/query"
+	// headerExchange identifies an exchange between two daemons, so that a late response to an earlier one on the connection
+	// is recognized. Either side may leave it out.
+	headerExchange = "Chivemill-Exchange"
 	// maxMessageBytes bounds the bodies of a request and of a response in bytes.
 	maxMessageBytes = 32 << 20
 	// maxResponseHeaderBytes bounds the header of a response in bytes.
@@ -111,6 +115,9 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		if exchange := r.Header.Get(headerExchange); exchange != "" {
+			w.Header().Set(headerExchange, exchange)
+		}
 		encoder := json.NewEncoder(w)
 		flush := http.NewResponseController(w).Flush
 		err := server.Answer(r.Context(), q, func(p PartialAnswer) {
@@ -175,6 +182,8 @@
 	return !state.CompareAndSwap(bodyPending, bodyWithdrawn) && state.Load() == bodySent
 }
 
+var errForeignResponse = errors.New("response belongs to another exchange")
+
 // Delegate delegates a query to the helper at the address and calls receive with each part. If the helper doesn't
 // respond with 100 Continue within acceptTimeout, the query is withdrawn. An error that wraps ErrNotAccepted means that
 // nothing was sent to a replica; after any other error replicas may have executed the query.
@@ -198,6 +207,8 @@
 	}
 	req.ContentLength = int64(len(data))
 	req.Header.Set("Expect", "100-continue")
+	exchange := uuid.NewString()
+	req.Header.Set(headerExchange, exchange)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if !sent(state) {
@@ -207,7 +218,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	wasSent := sent(state)
-	switch {
+	switch repeated := resp.Header.Get(headerExchange); {
+	case repeated != "" && repeated != exchange && wasSent:
+		return errForeignResponse
 	case resp.StatusCode != http.StatusOK:
 		return statusError(resp, wasSent)
 	case !wasSent:
