delegation: no part after the end of its answer

A part that the server sends after Answer has returned was written to the finished response. net/http gives the buffer of a finished response to another one, so the part would get into the answer to another query, or the write panics. Handler now drops such parts.

TestPartAfterAnswerReturned failed before: the write panicked (nil pointer in bufio.Writer.Flush). The gateway sends no part after partCollector.finish, but the timer that flushes the first part may run while a panic of the query ends its handler.

--- a/delegation/foreign_answer_test.go
+++ b/delegation/foreign_answer_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -149,3 +152,31 @@
 		})
 	}
 }
+
+// TestPartAfterAnswerReturned guards against a part that is sent after its query has ended. net/http reuses the buffer of
+// a finished response, so the part would get into the answer to another query.
+func TestPartAfterAnswerReturned(t *testing.T) {
+	sends := make(chan func(PartialAnswer), 2)
+	server := httptest.NewServer(Handler(serverFunc(func(_ context.Context, q Query, send func(PartialAnswer)) error {
+		select {
+		case late := <-sends:
+			late(PartialAnswer{Shards: []int{7}, Signatures: []string{"late"}})
+		default:
+		}
+		// The first part is flushed, so that the response has no length that would bound later writes.
+		send(PartialAnswer{Shards: []int{0}, Signatures: []string{q.ID}})
+		send(PartialAnswer{Shards: []int{0}, Signatures: []string{q.ID}, Last: true})
+		sends <- send
+		return nil
+	})))
+	defer server.Close()
+	client := NewClient()
+	defer client.http.CloseIdleConnections()
+	for i := range 200 {
+		id := fmt.Sprint(i)
+		err := client.Delegate(t.Context(), strings.TrimPrefix(server.URL, "http://"), Query{ID: id}, time.Minute, func(p PartialAnswer) {
+			must.Eq(t, []string{id}, p.Signatures)
+		})
+		must.NoError(t, err)
+	}
+}
--- a/delegation/message.go
+++ b/delegation/message.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -118,21 +119,46 @@
 		if exchange := r.Header.Get(headerExchange); exchange != "" {
 			w.Header().Set(headerExchange, exchange)
 		}
-		encoder := json.NewEncoder(w)
-		flush := http.NewResponseController(w).Flush
-		err := server.Answer(r.Context(), q, func(p PartialAnswer) {
-			// The context of the request ends when the client disconnects, so write errors need no handling.
-			_ = encoder.Encode(p)
-			if !p.Last {
-				_ = flush()
-			}
-		})
-		if err != nil {
+		parts := newPartWriter(w)
+		defer parts.close()
+		if err := server.Answer(r.Context(), q, parts.send); err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
 		}
 	})
 }
 
+// partWriter writes the parts of an answer to a response until it is closed. It is safe for concurrent use.
+type partWriter struct {
+	mu      sync.Mutex
+	encoder *json.Encoder
+	flush   func() error
+	closed  bool
+}
+
+func newPartWriter(w http.ResponseWriter) *partWriter {
+	return &partWriter{encoder: json.NewEncoder(w), flush: http.NewResponseController(w).Flush}
+}
+
+// send writes a part. The context of the request ends when the client disconnects, so write errors need no handling.
+func (p *partWriter) send(part PartialAnswer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	_ = p.encoder.Encode(part)
+	if !part.Last {
+		_ = p.flush()
+	}
+}
+
+// close drops later parts: net/http uses the buffer of a finished response for another one.
+func (p *partWriter) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+}
+
 // Client delegates queries to other daemons. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
