kv/etcdjson: no lease without id, no items of other keys

A granted lease without id counted as a lease, and claims written with it never expire; a read accepted the item of another key. Both are errors now, the grant with an unknown outcome. TestResponseOfAnotherCall failed before (grant). A get of which the response has no items still counts as absent whatever the response is: TestEndpointFailover relies on responses without a header. Only Claim.Release reads that way, and then keeps the claim.

--- a/kv/etcdjson/client.go
+++ b/kv/etcdjson/client.go
@@ -147,10 +147,16 @@
 	c.calls.Reads.Add(1)
 	var out RangeResponse
 	err := c.call(ctx, PathRange, RangeRequest{Key: []byte(key)}, &out, kv.ErrUnavailable)
-	if err != nil || len(out.KVs) == 0 {
+	switch {
+	case err != nil:
 		return kv.Item{}, false, err
+	case len(out.KVs) == 0:
+		return kv.Item{}, false, nil
+	case string(out.KVs[0].Key) != key:
+		return kv.Item{}, false, errors.Join(kv.ErrUnavailable, eris.Errorf("%s: response has another key", PathRange))
+	default:
+		return out.KVs[0].Item(), true, nil
 	}
-	return out.KVs[0].Item(), true, nil
 }
 
 // List implements kv.Store.
@@ -166,6 +172,9 @@
 	}
 	items := make([]kv.Item, len(out.KVs))
 	for i, k := range out.KVs {
+		if !bytes.HasPrefix(k.Key, []byte(prefix)) {
+			return nil, 0, errors.Join(kv.ErrUnavailable, eris.Errorf("%s: response has a key of another range", PathRange))
+		}
 		items[i] = k.Item()
 	}
 	return items, int64(out.Header.Revision), nil
@@ -218,8 +227,13 @@
 	c.calls.Writes.Add(1)
 	seconds := (ttl + time.Second - 1) / time.Second
 	var out GrantResponse
-	err := c.call(ctx, PathGrant, GrantRequest{TTL: Int64(seconds)}, &out, kv.ErrOutcomeUnknown)
-	return kv.LeaseID(out.ID), err
+	if err := c.call(ctx, PathGrant, GrantRequest{TTL: Int64(seconds)}, &out, kv.ErrOutcomeUnknown); err != nil {
+		return 0, err
+	}
+	if out.ID == 0 {
+		return 0, errors.Join(kv.ErrOutcomeUnknown, eris.Errorf("%s: response has no lease", PathGrant))
+	}
+	return kv.LeaseID(out.ID), nil
 }
 
 // KeepAlive implements kv.Store.
