backend: another connection for a sub-request that was assigned a closed one

The transport takes a moment to notice that a connection was closed, and assigns it to the next sub-request meanwhile. That failed as not sent, although nothing stands against another connection.

The dial function of TestConnectionClosedBeforeUse now allows more than two dials and counts them without a race; what the test checks is unchanged.

--- a/backend/client.go
+++ b/backend/client.go
@@ -116,6 +116,13 @@
 // errConnectionLimit means that the daemon's share of the replica's connections is used up.
 var errConnectionLimit = errors.New("connection share used up")
 
+// errClosedBeforeUse means that the assigned connection had been closed, so that nothing was sent.
+var errClosedBeforeUse = errors.New("connection was closed before its use")
+
+// maxSendTries limits the connections that the transport assigns to a sub-request if they turn out to be closed. The
+// transport takes a moment to notice that.
+const maxSendTries = 4
+
 // maxIdleConnections is the largest number of idle connections of a client. The initial connection limit cannot be used
 // here, because the limit may be raised later.
 const maxIdleConnections = 1024
@@ -220,6 +227,16 @@
 func (c *Client) Send(ctx context.Context, sub SubRequest) (SubResponse, error) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
+	for try := 1; ; try++ {
+		answer, err := c.sendOnce(ctx, sub)
+		if try == maxSendTries || !errors.Is(err, errClosedBeforeUse) {
+			return answer, err
+		}
+	}
+}
+
+// sendOnce sends a sub-request on the connection that the transport assigns.
+func (c *Client) sendOnce(ctx context.Context, sub SubRequest) (SubResponse, error) {
 	path := PathSubRequest
 	if sub.Key != "" {
 		path = PathExecute
@@ -242,7 +259,7 @@
 	}
 	switch {
 	case trip.closedBefore:
-		return SubResponse{}, &Error{Failure: NotSent, Cause: net.ErrClosed}
+		return SubResponse{}, &Error{Failure: NotSent, Cause: errClosedBeforeUse}
 	case err != nil:
 		return SubResponse{}, classify(ctx, err, trip.conn != nil)
 	}
--- a/backend/extra_response_test.go
+++ b/backend/extra_response_test.go
@@ -190,11 +190,14 @@
 			<-answer
 			return rawResponse(200, 4, `"no"`)
 		})
-		dials, dialing, dialAllowed := 0, make(chan struct{}), make(chan struct{})
+		var dials atomic.Int64
+		dialing, dialAllowed := make(chan struct{}), make(chan struct{})
 		dial := func(context.Context, string, string) (net.Conn, error) {
-			dials++
-			if dials > 1 {
+			number := dials.Add(1)
+			if number == 2 {
 				close(dialing)
+			}
+			if number > 1 {
 				<-dialAllowed
 			}
 			return net.Dial("tcp", address)
