--- a/backend/client.go
+++ b/backend/client.go
@@ -6,9 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,7 +24,7 @@
 // Failure is the class of a failed sub-request.
 type Failure string
 
-// Values of Failure. Only NotSent and Refused guarantee that the sub-request was not executed.
+// Values of Failure. Only NotSent and a confirmed Refused guarantee that the sub-request was not executed.
 const (
 	NotSent        Failure = "not_sent"
 	Refused        Failure = "refused"
@@ -44,9 +44,11 @@
 // Error is a failed sub-request.
 type Error struct {
 	Failure Failure
-	// Refusal is set if Failure is Refused.
-	Refusal Refusal
-	Cause   error
+	// Refusal is set if Failure is Refused. Unconfirmed means that it may belong to an earlier request on the connection, so
+	// that it does not guarantee that this sub-request was not executed.
+	Refusal     Refusal
+	Unconfirmed bool
+	Cause       error
 }
 
 // Error implements error.
@@ -62,7 +64,9 @@
 
 // MayHaveExecuted reports whether the backend server may have executed the sub-request. It is false only if it
 // certainly has not.
-func (e *Error) MayHaveExecuted() bool { return e.Failure != NotSent && e.Failure != Refused }
+func (e *Error) MayHaveExecuted() bool {
+	return e.Failure != NotSent && (e.Failure != Refused || e.Unconfirmed)
+}
 
 // errMissingEnd means that a body was decoded, but its end field does not repeat the attempt.
 var errMissingEnd = errors.New("end mark missing")
@@ -112,6 +116,13 @@
 // errConnectionLimit means that the daemon's share of the replica's connections is used up.
 var errConnectionLimit = errors.New("connection share used up")
 
+// errClosedBeforeUse means that the assigned connection had been closed, so that nothing was sent.
+var errClosedBeforeUse = errors.New("connection was closed before its use")
+
+// maxSendTries limits the connections that the transport assigns to a sub-request if they turn out to be closed. The
+// transport takes a moment to notice that.
+const maxSendTries = 4
+
 // maxIdleConnections is the largest number of idle connections of a client. The initial connection limit cannot be used
 // here, because the limit may be raised later.
 const maxIdleConnections = 1024
@@ -195,51 +206,44 @@
 	wg.Wait()
 }
 
-// checkHealth requests the health endpoint once and ignores the result.
+// checkHealth requests the health endpoint once and ignores the result, but closes the connection if the response is that
+// of a sub-request.
 func (c *Client) checkHealth(ctx context.Context) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+PathHealth, nil)
-	if err != nil {
-		return
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return
+	var trip roundTrip
+	defer trip.end()
+	data, err := c.get(trip.trace(ctx), PathHealth, nil)
+	var answer SubResponse
+	if err != nil || json.Unmarshal(data, &answer) == nil && answer.Attempt != "" {
+		trip.closeConn()
 	}
-	// A connection can be reused only after the body has been read completely.
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBodyBytes))
-	resp.Body.Close()
 }
 
 // Close closes idle connections. Those in use stay open until their requests end.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// countedConn decrements the client's count of open connections when it is closed.
-type countedConn struct {
-	net.Conn
-	openCount *atomic.Int64
-	closed    atomic.Bool
-}
-
-func (c *countedConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.openCount.Add(-1)
-	}
-	return c.Conn.Close()
-}
-
 // Send sends a sub-request and returns its validated answer or an *Error. The deadline of ctx is sent as the remaining
 // time. A call that is cancelled or times out closes its connection, so that a late answer cannot be taken for that of
 // another request.
 func (c *Client) Send(ctx context.Context, sub SubRequest) (SubResponse, error) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
+	for try := 1; ; try++ {
+		answer, err := c.sendOnce(ctx, sub)
+		if try == maxSendTries || !errors.Is(err, errClosedBeforeUse) {
+			return answer, err
+		}
+	}
+}
+
+// sendOnce sends a sub-request on the connection that the transport assigns.
+func (c *Client) sendOnce(ctx context.Context, sub SubRequest) (SubResponse, error) {
 	path := PathSubRequest
 	if sub.Key != "" {
 		path = PathExecute
 	}
-	var gotConn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+	var trip roundTrip
+	defer trip.end()
+	ctx = trip.trace(ctx)
 	// For a plain reader, net/http does not set GetBody, so the transport cannot send the body a second time.
 	body := struct{ io.Reader }{strings.NewReader(sub.Query)}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+path, body)
@@ -250,11 +254,21 @@
 	setSubRequestHeaders(ctx, req.Header, sub)
 	c.setDataCentreHeader(req.Header)
 	resp, err := c.http.Do(req)
-	if err != nil {
-		return SubResponse{}, classify(ctx, err, gotConn.Load())
+	if err == nil {
+		defer resp.Body.Close()
 	}
-	defer resp.Body.Close()
-	return readAnswer(ctx, resp, sub)
+	switch {
+	case trip.closedBefore:
+		return SubResponse{}, &Error{Failure: NotSent, Cause: errClosedBeforeUse}
+	case err != nil:
+		return SubResponse{}, classify(ctx, err, trip.conn != nil)
+	}
+	answer, err := readAnswer(ctx, resp, sub, trip.reused)
+	if err != nil && FailureOf(err) != Refused {
+		// The response may belong to an earlier request on this connection, so every later response would be off by one.
+		trip.closeConn()
+	}
+	return answer, err
 }
 
 func (c *Client) setDataCentreHeader(h http.Header) {
@@ -291,7 +305,9 @@
 	}
 }
 
-func readAnswer(ctx context.Context, resp *http.Response, sub SubRequest) (SubResponse, error) {
+// readAnswer reads and validates the response to a sub-request. reused reports whether its connection carried an earlier
+// request, to which the response may belong.
+func readAnswer(ctx context.Context, resp *http.Response, sub SubRequest, reused bool) (SubResponse, error) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
 	if err != nil && ctx.Err() != nil {
 		return SubResponse{}, &Error{Failure: TimedOut, Cause: ctx.Err()}
@@ -301,8 +317,8 @@
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		var refusal Refusal
-		if json.Unmarshal(data, &refusal) == nil && refusal.provesNotExecuted(sub) {
-			return SubResponse{}, &Error{Failure: Refused, Refusal: refusal}
+		if json.Unmarshal(data, &refusal) == nil && refusal.mayConcern(sub) {
+			return SubResponse{}, &Error{Failure: Refused, Refusal: refusal, Unconfirmed: reused && refusal.Attempt == ""}
 		}
 	}
 	if resp.StatusCode != http.StatusOK {
@@ -325,38 +341,75 @@
 	return answer, nil
 }
 
+// errNotLoadReport means that the load endpoint's response is not a load report.
+var errNotLoadReport = errors.New("response is not a load report")
+
 // FetchLoad fetches a load report from the load endpoint.
 func (c *Client) FetchLoad(ctx context.Context) (LoadReport, error) {
 	var load LoadReport
-	err := c.getJSON(ctx, PathLoad, &load)
+	err := c.getJSON(ctx, PathLoad, &load, func() error {
+		if load.State == "" {
+			return errNotLoadReport
+		}
+		return nil
+	})
 	return load, err
 }
 
 // FetchShardMap fetches a version of the shard map.
 func (c *Client) FetchShardMap(ctx context.Context, version int64) (snapshot.ShardMap, error) {
 	var m snapshot.ShardMap
-	if err := c.getJSON(ctx, PathMaps+strconv.FormatInt(version, 10), &m); err != nil {
+	err := c.getJSON(ctx, PathMaps+strconv.FormatInt(version, 10), &m, func() error {
+		if m.Version != version {
+			return fmt.Errorf("received shard map %d instead of %d", m.Version, version)
+		}
+		return m.Check()
+	})
+	if err != nil {
 		return snapshot.ShardMap{}, err
 	}
-	if m.Version != version {
-		return snapshot.ShardMap{}, fmt.Errorf("received shard map %d instead of %d", m.Version, version)
+	return m, nil
+}
+
+// getJSON requests path and decodes the response into out. If that or check fails, the response may belong to an earlier
+// request, so the connection is closed.
+func (c *Client) getJSON(ctx context.Context, path string, out any, check func() error) error {
+	var trip roundTrip
+	defer trip.end()
+	header := make(http.Header)
+	c.setDataCentreHeader(header)
+	data, err := c.get(trip.trace(ctx), path, header)
+	if err == nil {
+		err = json.Unmarshal(data, out)
+	}
+	if err == nil {
+		err = check()
+	}
+	if err != nil {
+		trip.closeConn()
 	}
-	return m, m.Check()
+	return err
 }
 
-func (c *Client) getJSON(ctx context.Context, path string, out any) error {
+// get requests path and returns the body of a response with status 200. The body is read to its end, because the
+// connection can be reused only then.
+func (c *Client) get(ctx context.Context, path string, header http.Header) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	c.setDataCentreHeader(req.Header)
+	maps.Copy(req.Header, header)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("request for %s returned status %d", path, resp.StatusCode)
+		return nil, fmt.Errorf("request for %s returned status %d", path, resp.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(out)
+	return data, nil
 }
--- a/delegation/message.go
+++ b/delegation/message.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
 	"github.com/chivemill/chivemill/api"
@@ -20,6 +23,9 @@
 const (
 	// PathQuery is the path at which Handler serves delegated queries.
 	PathQuery = "/v1/query"
+	// headerExchange identifies an exchange between two daemons, so that a late response to an earlier one on the connection
+	// is recognized. Either side may leave it out.
+	headerExchange = "Chivemill-Exchange"
 	// maxMessageBytes bounds the bodies of a request and of a response in bytes.
 	maxMessageBytes = 32 << 20
 	// maxResponseHeaderBytes bounds the header of a response in bytes.
@@ -110,21 +116,49 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		encoder := json.NewEncoder(w)
-		flush := http.NewResponseController(w).Flush
-		err := server.Answer(r.Context(), q, func(p PartialAnswer) {
-			// The context of the request ends when the client disconnects, so write errors need no handling.
-			_ = encoder.Encode(p)
-			if !p.Last {
-				_ = flush()
-			}
-		})
-		if err != nil {
+		if exchange := r.Header.Get(headerExchange); exchange != "" {
+			w.Header().Set(headerExchange, exchange)
+		}
+		parts := newPartWriter(w)
+		defer parts.close()
+		if err := server.Answer(r.Context(), q, parts.send); err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
 		}
 	})
 }
 
+// partWriter writes the parts of an answer to a response until it is closed. It is safe for concurrent use.
+type partWriter struct {
+	mu      sync.Mutex
+	encoder *json.Encoder
+	flush   func() error
+	closed  bool
+}
+
+func newPartWriter(w http.ResponseWriter) *partWriter {
+	return &partWriter{encoder: json.NewEncoder(w), flush: http.NewResponseController(w).Flush}
+}
+
+// send writes a part. The context of the request ends when the client disconnects, so write errors need no handling.
+func (p *partWriter) send(part PartialAnswer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	_ = p.encoder.Encode(part)
+	if !part.Last {
+		_ = p.flush()
+	}
+}
+
+// close drops later parts: net/http uses the buffer of a finished response for another one.
+func (p *partWriter) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+}
+
 // Client delegates queries to other daemons. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
@@ -137,7 +171,10 @@
 		ExpectContinueTimeout:  continueTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}}
+	},
+		// The target of a redirect would answer another request.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // body is the request body of a query. It can be withdrawn until the transport starts to read it.
@@ -166,6 +203,13 @@
 // Close implements io.Closer.
 func (body) Close() error { return nil }
 
+// sent withdraws the body if it is pending, and reports whether any of it may have been sent.
+func sent(state *atomic.Int32) bool {
+	return !state.CompareAndSwap(bodyPending, bodyWithdrawn) && state.Load() == bodySent
+}
+
+var errForeignResponse = errors.New("response belongs to another exchange")
+
 // Delegate delegates a query to the helper at the address and calls receive with each part. If the helper doesn't
 // respond with 100 Continue within acceptTimeout, the query is withdrawn. An error that wraps ErrNotAccepted means that
 // nothing was sent to a replica; after any other error replicas may have executed the query.
@@ -189,21 +233,25 @@
 	}
 	req.ContentLength = int64(len(data))
 	req.Header.Set("Expect", "100-continue")
+	exchange := uuid.NewString()
+	req.Header.Set(headerExchange, exchange)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		if state.CompareAndSwap(bodyPending, bodyWithdrawn) || state.Load() == bodyWithdrawn {
+		if !sent(state) {
 			return eris.Wrapf(ErrNotAccepted, "%v", err)
 		}
 		return eris.Wrap(err, "ask")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		reason, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
-		if err != nil {
-			reason = []byte(err.Error())
-		}
-		// A daemon responds with another status only if it does not accept the query.
-		return eris.Wrapf(ErrNotAccepted, "status %d: %s", resp.StatusCode, bytes.TrimSpace(reason))
+	wasSent := sent(state)
+	switch repeated := resp.Header.Get(headerExchange); {
+	case repeated != "" && repeated != exchange && wasSent:
+		return errForeignResponse
+	case resp.StatusCode != http.StatusOK:
+		return statusError(resp, wasSent)
+	case !wasSent:
+		// The answer is that of an earlier query on the connection.
+		return eris.Wrap(ErrNotAccepted, "answer before the query was sent")
 	}
 	decoder := json.NewDecoder(io.LimitReader(resp.Body, maxMessageBytes))
 	for {
@@ -219,3 +267,18 @@
 		}
 	}
 }
+
+// statusError returns the error for a response with another status than 200. A daemon that does not accept a query
+// responds with a client error; any other status shows that nothing was executed only if the query was not sent.
+func statusError(resp *http.Response, wasSent bool) error {
+	reason, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	if err != nil {
+		reason = []byte(err.Error())
+	}
+	text := fmt.Sprintf("status %d: %s", resp.StatusCode, bytes.TrimSpace(reason))
+	isClientError := resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError
+	if wasSent && !isClientError {
+		return eris.New(text)
+	}
+	return eris.Wrap(ErrNotAccepted, text)
+}
