topology, edge: log the call, its wait and the list behind each new configuration

Version 9 is acknowledged at 28.85 s and applied by some or all daemons only between 29.9 and 39.1 s. Nothing is logged in between.

The line 'configuration applied' now has the call that returned the configuration, its duration, the store revision, and the age, number of reads and source of the replica list: a daemon reads the store itself only when that list is stale. A new line reports that the renewal of a claim stopped and whether the role is still held. The metric chivemill_list_reads counts the reads that reached a daemon. No change of logic.

--- a/edge/status.go
+++ b/edge/status.go
@@ -100,6 +100,16 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "metrics")
 	}
+	_, err = meter.Int64ObservableCounter("chivemill_list_reads",
+		metric.WithDescription("Reads of the replica list from the store that reached this daemon, by itself or through other daemons."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			view, _ := d.directory.View()
+			o.Observe(int64(view.Confirmations))
+			return nil
+		}))
+	if err != nil {
+		return nil, eris.Wrap(err, "metrics")
+	}
 	_, err = meter.Int64ObservableGauge("chivemill_stopping", metric.WithDescription("1 during a planned stop."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			stopping := int64(0)
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,6 +20,7 @@
 	StoreRegained           = "store regained"
 	ReaderChanged           = "reader changed"
 	ClaimLost               = "claim lost"
+	ClaimRenewalStopped     = "renewal of a claim stopped"
 	ClaimGivenUp            = "claim given up"
 	PeerSilent              = "daemon did not answer"
 
--- a/topology/election.go
+++ b/topology/election.go
@@ -236,6 +236,7 @@
 		}
 		cancel()
 		if ctx.Err() != nil {
+			f.log.Info(eventlog.ClaimRenewalStopped, zap.String("scope", r.scope), zap.Bool("held", r.isHeld()))
 			return
 		}
 		f.recordStoreCall("renewal", err)
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -337,12 +337,14 @@
 			continue
 		}
 		pause = minRetryPause
+		begin := time.Now()
 		err := f.store.Watch(ctx, f.keys.Config, revision+1, func(batch kv.WatchBatch) {
 			for _, e := range batch.Events {
 				if !e.Deleted && e.Item.Key == f.keys.Config {
-					f.applyConfigItem(e.Item)
+					f.applyConfigItem(e.Item, configSource{address: storeName, call: "watch", begin: begin})
 				}
 			}
+			begin = time.Now()
 		})
 		if ctx.Err() == nil {
 			f.log.Info(eventlog.ConfigurationWatchEnded, zap.Error(err))
@@ -368,35 +370,56 @@
 	if wanted == allowStale {
 		get = func(ctx context.Context, key string) (kv.Item, bool, error) { return kv.GetStale(ctx, f.store, key) }
 	}
+	begin := time.Now()
 	item, found, err := get(ctx, f.keys.Config)
 	f.recordStoreCall("configuration", err)
 	if err != nil || !found {
 		return 0
 	}
-	f.applyConfigItem(item)
+	f.applyConfigItem(item, configSource{address: storeName, call: "read", begin: begin})
 	return item.ModRevision
 }
 
+// storeName denotes the store in log lines that name the source of data.
+const storeName = "store"
+
+// configSource describes the call that returned a configuration, for the log.
+type configSource struct {
+	// address is the address of a daemon, or storeName.
+	address string
+	// call is the kind of the call, begin the time at which it was sent.
+	call  string
+	begin time.Time
+	// revision is the store revision of the configuration, 0 if unknown.
+	revision int64
+}
+
 // applyConfigItem decodes and applies a configuration from the store.
-func (f *Feed) applyConfigItem(item kv.Item) {
+func (f *Feed) applyConfigItem(item kv.Item, source configSource) {
 	config, err := f.decoder.Config(item)
 	if err != nil {
 		f.log.Error(eventlog.ConfigurationInvalid, zap.Int64("revision", item.ModRevision), zap.Error(err))
 		return
 	}
-	f.applyConfig(config, "store")
+	source.revision = item.ModRevision
+	f.applyConfig(config, source)
 }
 
-// applyConfig applies a configuration and logs the result; from is its source.
-func (f *Feed) applyConfig(config routing.Config, from string) {
+// applyConfig applies a configuration and logs the result. The log line includes the state of the replica list, because a
+// daemon reads the store itself only when that list is stale.
+func (f *Feed) applyConfig(config routing.Config, source configSource) {
+	view, _ := f.dir.View()
 	applied, err := f.dir.SetConfig(config)
 	if err != nil {
-		f.log.Error(eventlog.ConfigurationInvalid, zap.Int64("version", config.Version), zap.String("from", from), zap.Error(err))
+		f.log.Error(eventlog.ConfigurationInvalid, zap.Int64("version", config.Version), zap.String("from", source.address),
+			zap.Error(err))
 		return
 	}
 	if applied {
-		f.log.Info(eventlog.ConfigurationApplied, zap.Int64("version", config.Version), zap.String("from", from),
-			zap.Int("routes", len(config.Routes)))
+		f.log.Info(eventlog.ConfigurationApplied, zap.Int64("version", config.Version), zap.String("from", source.address),
+			zap.String("call", source.call), zap.Int64("revision", source.revision), zap.Duration("waited_ms", time.Since(source.begin)),
+			zap.Int("routes", len(config.Routes)), zap.Duration("list_age_ms", f.listAge()), zap.Uint64("list_reads", view.Confirmations),
+			zap.String("list_source", f.peers.currentList().source))
 	}
 }
 
@@ -430,7 +453,7 @@
 		at = at.Add(-staleReadPenalty)
 	}
 	f.peers.reset()
-	f.applyServers(servers, at, "store", FromStore)
+	f.applyServers(servers, at, storeName, FromStore)
 	return true
 }
 
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -125,12 +125,13 @@
 	if view.Table != nil {
 		request.Version = view.Table.Version()
 	}
+	begin := time.Now()
 	response, err := f.peers.sendPull(ctx, address, request, wait+pullTimeout)
 	if err != nil {
 		return err
 	}
 	if response.Config != nil {
-		f.applyConfig(*response.Config, address)
+		f.applyConfig(*response.Config, configSource{address: address, call: "pull", begin: begin})
 	}
 	if version := (listVersion{response.Source, response.Generation,
 		response.Confirmed}); response.Generation > 0 && version != lastPulled {
