topology: release the fleet role with the data centre's; count transfers as age

Cause, in two parts. A VM that holds both reader roles is frozen from 20.1 to 23.6 s. The lease of its data centre's claim ends, the lease of the fleet's claim doesn't. It logs 'claim lost' for the data centre, and the context of the fleet role is cancelled: it stops reading and watching the store, but keeps the role ('renewal of a claim stopped, scope fleet, held true'). It goes on accepting the pulls of the other data centres' readers, and no pull fails, so nobody claims the role. It then follows the new reader of its data centre, which follows it. Second, a pull took the age of the list as it was when the source answered, without the transfer and the fraction of a millisecond, so each hop of this circle made the list newer and passed it on as a confirmation: 2,300 to 3,300 in 12 s. The apparent age grew more slowly than time, no daemon found its list stale, and none read the store until the error was used up.

A daemon that loses a role now gives up the roles of the higher levels and deletes their claims. The response to a pull states how long it was held; the rest of the pull's duration counts as age, so a list never appears newer than it is.

Both tests fail before the change: no other daemon holds the fleet role 3 s after the loss, and the list appears newer after the first pull.

Ruled out: a watch that hangs, is cut or compacted, and a hanging store call (each is logged, none was), and two readers.

--- a/topology/election.go
+++ b/topology/election.go
@@ -25,7 +25,7 @@
 	// claimTTL is the time to live of a claim's lease, renewInterval the time between renewals.
 	claimTTL      = 4 * time.Second
 	renewInterval = 1300 * time.Millisecond
-	// resignTimeout bounds the release of all claims at a planned stop.
+	// resignTimeout bounds the deletion of the claims to roles that are given up.
 	resignTimeout = 300 * time.Millisecond
 	// claimPollInterval is the time between two reads of all data centres' claims by the fleet reader.
 	claimPollInterval = 3 * time.Second
@@ -251,14 +251,14 @@
 	}
 }
 
-// resign deletes the claims of this daemon, so that others can claim the roles without waiting for the leases to expire.
-func (f *Feed) resign() {
+// resign gives up roles and deletes their claims, so that others can claim them without waiting for the leases to expire.
+func (f *Feed) resign(roles []*role) {
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
-	for _, r := range f.roles {
+	for _, r := range roles {
 		r.mu.Lock()
 		held, revision := r.held, r.revision
-		r.held = false
+		r.address, r.held = "", false
 		r.mu.Unlock()
 		if !held {
 			continue
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -140,7 +140,7 @@
 	f.loadInitialView(ctx)
 	f.runRole(ctx, 0)
 	f.stopped.Store(true)
-	f.resign()
+	f.resign(f.roles)
 }
 
 // loadInitialView obtains the first view: a fresh one from a contact address that responds immediately, or else one from
@@ -190,7 +190,8 @@
 	return true
 }
 
-// runRole holds the role of a level or follows its holder until ctx is done. The holder of the last role reads the store.
+// runRole holds the role of a level or follows its holder until ctx is done. The holder of the last role reads the store. A
+// daemon that loses a role also gives up the roles of the higher levels, because nothing renews their claims any more.
 func (f *Feed) runRole(ctx context.Context, level int) {
 	if level == len(f.roles) {
 		f.pollStore(ctx)
@@ -209,6 +210,7 @@
 		})
 		f.runRole(roleCtx, level+1)
 		wg.Wait()
+		f.resign(f.roles[level+1:])
 	}
 }
 
--- a/topology/feed_test.go
+++ b/topology/feed_test.go
@@ -58,6 +58,9 @@
 	link atomic.Int32
 	// calls counts all calls, lists the calls of List.
 	calls, lists atomic.Int64
+	// endedLease is a lease that the store reports as ended; refusesLeases makes it grant no further lease.
+	endedLease    atomic.Int64
+	refusesLeases atomic.Bool
 }
 
 // call counts a call and returns the injected error.
@@ -95,6 +98,9 @@
 	if err := l.call(ctx); err != nil {
 		return 0, err
 	}
+	if l.refusesLeases.Load() {
+		return 0, kv.ErrUnavailable
+	}
 	return l.Store.Grant(ctx, ttl)
 }
 
@@ -102,6 +108,9 @@
 	if err := l.call(ctx); err != nil {
 		return false, err
 	}
+	if int64(id) == l.endedLease.Load() {
+		return false, nil
+	}
 	return l.Store.KeepAlive(ctx, id)
 }
 
@@ -159,9 +168,10 @@
 	if err := linkState(d.network.Load()).wait(req.Context()); err != nil {
 		return nil, err
 	}
-	testseed.Sleep(f.delay)
+	testseed.Sleep(f.delay / 2)
 	rec := httptest.NewRecorder()
 	d.feed.Handler().ServeHTTP(rec, req)
+	testseed.Sleep(f.delay / 2)
 	if err := req.Context().Err(); err != nil {
 		return nil, err
 	}
@@ -224,6 +234,18 @@
 }
 
 func (f *fleet) startDaemon(d *daemon, store kv.Store, centre string, cores float64, contacts []string) *daemon {
+	f.addDaemon(d, store, centre, cores, contacts)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	go func() {
+		defer close(d.done)
+		d.feed.Run(ctx)
+	}()
+	return d
+}
+
+// addDaemon adds a daemon that serves pulls, without running its feed.
+func (f *fleet) addDaemon(d *daemon, store kv.Store, centre string, cores float64, contacts []string) {
 	d.dir, d.done = NewDirectory(), make(chan struct{})
 	name := d.name
 	self := Self{Node: name, DataCentre: centre, Address: name, Cores: cores, Distance: func(string) balancer.Distance { return 0 }}
@@ -232,13 +254,6 @@
 	f.mu.Lock()
 	f.daemons[name] = d
 	f.mu.Unlock()
-	ctx, cancel := context.WithCancel(context.Background())
-	d.cancel = cancel
-	go func() {
-		defer close(d.done)
-		d.feed.Run(ctx)
-	}()
-	return d
 }
 
 // stop shuts down a daemon as a planned stop does.
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -68,8 +68,10 @@
 	Servers []balancer.Server `json:"servers,omitempty"`
 	Removed []string          `json:"removed,omitempty"`
 	Whole   bool              `json:"whole,omitempty"`
-	// AgeMS is the time since the list was read from the store, in milliseconds.
-	AgeMS int64 `json:"age_ms"`
+	// AgeMS is the time since the list was read from the store, in milliseconds, rounded up. HeldMS is how long the source
+	// held the pull, rounded down.
+	AgeMS  int64 `json:"age_ms"`
+	HeldMS int64 `json:"held_ms"`
 	// Centres describes the daemons of all data centres if the follower's hash differs.
 	Centres map[string]DataCentre `json:"centres,omitempty"`
 }
@@ -139,7 +141,7 @@
 		if !response.Whole {
 			servers = applyDelta(view.Servers, response.Servers, response.Removed)
 		}
-		readAt := time.Now().Add(-time.Duration(response.AgeMS) * time.Millisecond)
+		readAt := response.readAt(begin)
 		if !f.applyServers(servers, readAt, address, FromDaemon) {
 			// The directory kept its own list, to which a delta doesn't apply. The next confirmation brings a complete list.
 			version.generation = 0
@@ -152,6 +154,12 @@
 	return nil
 }
 
+// readAt returns the earliest time at which the list may have been read from the store, for a pull sent at begin. A list
+// must not appear newer than it is: otherwise two daemons that pull from each other would confirm each other's list.
+func (r *pullResponse) readAt(begin time.Time) time.Time {
+	return begin.Add(time.Duration(r.HeldMS-r.AgeMS) * time.Millisecond)
+}
+
 // applyDelta returns the list after the addition or replacement of the changed entries and the removal of others. The
 // result is not sorted.
 func applyDelta(list, changed []balancer.Server, removed []string) []balancer.Server {
@@ -220,13 +228,16 @@
 	if request.Scope == f.self.DataCentre && request.Node != f.self.Node {
 		f.followers.add(request.Node, Helper{request.Address, request.Cores}, time.Now())
 	}
+	begin := time.Now()
 	wait := min(time.Duration(request.WaitMS)*time.Millisecond, maxPullWait)
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
 		_, confirmed := f.dir.ConfirmedView()
+		held := time.Since(begin)
 		response, hasUpdate := f.buildResponse(request)
 		if hasUpdate || wait <= 0 {
+			response.HeldMS = held.Milliseconds()
 			httpjson.Write(w, http.StatusOK, response)
 			return
 		}
@@ -251,6 +262,9 @@
 	return scope == ""
 }
 
+// ceilMilliseconds returns a duration in milliseconds, rounded up.
+func ceilMilliseconds(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
 // buildResponse returns the changes that the follower lacks. hasUpdate is false if there are none.
 func (f *Feed) buildResponse(request pullRequest) (response pullResponse, hasUpdate bool) {
 	generation := request.Generation
@@ -278,7 +292,7 @@
 		response.Generation = 0
 		return response, hasUpdate
 	}
-	response.AgeMS = time.Since(view.ReadAt).Milliseconds()
+	response.AgeMS = ceilMilliseconds(time.Since(view.ReadAt))
 	if request.Digest != view.Digest && (whole || generation != view.Generation) {
 		response.Servers, response.Removed, response.Whole = changed, removed, whole
 	}
