topology: close the socket for health updates after a read error

After a read error ShareHealth opened a new socket and left the old one open, with the goroutine that sends on it. The old goroutine also took health updates and notices away from the new one.

exchangeHealth now owns the socket: it closes it and waits for the sender before it returns.

--- a/topology/feed.go
+++ b/topology/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strconv"
 	"sync"
@@ -99,6 +100,8 @@
 	contacts []string
 	log      *zap.Logger
 	peers    peerClient
+	// listenPacket opens the socket of ShareHealth.
+	listenPacket func(network, address string) (net.PacketConn, error)
 	// roles holds the role of the data centre's reader, then that of the fleet reader.
 	roles []*role
 	// followers holds the daemons that pull from this one as the reader of their data centre.
@@ -126,7 +129,7 @@
 	f := &Feed{
 		dir: dir, source: self.Node + "/" + strconv.FormatUint(rand.Uint64(),
 			36), store: store, decoder: decoder, keys: keys, self: self, contacts: contacts, log: log,
-		peers: newPeerClient(), followers: newFollowerSet(), invalidEntries: make(map[string]int64), unresponsiveContacts: make(map[string]bool),
+		peers: newPeerClient(), listenPacket: net.ListenPacket, followers: newFollowerSet(), invalidEntries: make(map[string]int64), unresponsiveContacts: make(map[string]bool),
 	}
 	f.roles = []*role{
 		{scope: self.DataCentre, key: keys.Readers + centrePrefix + self.DataCentre, staleAfter: centreStaleAfter},
--- a/topology/health.go
+++ b/topology/health.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,16 +79,7 @@
 // notices with the daemons of all regions. It sends and receives datagrams at Self.HealthAddress; they may be lost.
 func (f *Feed) ShareHealth(ctx context.Context, source HealthSource, handler NoticeHandler) {
 	for ctx.Err() == nil {
-		conn, err := net.ListenPacket("udp4", f.self.HealthAddress)
-		if err != nil {
-			f.log.Warn(eventlog.HealthSocketLost, zap.Error(err))
-			sleep(ctx, socketRetryPause)
-			continue
-		}
-		end := context.AfterFunc(ctx, func() { _ = conn.Close() })
-		go f.sendUpdates(ctx, conn, source)
-		err = f.receive(conn, source, handler)
-		end()
+		err := f.exchangeHealth(ctx, source, handler)
 		if ctx.Err() == nil {
 			f.log.Warn(eventlog.HealthSocketLost, zap.Error(err))
 			sleep(ctx, socketRetryPause)
@@ -95,6 +87,27 @@
 	}
 }
 
+// exchangeHealth opens a socket and exchanges datagrams until it fails or ctx is done. It closes the socket before it
+// returns the error.
+func (f *Feed) exchangeHealth(ctx context.Context, source HealthSource, handler NoticeHandler) error {
+	conn, err := f.listenPacket("udp4", f.self.HealthAddress)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { f.sendUpdates(ctx, conn, source) })
+	// Closing the socket ends a blocked read.
+	wg.Go(func() {
+		<-ctx.Done()
+		_ = conn.Close()
+	})
+	err = f.receive(conn, source, handler)
+	cancel()
+	wg.Wait()
+	return err
+}
+
 // sendUpdates periodically sends this daemon's own observations and notices until ctx is done.
 func (f *Feed) sendUpdates(ctx context.Context, conn net.PacketConn, source HealthSource) {
 	for ctx.Err() == nil {
