topology: a crash in tests doesn't replace the store of a running daemon

'go test -race ./topology -run TestSimultaneousStartLimitsStoreCost -count=3' reported a data race: killAll replaced Feed.store while the daemon was reading it. Each daemon of a test now has a store whose transactions fail once its crashed flag is set. It passes on stale reads, so the costs that the test compares stay the same.

--- a/topology/feed_test.go
+++ b/topology/feed_test.go
@@ -140,6 +140,7 @@
 	dir       *Directory
 	feed      *Feed
 	storeLink *storeLink
+	store     *crashableStore
 	// network is the linkState of the connections from other daemons.
 	network atomic.Int32
 	cancel  context.CancelFunc
@@ -249,7 +250,8 @@
 	d.dir, d.done = NewDirectory(), make(chan struct{})
 	name := d.name
 	self := Self{Node: name, DataCentre: centre, Address: name, Cores: cores, Distance: func(string) balancer.Distance { return 0 }}
-	d.feed = NewFeed(d.dir, store, jsonDecoder{}, testKeys, self, contacts, zap.NewNop())
+	d.store = &crashableStore{Store: store}
+	d.feed = NewFeed(d.dir, d.store, jsonDecoder{}, testKeys, self, contacts, zap.NewNop())
 	d.feed.peers.http.Transport = f
 	f.mu.Lock()
 	f.daemons[name] = d
@@ -270,16 +272,32 @@
 // killAll stops daemons as a crash does: they can't release their claims.
 func (f *fleet) killAll(all map[string]*daemon) {
 	for _, d := range all {
-		d.feed.store = unreachable{d.feed.store}
+		d.store.crashed.Store(true)
 		f.stop(d)
 	}
 }
 
-// unreachable is a store whose transactions fail.
-type unreachable struct{ kv.Store }
+// crashableStore is a daemon's store whose transactions fail after the daemon crashed.
+type crashableStore struct {
+	kv.Store
+	crashed atomic.Bool
+}
+
+func (s *crashableStore) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	if s.crashed.Load() {
+		return kv.TxnResult{}, kv.ErrUnavailable
+	}
+	return s.Store.Txn(ctx, txn)
+}
+
+// GetStale implements kv.StaleReader.
+func (s *crashableStore) GetStale(ctx context.Context, key string) (kv.Item, bool, error) {
+	return kv.GetStale(ctx, s.Store, key)
+}
 
-func (unreachable) Txn(context.Context, kv.Txn) (kv.TxnResult, error) {
-	return kv.TxnResult{}, kv.ErrUnavailable
+// ListStale implements kv.StaleReader.
+func (s *crashableStore) ListStale(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	return kv.ListStale(ctx, s.Store, prefix)
 }
 
 func (f *fleet) stopAll() {
