--- a/topology/feed_test.go
+++ b/topology/feed_test.go
@@ -58,6 +58,9 @@
 	link atomic.Int32
 	// calls counts all calls, lists the calls of List.
 	calls, lists atomic.Int64
+	// endedLease is a lease that the store reports as ended; refusesLeases makes it grant no further lease.
+	endedLease    atomic.Int64
+	refusesLeases atomic.Bool
 }
 
 // call counts a call and returns the injected error.
@@ -95,6 +98,9 @@
 	if err := l.call(ctx); err != nil {
 		return 0, err
 	}
+	if l.refusesLeases.Load() {
+		return 0, kv.ErrUnavailable
+	}
 	return l.Store.Grant(ctx, ttl)
 }
 
@@ -102,6 +108,9 @@
 	if err := l.call(ctx); err != nil {
 		return false, err
 	}
+	if int64(id) == l.endedLease.Load() {
+		return false, nil
+	}
 	return l.Store.KeepAlive(ctx, id)
 }
 
@@ -131,6 +140,7 @@
 	dir       *Directory
 	feed      *Feed
 	storeLink *storeLink
+	store     *crashableStore
 	// network is the linkState of the connections from other daemons.
 	network atomic.Int32
 	cancel  context.CancelFunc
@@ -159,9 +169,10 @@
 	if err := linkState(d.network.Load()).wait(req.Context()); err != nil {
 		return nil, err
 	}
-	testseed.Sleep(f.delay)
+	testseed.Sleep(f.delay / 2)
 	rec := httptest.NewRecorder()
 	d.feed.Handler().ServeHTTP(rec, req)
+	testseed.Sleep(f.delay / 2)
 	if err := req.Context().Err(); err != nil {
 		return nil, err
 	}
@@ -224,14 +235,7 @@
 }
 
 func (f *fleet) startDaemon(d *daemon, store kv.Store, centre string, cores float64, contacts []string) *daemon {
-	d.dir, d.done = NewDirectory(), make(chan struct{})
-	name := d.name
-	self := Self{Node: name, DataCentre: centre, Address: name, Cores: cores, Distance: func(string) balancer.Distance { return 0 }}
-	d.feed = NewFeed(d.dir, store, jsonDecoder{}, testKeys, self, contacts, zap.NewNop())
-	d.feed.peers.http.Transport = f
-	f.mu.Lock()
-	f.daemons[name] = d
-	f.mu.Unlock()
+	f.addDaemon(d, store, centre, cores, contacts)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	go func() {
@@ -241,6 +245,19 @@
 	return d
 }
 
+// addDaemon adds a daemon that serves pulls, without running its feed.
+func (f *fleet) addDaemon(d *daemon, store kv.Store, centre string, cores float64, contacts []string) {
+	d.dir, d.done = NewDirectory(), make(chan struct{})
+	name := d.name
+	self := Self{Node: name, DataCentre: centre, Address: name, Cores: cores, Distance: func(string) balancer.Distance { return 0 }}
+	d.store = &crashableStore{Store: store}
+	d.feed = NewFeed(d.dir, d.store, jsonDecoder{}, testKeys, self, contacts, zap.NewNop())
+	d.feed.peers.http.Transport = f
+	f.mu.Lock()
+	f.daemons[name] = d
+	f.mu.Unlock()
+}
+
 // stop shuts down a daemon as a planned stop does.
 func (f *fleet) stop(d *daemon) {
 	d.cancel()
@@ -255,16 +272,32 @@
 // killAll stops daemons as a crash does: they can't release their claims.
 func (f *fleet) killAll(all map[string]*daemon) {
 	for _, d := range all {
-		d.feed.store = unreachable{d.feed.store}
+		d.store.crashed.Store(true)
 		f.stop(d)
 	}
 }
 
-// unreachable is a store whose transactions fail.
-type unreachable struct{ kv.Store }
+// crashableStore is a daemon's store whose transactions fail after the daemon crashed.
+type crashableStore struct {
+	kv.Store
+	crashed atomic.Bool
+}
+
+func (s *crashableStore) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	if s.crashed.Load() {
+		return kv.TxnResult{}, kv.ErrUnavailable
+	}
+	return s.Store.Txn(ctx, txn)
+}
+
+// GetStale implements kv.StaleReader.
+func (s *crashableStore) GetStale(ctx context.Context, key string) (kv.Item, bool, error) {
+	return kv.GetStale(ctx, s.Store, key)
+}
 
-func (unreachable) Txn(context.Context, kv.Txn) (kv.TxnResult, error) {
-	return kv.TxnResult{}, kv.ErrUnavailable
+// ListStale implements kv.StaleReader.
+func (s *crashableStore) ListStale(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	return kv.ListStale(ctx, s.Store, prefix)
 }
 
 func (f *fleet) stopAll() {
