scatter: attempts of which nothing was sent do not use up the retry spacing

Cause: the spacing of retries counted all attempts, while the maximum counts only those of which something was sent. After MaxAttempts+1 unsent attempts the divisor was zero and the query panicked; callers of profiles that do not return partial answers got an internal error.

Change: the spacing counts the attempts that may have reached a replica, at least zero of them left.

--- a/scatter/machine.go
+++ b/scatter/machine.go
@@ -468,7 +468,7 @@
 // refused an attempt or a connection. Otherwise a burst of refusals would use up all attempts within the first
 // tenth of the time until the deadline.
 func (m *StateMachine) retrySpacing(s *shardState, now time.Time) time.Duration {
-	remaining := m.plan.MaxAttempts - len(s.attempts)
+	remaining := max(0, m.plan.MaxAttempts-s.sentAttempts())
 	if len(s.attempts) < 2 || s.reason != api.MissingRefused && s.reason != api.MissingConnection {
 		return 0
 	}
