--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,8 +86,8 @@
 
 // Sender sends a request to a replica and returns its answer. Errors are of type *backend.Error; their Failure states
 // whether the replica may have executed the request. An answer with status 500 or above that may have been executed is
-// returned together with such an error. dispatch is called before the first byte is written; if it returns false,
-// nothing is sent. Implementations are safe for concurrent use.
+// returned together with such an error. dispatch is called before the first byte is written, again for each further
+// connection that is tried; if it returns false, nothing is sent. Implementations are safe for concurrent use.
 type Sender interface {
 	Send(ctx context.Context, replica balancer.Choice, request *Request, limits AnswerLimits, dispatch func() bool) (Answer, error)
 }
