topology: lists of daemons of an earlier version keep their age

Cause: such a daemon does not state how long it held a pull, and the whole duration of the pull, up to 1.2 s, counted as the age of its list. During a rolling update its followers would find the list stale (limits 1.3 and 1.5 s), claim roles and read the store. Found by the review; no run of a mixed fleet was made.

Change: without the held time the age is that of the response alone, as before.

Evidence: TestAgeOfListFromEarlierVersion; the field was 0 there before, which added the 1.2 s.

--- a/topology/peer.go
+++ b/topology/peer.go
@@ -69,9 +69,9 @@
 	Removed []string          `json:"removed,omitempty"`
 	Whole   bool              `json:"whole,omitempty"`
 	// AgeMS is the time since the list was read from the store, in milliseconds, rounded up. HeldMS is how long the source
-	// held the pull, rounded down.
-	AgeMS  int64 `json:"age_ms"`
-	HeldMS int64 `json:"held_ms"`
+	// held the pull, rounded down; daemons of earlier versions do not state it.
+	AgeMS  int64  `json:"age_ms"`
+	HeldMS *int64 `json:"held_ms,omitempty"`
 	// Centres describes the daemons of all data centres if the follower's hash differs.
 	Centres map[string]DataCentre `json:"centres,omitempty"`
 }
@@ -157,7 +157,10 @@
 // readAt returns the earliest time at which the list may have been read from the store, for a pull sent at begin. A list
 // must not appear newer than it is: otherwise two daemons that pull from each other would confirm each other's list.
 func (r *pullResponse) readAt(begin time.Time) time.Time {
-	return begin.Add(time.Duration(r.HeldMS-r.AgeMS) * time.Millisecond)
+	if r.HeldMS == nil {
+		return time.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	}
+	return begin.Add(time.Duration(*r.HeldMS-r.AgeMS) * time.Millisecond)
 }
 
 // applyDelta returns the list after the addition or replacement of the changed entries and the removal of others. The
@@ -237,7 +240,8 @@
 		held := time.Since(begin)
 		response, hasUpdate := f.buildResponse(request)
 		if hasUpdate || wait <= 0 {
-			response.HeldMS = held.Milliseconds()
+			heldMS := held.Milliseconds()
+			response.HeldMS = &heldMS
 			httpjson.Write(w, http.StatusOK, response)
 			return
 		}
--- a/topology/reader_loss_test.go
+++ b/topology/reader_loss_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -87,3 +88,17 @@
 		}
 	})
 }
+
+// TestAgeOfListFromEarlierVersion guards against lists that appear stale during a rolling update: a daemon of an earlier
+// version holds a pull for more than a second and does not state so, which must not count as the age of its list.
+func TestAgeOfListFromEarlierVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		testseed.Sleep(maxPullWait)
+		var earlier, present pullResponse
+		must.NoError(t, json.Unmarshal([]byte(`{"age_ms":10}`), &earlier))
+		must.NoError(t, json.Unmarshal([]byte(`{"age_ms":10,"held_ms":1100}`), &present))
+		must.Eq(t, 10*time.Millisecond, time.Since(earlier.readAt(begin)))
+		must.Eq(t, maxPullWait-1100*time.Millisecond+10*time.Millisecond, time.Since(present.readAt(begin)))
+	})
+}
