Replicas' request limits in logs and metrics, without a change of logic

The logs could not distinguish the hypotheses of the incident: neither a replica's limit nor the attempts per replica appeared. Now the platform client reads the limit from each complete response, the balancer records it, and the daemon logs it when it is named, changes or ends and once a second in between, with its attempts since. A counter separates first and extra attempts.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -160,6 +160,7 @@
 
 	// answeredAt is the time of the last valid response to this daemon.
 	answeredAt time.Time
+	limit      requestLimit
 	// published is the health last exchanged with the other daemons.
 	published   Health
 	publishedAt time.Time
@@ -226,6 +227,8 @@
 type Choice struct {
 	Server
 	Share ConnectionShare
+	// HasRequestLimit is set if the replica names a request limit.
+	HasRequestLimit bool
 }
 
 // RequestClass describes a class of requests, such as those of one route.
@@ -275,7 +278,8 @@
 		best.pausedUntil = now.Add(best.pauseDuration())
 	}
 	best.inFlight = append(best.inFlight, now)
-	return Choice{Server: best.Server, Share: best.share}, true
+	best.limit.attempts++
+	return Choice{Server: best.Server, Share: best.share, HasRequestLimit: best.limit.inForce}, true
 }
 
 // Lookup returns a replica by its ID. ok is false if it is not in the current list.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -86,7 +86,7 @@
 	d.feed = topology.NewFeed(d.directory, store, platform.Decoder{}, platform.Keys(), self, settings.Contacts, log.Logger)
 	d.balancer = balancer.New(xxhash.Sum64String(settings.Node))
 	d.balancer.SetDrainingGrace(settings.DrainTime - drainMargin)
-	d.replicas = platform.NewReplicaClient(settings.MemoryBytes, d.balancer.ReportLoad)
+	d.replicas = platform.NewReplicaClient(settings.MemoryBytes, replicaReports{d.balancer, log.Logger})
 	replicaObserver, err := newReplicaObserver(metricsProvider.Meter(), log.Logger)
 	if err != nil {
 		return nil, eris.Wrap(err, "metrics")
--- /dev/null
+++ b/edge/replica_reports.go
@@ -0,0 +1,30 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/eventlog"
+)
+
+// replicaReports passes what replicas state about themselves to the balancer and logs their request limits. It is safe for
+// concurrent use.
+type replicaReports struct {
+	*balancer.Balancer
+	log *zap.Logger
+}
+
+// ReportLimit implements platform.ReplicaReports.
+func (r replicaReports) ReportLimit(id string, report balancer.LimitReport, now time.Time) {
+	if report.Statement == balancer.LimitUnreadable {
+		r.log.Warn(eventlog.ReplicaLimitUnusable, zap.String("replica", id))
+	}
+	event, ok := r.Balancer.ReportLimit(id, report, now)
+	if !ok {
+		return
+	}
+	r.log.Info(eventlog.ReplicaLimited, zap.String("replica", id), zap.String("service", event.Server.Service),
+		zap.Float64("per_second", event.Rate), zap.Float64("previous_per_second", event.Previous), zap.Int("attempts", event.Attempts))
+}
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -32,8 +32,11 @@
 	ReplicaRecovered      = "replica recovered"
 	ReplicaGone           = "replica gone"
 	ReplicaHealthReceived = "replica health heard"
-	HealthSocketLost      = "socket for replica health lost"
-	DatagramUnusable      = "datagram cannot be used"
+	// ReplicaLimited reports a replica's request limit when it is named, changes or ends, and once a second in between.
+	ReplicaLimited       = "replica request limit"
+	ReplicaLimitUnusable = "replica request limit cannot be used"
+	HealthSocketLost     = "socket for replica health lost"
+	DatagramUnusable     = "datagram cannot be used"
 
 	// Daemons to which this daemon delegates parts of a query.
 	HelperPaused       = "helper paused"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -46,6 +46,8 @@
 	failures metric.Int64Counter
 	parts    metric.Int64Counter
 	denied   metric.Int64Counter
+	// limitedAttempts counts the attempts to replicas that name a request limit.
+	limitedAttempts metric.Int64Counter
 	// delegated counts the groups of shards that were delegated to helpers.
 	delegated metric.Int64Counter
 	// panics counts recovered panics by the place where they occurred.
@@ -88,6 +90,9 @@
 	m.denied, err = meter.Int64Counter("chivemill_budget_denied",
 		metric.WithDescription("Hedges and retries that a service's budget refused."))
 	collect(err)
+	m.limitedAttempts, err = meter.Int64Counter("chivemill_limited_sub_requests",
+		metric.WithDescription("Sub-requests to replicas that name a request limit, by attempt: first, or extra for hedges and retries."))
+	collect(err)
 	m.delegated, err = meter.Int64Counter("chivemill_delegated",
 		metric.WithDescription("Sets of shards passed to helpers by outcome: answered, refused, silent or abandoned."))
 	collect(err)
@@ -203,6 +208,15 @@
 	m.duration.Record(ctx, elapsed.Seconds(), m.labels(route, kind, result))
 }
 
+// recordLimitedAttempt counts an attempt to a replica that names a request limit; isExtra is set for a hedge or retry.
+func (m *instruments) recordLimitedAttempt(isExtra bool) {
+	attempt := "first"
+	if isExtra {
+		attempt = "extra"
+	}
+	m.limitedAttempts.Add(context.Background(), 1, m.label("attempt", attempt))
+}
+
 // recordSubRequests counts the sub-requests of a request.
 func (m *instruments) recordSubRequests(sent, hedges, retries, resends, denied int) {
 	ctx := context.Background()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -312,6 +312,9 @@
 	if !ok {
 		return scatter.Target{}, false
 	}
+	if choice.HasRequestLimit {
+		r.gateway.metrics.recordLimitedAttempt(len(exclude) > 0)
+	}
 	done := func(elapsed time.Duration, err error) { r.recordAttempt(choice, shard, start, elapsed, err) }
 	return scatter.Target{ID: choice.ID, Done: done}, true
 }
