--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -160,7 +160,8 @@
 
 	// answeredAt is the time of the last valid response to this daemon.
 	answeredAt time.Time
-	limit      requestLimit
+	// limit is the replica's request limit.
+	limit requestLimit
 	// published is the health last exchanged with the other daemons.
 	published   Health
 	publishedAt time.Time
@@ -179,6 +180,10 @@
 	expectedLatency map[string]float64
 	// healthUpdates lists the replicas whose health changed since the last TakeHealthUpdates, in order of change.
 	healthUpdates []*replica
+	// limitUpdates lists the replicas whose request limit has to be sent to the other daemons.
+	limitUpdates []*replica
+	// requestFractionOf returns this daemon's part of a replica's request limit.
+	requestFractionOf func(Server) float64
 }
 
 // New returns an empty balancer. The seed determines its random choices.
@@ -186,6 +191,7 @@
 	return &Balancer{
 		rng: rand.New(rand.NewPCG(seed, seed)), shareOf: func(Server) ConnectionShare { return ConnectionShare{MaxConnections: 1} },
 		replicas: make(map[string]*replica), services: make(map[string][]*replica), expectedLatency: make(map[string]float64),
+		requestFractionOf: func(Server) float64 { return 1 },
 	}
 }
 
@@ -240,8 +246,8 @@
 }
 
 // Pick selects a replica of the service for a request of the class and counts an attempt in flight. It skips the
-// replicas in exclude and those that are removed, draining beyond the grace time, or without a free connection. It
-// selects a paused or unresponsive replica only if there is no other. ok is false if none is left. Every successful
+// replicas in exclude and those that are removed, draining beyond the grace time, without a free connection, or whose
+// request limit leaves this daemon no further request now. It selects a paused or unresponsive replica only if there is no other. ok is false if none is left. Every successful
 // call must be followed by exactly one call of Done.
 func (b *Balancer) Pick(service string, class RequestClass, exclude []string, now time.Time) (c Choice, ok bool) {
 	b.mu.Lock()
@@ -278,8 +284,8 @@
 		best.pausedUntil = now.Add(best.pauseDuration())
 	}
 	best.inFlight = append(best.inFlight, now)
-	best.limit.attempts++
-	return Choice{Server: best.Server, Share: best.share, HasRequestLimit: best.limit.inForce}, true
+	best.limit.countAttempt(now)
+	return Choice{Server: best.Server, Share: best.share, HasRequestLimit: best.limit.isInForce(now)}, true
 }
 
 // Lookup returns a replica by its ID. ok is false if it is not in the current list.
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -44,7 +44,13 @@
 	return saturated
 }
 
+// isAvailable reports whether the replica may get another attempt now.
 func (b *Balancer) isAvailable(r *replica, now time.Time) bool {
+	return b.hasConnection(r, now) && r.limit.allows(now)
+}
+
+// hasConnection reports whether the replica accepts work and this daemon has a free connection for it.
+func (b *Balancer) hasConnection(r *replica, now time.Time) bool {
 	acceptsWork := r.State == Ready || !r.LastReadyAt.IsZero() && now.Sub(r.LastReadyAt) < b.drainingGrace
 	return acceptsWork && !r.removed && len(r.inFlight) < r.share.MaxConnections
 }
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -71,3 +71,37 @@
 func (g *Gateway) overloadRetryAfter() time.Duration {
 	return time.Duration((0.5 + g.random()) * float64(meanOverloadRetryAfter))
 }
+
+// retryAfterRefusal returns the Retry-After of a refusal because too few of the services have a replica with room: at least
+// minRetryAfterRefusal, and at least the time until the request limits of replicas leave room for enough of them. The values
+// are spread over another such time, so that callers do not retry all at once.
+func (r *run) retryAfterRefusal(services []string, requiredCoverage float64, now time.Time) time.Duration {
+	var delays []time.Duration
+	for _, service := range services {
+		if delay, ok := r.gateway.balancer.RequestDelay(service, now); ok {
+			delays = append(delays, delay)
+		}
+	}
+	slices.Sort(delays)
+	for i, delay := range delays {
+		if scatter.CoverageReached(float64(i+1)/float64(len(services)), requiredCoverage) {
+			return max(minRetryAfterRefusal, time.Duration((1+r.gateway.random())*float64(delay)))
+		}
+	}
+	return minRetryAfterRefusal
+}
+
+// retryAfterMissing returns the Retry-After of a request of which no replica executed anything.
+func (r *run) retryAfterMissing() time.Duration {
+	var services []string
+	for i, shard := range r.plan.ShardMap.Shards {
+		if r.groupByShard[i] == nil {
+			services = append(services, shard.ID)
+		}
+	}
+	required := 1.0
+	if r.route.IsQuery() {
+		required = r.route.RequiredCoverage
+	}
+	return r.retryAfterRefusal(services, required, time.Now())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,8 +220,9 @@
 
 // setShares applies the shares of a view. The budget of a service exists from the first view that names the service.
 func (g *Gateway) setShares(s *shares) {
-	g.balancer.SetConnectionShares(s.connections)
 	now := time.Now()
+	g.balancer.SetConnectionShares(s.connections)
+	g.balancer.SetRequestShares(s.requestFraction, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.shares = s
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -39,8 +39,8 @@
 	// retryReserveFraction is the fraction of a service's budget that hedges leave to retries, since retries repair an
 	// answer.
 	retryReserveFraction = 0.25
-	// retryAfterRefusal is the Retry-After when replicas refused or had no free slots: about one service time.
-	retryAfterRefusal = 50 * time.Millisecond
+	// minRetryAfterRefusal is the shortest Retry-After when replicas refused or had no free slots: about one service time.
+	minRetryAfterRefusal = 50 * time.Millisecond
 )
 
 // run is the processing of one request over its shards; a request to a single replica has one shard.
@@ -143,7 +143,7 @@
 	if r.request.DelegatedBy == "" {
 		if available := r.gateway.balancer.CountAvailable(route.Shards, now); !scatter.CoverageReached(
 			float64(available)/shardCount, route.RequiredCoverage) {
-			return errorReply(api.Overloaded, retryAfterRefusal,
+			return errorReply(api.Overloaded, r.retryAfterRefusal(route.Shards, route.RequiredCoverage, now),
 				fmt.Sprintf("%d of %d shards have a replica with room", available, len(route.Shards)))
 		}
 	}
@@ -161,7 +161,7 @@
 		}
 		r.runPlan(ctx, services)
 		if r.closeUnexecuted() {
-			return errorReply(api.BackendRefused, retryAfterRefusal, r.missingReasons())
+			return errorReply(api.BackendRefused, r.retryAfterRefusal(services, route.RequiredCoverage, time.Now()), r.missingReasons())
 		}
 		return Reply{Query: r.mergedAnswer()}
 	}
@@ -234,7 +234,7 @@
 		return reply
 	}
 	if r.gateway.balancer.CountAvailable([]string{service}, time.Now()) == 0 {
-		return errorReply(api.NoReplica, retryAfterRefusal, fmt.Sprintf("service %q has no replica with room", service))
+		return errorReply(api.NoReplica, r.retryAfterRefusal([]string{service}, 1, time.Now()), fmt.Sprintf("service %q has no replica with room", service))
 	}
 	r.prepare(ctx, []string{service})
 	scatter.Drive(ctx, r.machine, r.sendAttempt)
@@ -254,7 +254,7 @@
 func (r *run) failureReply(ctx context.Context, message string) Reply {
 	switch {
 	case r.closeUnexecuted():
-		return errorReply(api.BackendRefused, max(retryAfterRefusal, r.maxRetryAfter()), message)
+		return errorReply(api.BackendRefused, max(r.retryAfterMissing(), r.maxRetryAfter()), message)
 	case deadlinePassed(ctx):
 		return Reply{Err: api.Errorf(api.DeadlineExceeded, "%s", message)}
 	case r.route.Safety == routing.AtMostOnce:
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -23,6 +23,9 @@
 	// budget, that belongs to helpers. The rest is for the other daemons, which answer a query themselves when no
 	// helper does.
 	helperFraction = 0.7
+	// localRequestFraction is the fraction of a replica's request limit that belongs to the daemons in its data centre, which
+	// send most of its requests. The rest is for the other daemons, which need it when replicas near them fail.
+	localRequestFraction = 0.8
 	// defaultConnections is a daemon's share when the configuration states no limit.
 	defaultConnections = 8
 )
@@ -39,10 +42,17 @@
 	// centre with a replica of it. isHelper is set if this daemon is one of them.
 	helperCounts map[string]int
 	isHelper     map[string]bool
+	// dataCentre is that of this daemon; centres describes the daemons of each one, and isCentreHelper is set if this daemon
+	// is one of the helpers of its own.
+	dataCentre     string
+	centres        map[string]topology.DataCentre
+	isCentreHelper bool
 }
 
 func newShares(view topology.View, self delegation.Self) *shares {
-	s := &shares{limits: make(map[string]int), helperCounts: make(map[string]int), isHelper: make(map[string]bool)}
+	s := &shares{limits: make(map[string]int), helperCounts: make(map[string]int), isHelper: make(map[string]bool),
+		dataCentre: self.DataCentre, centres: view.DataCentres}
+	s.isCentreHelper = isHelperAt(s.centres[s.dataCentre], self.Address)
 	if view.Table != nil {
 		for _, route := range view.Table.Config().Routes {
 			for _, service := range route.Services() {
@@ -80,8 +90,7 @@
 			for _, centre := range centres[service] {
 				count += len(view.DataCentres[centre].Helpers)
 				if centre == self.DataCentre {
-					s.isHelper[service] = slices.ContainsFunc(view.DataCentres[centre].Helpers,
-						func(h topology.Helper) bool { return h.Address == self.Address })
+					s.isHelper[service] = s.isCentreHelper
 				}
 			}
 			s.helperCounts[service] = count
@@ -89,6 +98,10 @@
 	}
 }
 
+func isHelperAt(centre topology.DataCentre, address string) bool {
+	return slices.ContainsFunc(centre.Helpers, func(h topology.Helper) bool { return h.Address == address })
+}
+
 // fraction returns this daemon's part of what all daemons share for a service, from 0 to 1.
 func (s *shares) fraction(service string) float64 {
 	n := s.helperCounts[service]
@@ -116,3 +129,21 @@
 func (s *shares) needsRelay(service string) bool {
 	return s.helperCounts[service] > 0 && !s.isHelper[service] && s.connections(balancer.Server{Service: service}).MaxIdle == 0
 }
+
+// requestFraction returns this daemon's part of a replica's request limit, from 0 to 1. The senders in the replica's data
+// centre divide most of it: the helpers there for a service with helpers, or else all daemons there.
+func (s *shares) requestFraction(server balancer.Server) float64 {
+	centre := s.centres[server.DataCentre]
+	senders, isSender := centre.Daemons, s.dataCentre == server.DataCentre
+	if s.helperCounts[server.Service] > 0 {
+		senders, isSender = len(centre.Helpers), isSender && s.isCentreHelper
+	}
+	switch {
+	case senders == 0 || senders >= s.daemons:
+		return 1 / float64(s.daemons)
+	case isSender:
+		return localRequestFraction / float64(senders)
+	default:
+		return (1 - localRequestFraction) / float64(s.daemons-senders)
+	}
+}
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -39,8 +39,19 @@
 	return view
 }
 
-// TestSharesStayWithinLimit guards a replica's connection limit and the fleet's budget at any fleet size: the fractions
-// of all daemons sum to at most 1, and their idle connections to at most the limit.
+// sumOfRequestFractions returns the sum of the parts of all daemons in the request limit of a replica in a data centre.
+func sumOfRequestFractions(view topology.View, daemons []int, service, dataCentre string) (sum float64) {
+	for c, n := range daemons {
+		for d := range n {
+			s := newShares(view, delegation.Self{DataCentre: fmt.Sprint("c", c), Address: fmt.Sprint("c", c, "-", d)})
+			sum += s.requestFraction(balancer.Server{Service: service, DataCentre: dataCentre})
+		}
+	}
+	return sum
+}
+
+// TestSharesStayWithinLimit guards a replica's connection and request limits and the fleet's budget at any fleet size: the
+// fractions of all daemons sum to at most 1, and their idle connections to at most the limit.
 func TestSharesStayWithinLimit(t *testing.T) {
 	check := func(t must.T, limit int, daemons, helpers []int, centresWithReplica int) {
 		view := fleetView(t, limit, daemons, helpers, centresWithReplica)
@@ -58,6 +69,9 @@
 			}
 			must.LessEq(t, 1+1e-9, sum, must.Sprint(service))
 			must.LessEq(t, limit, idle, must.Sprint(service))
+			for replicaCentre := range daemons {
+				must.LessEq(t, 1+1e-9, sumOfRequestFractions(view, daemons, service, fmt.Sprint("c", replicaCentre)), must.Sprint(service))
+			}
 		}
 	}
 	// Regression: 195 daemons with a minimum share of two idle connections each exceeded a limit of 125.
--- a/topology/fuzz_test.go
+++ b/topology/fuzz_test.go
@@ -45,6 +45,7 @@
 	f.Add([]byte(`{"n":"d2","w":[{"r":"a","s":3,"f":1,"p":150}]}`))
 	f.Add([]byte(`{"n":"d2","w":[{"r":"a","s":1e308,"f":9223372036854775807,"p":9223372036854775807}],"c":[{}]}`))
 	f.Add([]byte(`{"w":null,"h":-1}`))
+	f.Add([]byte(`{"n":"d2","l":[{"r":"a","q":1e-300},{"r":"b","q":1e308},{"r":"a","q":-1}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		feed := newReaderFeed(t)
 		b := balancer.New(1)
--- a/topology/health.go
+++ b/topology/health.go
@@ -28,13 +28,17 @@
 	socketRetryPause = time.Second
 )
 
-// HealthSource tracks the health of replicas. Implementations are safe for concurrent use.
+// HealthSource tracks the health and the request limits of replicas. Implementations are safe for concurrent use.
 type HealthSource interface {
 	// TakeHealthUpdates returns and clears the changes that this daemon observed since the last call.
 	TakeHealthUpdates(now time.Time) []balancer.Health
 	// ApplyHealthUpdates merges the observations of another daemon and returns the number of replicas whose health
 	// changed.
 	ApplyHealthUpdates(updates []balancer.Health, now time.Time) int
+	// TakeLimitUpdates returns and clears the request limits to send to the other daemons.
+	TakeLimitUpdates(now time.Time) []balancer.LimitUpdate
+	// ApplyLimitUpdates merges the request limits that another daemon sent and returns those that changed.
+	ApplyLimitUpdates(updates []balancer.LimitUpdate, now time.Time) []balancer.LimitEvent
 }
 
 // healthMessage is the content of a datagram. A follower sends it to the reader of its data centre, which forwards it to its
@@ -44,10 +48,15 @@
 	// Hops is 0 if sent by the originating daemon, 1 by its reader, 2 by the reader of another data centre.
 	Hops    int               `json:"h,omitempty"`
 	Updates []balancer.Health `json:"w,omitempty"`
-	// Notices identifies requests that crash replicas. Messages with notices are sent to all regions.
-	Notices []quarantine.Notice `json:"c,omitempty"`
+	// Notices identifies requests that crash replicas, Limits the request limits of replicas. Messages with either are sent
+	// to all regions.
+	Notices []quarantine.Notice    `json:"c,omitempty"`
+	Limits  []balancer.LimitUpdate `json:"l,omitempty"`
 }
 
+// concernsAllRegions reports whether the daemons of all regions need the message.
+func (m *healthMessage) concernsAllRegions() bool { return len(m.Notices) > 0 || len(m.Limits) > 0 }
+
 // NoticeHandler receives notices of requests that crash replicas. Implementations are safe for concurrent use.
 type NoticeHandler interface {
 	AddRemoteNotice(notice quarantine.Notice)
@@ -76,7 +85,7 @@
 }
 
 // ShareHealth exchanges observations of the health of replicas with the daemons of the same region until ctx is done, and
-// notices with the daemons of all regions. It sends and receives datagrams at Self.HealthAddress; they may be lost.
+// request limits and notices with the daemons of all regions. It sends and receives datagrams at Self.HealthAddress; they may be lost.
 func (f *Feed) ShareHealth(ctx context.Context, source HealthSource, handler NoticeHandler) {
 	for ctx.Err() == nil {
 		err := f.exchangeHealth(ctx, source, handler)
@@ -115,6 +124,9 @@
 		for updates := range slices.Chunk(source.TakeHealthUpdates(time.Now()), maxUpdatesPerDatagram) {
 			f.forward(conn, healthMessage{Node: f.self.Node, Updates: updates})
 		}
+		for limits := range slices.Chunk(source.TakeLimitUpdates(time.Now()), maxUpdatesPerDatagram) {
+			f.forward(conn, healthMessage{Node: f.self.Node, Limits: limits})
+		}
 		for notices := range slices.Chunk(f.takePendingNotices(), maxNoticesPerDatagram) {
 			f.forward(conn, healthMessage{Node: f.self.Node, Notices: notices})
 		}
@@ -152,6 +164,11 @@
 	if changed := source.ApplyHealthUpdates(m.Updates, time.Now()); changed > 0 {
 		f.log.Debug(eventlog.ReplicaHealthReceived, zap.String("from", m.Node), zap.Int("replicas", changed))
 	}
+	for _, limit := range source.ApplyLimitUpdates(m.Limits, time.Now()) {
+		f.log.Info(eventlog.ReplicaLimited, zap.String("replica", limit.Server.ID), zap.String("service", limit.Server.Service),
+			zap.Float64("per_second", limit.Rate), zap.Float64("previous_per_second", limit.Previous),
+			zap.Int("attempts", limit.Attempts), zap.String("from", m.Node))
+	}
 	for _, notice := range m.Notices {
 		handler.AddRemoteNotice(notice)
 	}
@@ -170,7 +187,7 @@
 	case f.roles[0].isHeld():
 		hosts = f.followers.hosts(m.Node)
 		if m.Hops < 2 {
-			hosts = append(hosts, f.otherReaderHosts(len(m.Notices) > 0)...)
+			hosts = append(hosts, f.otherReaderHosts(m.concernsAllRegions())...)
 			m.Hops = 1
 		}
 	}
--- a/topology/health_test.go
+++ b/topology/health_test.go
@@ -47,3 +47,37 @@
 		must.Eq(t, 0, open.Load())
 	})
 }
+
+// recordingConn records the addresses to which datagrams are sent.
+type recordingConn struct {
+	net.PacketConn
+	sentTo *[]string
+}
+
+func (c recordingConn) WriteTo(b []byte, addr net.Addr) (int, error) {
+	*c.sentTo = append(*c.sentTo, addr.String())
+	return len(b), nil
+}
+
+// TestRequestLimitsReachAllRegions guards a replica in need against daemons of another region that never learn its request
+// limit: unlike the health of a replica, it is sent to the readers of all regions.
+func TestRequestLimitsReachAllRegions(t *testing.T) {
+	feed := newReaderFeed(t)
+	feed.self.Distance = func(string) balancer.Distance { return balancer.OtherRegion }
+	feed.dir.SetDataCentres(map[string]DataCentre{"far": {Daemons: 1, Reader: "127.0.0.9:1"}})
+	b := balancer.New(1)
+	view, _ := feed.dir.View()
+	now := time.Now()
+	b.SetServers(view.Servers, now)
+	for datagram, want := range map[string][]string{
+		`{"n":"d2","w":[{"r":"a","s":3}]}`: nil,
+		`{"n":"d2","l":[{"r":"a","q":4}]}`: {"127.0.0.9:2"},
+	} {
+		var sentTo []string
+		feed.handleDatagram(recordingConn{sentTo: &sentTo}, []byte(datagram), healthRecorder{b}, healthRecorder{b})
+		must.Eq(t, want, sentTo, must.Sprint(datagram))
+	}
+	delay, ok := b.RequestDelay("s", now)
+	must.True(t, ok)
+	must.Eq(t, 0, delay, must.Sprint("the other replica of the service has no limit"))
+}
