Eras of the store in the log, without a change of logic (CONFIG)

The logs could not distinguish the hypotheses: neither the era nor a list that became older appeared.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.NewStoreClient(settings.StoreAddress, settings.MinLeaseTTL, observe)
+	store := platform.NewStoreClient(settings.StoreAddress, settings.MinLeaseTTL, observe, d.logStoreRestored)
 	self := topology.Self{
 		Node: settings.Node, DataCentre: settings.DataCentre, Address: settings.PeerAddress, HealthAddress: settings.HealthAddress, Distance: settings.Distance,
 		Cores: settings.Cores,
@@ -225,6 +225,11 @@
 	}
 }
 
+// logStoreRestored logs that the store has come back from an older copy.
+func (d *Daemon) logStoreRestored(previous, current int64) {
+	d.log.Warn(eventlog.StoreRestored, zap.Int64("previous_era", previous), zap.Int64("era", current))
+}
+
 // Reload reads the settings again. A process keeps its addresses and its location while it runs, so a change is only
 // logged and takes effect at the next start.
 func (d *Daemon) Reload() {
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -21,6 +21,7 @@
 	EntryUnusable           = "entry cannot be used"
 	StoreLost               = "store lost"
 	StoreRegained           = "store regained"
+	StoreRestored           = "store restored from an older copy"
 	ReaderChanged           = "reader changed"
 	ClaimLost               = "claim lost"
 	ClaimRenewalStopped     = "renewal of a claim stopped"
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -179,8 +179,9 @@
 }
 
 // Change counts the entries that an update of the list added, removed, marked as draining, or kept after an outage of
-// the store although they were missing.
-type Change struct{ Added, Removed, Draining, Kept int }
+// the store although they were missing. Undrained counts those that were draining and are listed as ready by the same start
+// of their replica.
+type Change struct{ Added, Removed, Draining, Kept, Undrained int }
 
 // Origin is the source of a list.
 type Origin int
@@ -261,6 +262,9 @@
 			s.LastReadyAt = previous.LastReadyAt
 			listed[s.ID] = s
 		}
+		if ok && s.State == balancer.Ready && previous.State == balancer.Draining && s.StartedAtMs == previous.StartedAtMs {
+			change.Undrained++
+		}
 		if ok && !equalEntries(previous, s) {
 			d.lastChanges[s.ID] = next
 			differs = true
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -494,7 +494,8 @@
 	change, applied := f.dir.SetServers(located, readAt, origin)
 	if applied && change != (Change{}) {
 		f.log.Info(eventlog.ReplicaListChanged, zap.String("from", from), zap.Int("added", change.Added),
-			zap.Int("removed", change.Removed), zap.Int("draining", change.Draining), zap.Int("kept_after_outage", change.Kept))
+			zap.Int("removed", change.Removed), zap.Int("draining", change.Draining), zap.Int("kept_after_outage", change.Kept),
+			zap.Int("ready_again", change.Undrained))
 	}
 	return applied
 }
