Revisions, watches, conditions and leases of an earlier store era are not used (CONFIG)

What users would see: a configuration written soon after the store came back from an older copy is not in force, because its revision was given out before; a claim is replaced on a condition from before; two daemons renew one lease.

Cause: the store client compared the store's own revisions, which go back and are given out again. Class: an order that holds within one history is used across two. Now kv.ComposeRevision puts the era in front, so that every comparison of revisions holds again; a watch of an earlier era ends with ErrCompacted, a condition of one fails with the current items, a lease of one has ended, and a response of an earlier or unreadable era is not used.

--- a/kv/era.go
+++ b/kv/era.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 )
 
@@ -36,13 +37,32 @@
 	return revision >> revisionBits, revision & maxNumber
 }
 
-// EraTracker follows the era of a store. It is safe for concurrent use.
+// FormatRevision returns a composed revision for logs: the store's own revision, after the era and a slash unless the era
+// is 0.
+func FormatRevision(revision int64) string {
+	era, number := SplitRevision(revision)
+	if era == 0 {
+		return strconv.FormatInt(number, 10)
+	}
+	return fmt.Sprintf("%d/%d", era, number)
+}
+
+// ErrEarlierEra means that a response is from an era before the latest known one, so that what it says may be lost.
+var ErrEarlierEra = errors.New("response of an earlier era of the store")
+
+// maxTrackedLeases bounds the leases that an EraTracker remembers.
+const maxTrackedLeases = 1024
+
+// EraTracker follows the era of a store, and tells which revisions and leases of a daemon are of an earlier one: the store
+// may have given them out again since. It is safe for concurrent use.
 type EraTracker struct {
 	onChange func(previous, current int64)
 
 	mu      sync.Mutex
 	known   bool
 	current int64
+	// leases holds the eras in which leases were granted to this daemon.
+	leases map[LeaseID]int64
 }
 
 // NewEraTracker returns a tracker that knows no era yet. onChange is called when a known era changes; it may be nil.
@@ -50,20 +70,28 @@
 	if onChange == nil {
 		onChange = func(int64, int64) {}
 	}
-	return &EraTracker{onChange: onChange}
+	return &EraTracker{onChange: onChange, leases: make(map[LeaseID]int64)}
 }
 
-// Observe records the era in which the store answered a call.
-func (t *EraTracker) Observe(era int64) {
+// Observe records the era in which the store answered a call. It returns ErrEarlierEra or ErrRevisionRange if the response
+// must not be used.
+func (t *EraTracker) Observe(era int64) error {
+	if era < 0 || era > maxEra {
+		return fmt.Errorf("%w: era %d", ErrRevisionRange, era)
+	}
 	t.mu.Lock()
 	previous, changed := t.current, t.known && era > t.current
 	if !t.known || changed {
 		t.known, t.current = true, era
 	}
 	t.mu.Unlock()
-	if changed {
+	switch {
+	case changed:
 		t.onChange(previous, era)
+	case era < previous:
+		return fmt.Errorf("%w: %d after %d", ErrEarlierEra, era, previous)
 	}
+	return nil
 }
 
 // Current returns the latest era, 0 if none is known.
@@ -72,3 +100,34 @@
 	defer t.mu.Unlock()
 	return t.current
 }
+
+// Number returns the store's own revision of a composed one. ok is false if the revision is of an earlier era.
+func (t *EraTracker) Number(revision int64) (number int64, ok bool) {
+	era, number := SplitRevision(revision)
+	return number, revision == 0 || era == t.Current()
+}
+
+// Granted records the era in which the store granted a lease.
+func (t *EraTracker) Granted(lease LeaseID, era int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.leases) >= maxTrackedLeases {
+		clear(t.leases)
+	}
+	t.leases[lease] = era
+}
+
+// IsLost reports whether a lease was granted in an earlier era. Lease 0, which stands for no lease, is never lost.
+func (t *EraTracker) IsLost(lease LeaseID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	era, ok := t.leases[lease]
+	return lease != 0 && ok && era != t.current
+}
+
+// Forget removes a lease that has ended.
+func (t *EraTracker) Forget(lease LeaseID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.leases, lease)
+}
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -16,14 +16,16 @@
 	// ErrOutcomeUnknown means that a write may or may not have taken effect. The caller finds out by reading the keys
 	// back.
 	ErrOutcomeUnknown = errors.New("store response lost, the write may have taken effect")
-	// ErrCompacted means that a watch was started from a revision that the store no longer keeps.
+	// ErrCompacted means that a watch was started from a revision that the store no longer keeps, or that the store has come
+	// back from an older copy since.
 	ErrCompacted = errors.New("store revision has been compacted")
 )
 
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID int64
 
-// Item is a key with its value and revisions. Revisions belong to the whole store, not to a key, and only increase.
+// Item is a key with its value and revisions. Revisions belong to the whole store, not to a key, and only increase: those of a
+// store that can come back from an older copy are composed by ComposeRevision.
 type Item struct {
 	Key            string
 	Value          []byte
@@ -86,7 +88,8 @@
 	// Grant creates a lease that lives for at least ttl. The store may grant a longer time to live, for example whole
 	// seconds.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// KeepAlive renews a lease; alive is false if the lease has expired.
+	// KeepAlive renews a lease; alive is false if the lease has expired, or if the store has come back from an older copy since
+	// it was granted.
 	KeepAlive(ctx context.Context, id LeaseID) (alive bool, err error)
 	// Watch calls fn for changes of keys with the prefix, starting at revision from, or after the call if from is 0.
 	// Changes of a key are delivered in order and may be repeated. While the watch is live, fn is called at least every
--- a/kv/kvtest/memory.go
+++ b/kv/kvtest/memory.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -47,13 +48,17 @@
 	expires time.Time
 	ttl     time.Duration
 	keys    map[string]bool
+	// era is the era in which the lease was granted. Later ones do not renew it.
+	era int64
 }
 
 // Memory is an in-memory kv.Store. It is safe for concurrent use.
 type Memory struct {
 	now func() time.Time
 
-	mu             sync.Mutex
+	mu sync.Mutex
+	// era is the number of restores. revision is composed of it and the store's own revision.
+	era            int64
 	revision       int64
 	items          map[string]kv.Item
 	leases         map[kv.LeaseID]*lease
@@ -120,6 +125,64 @@
 	m.oldestRevision = m.revision + 1
 }
 
+// Copy is the state of a store at a moment.
+type Copy struct {
+	revision int64
+	items    map[string]kv.Item
+	leases   map[kv.LeaseID]lease
+}
+
+// Copy returns a copy of the store's data.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := Copy{revision: m.revision, items: maps.Clone(m.items), leases: make(map[kv.LeaseID]lease)}
+	for id, l := range m.leases {
+		kept := *l
+		kept.keys = maps.Clone(l.keys)
+		c.leases[id] = kept
+	}
+	return c
+}
+
+// Restore replaces the store's data by a copy and starts a new era: all later changes are lost, and the store's own revision
+// goes back to that of the copy. Leases of the copy are not renewed any more; their keys expire.
+func (m *Memory) Restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.revision = m.recompose(c.revision)
+	m.items = make(map[string]kv.Item, len(c.items))
+	for key, item := range c.items {
+		item.ModRevision, item.CreateRevision = m.recompose(item.ModRevision), m.recompose(item.CreateRevision)
+		m.items[key] = item
+	}
+	m.leases = make(map[kv.LeaseID]*lease, len(c.leases))
+	for id, l := range c.leases {
+		l.expires, l.keys = m.now().Add(l.ttl), maps.Clone(l.keys)
+		m.leases[id] = &l
+	}
+	m.history, m.oldestRevision = nil, m.revision+1
+	m.notifyWatches()
+}
+
+// recompose returns the revision of the current era with the same own revision of the store. The caller holds the lock.
+func (m *Memory) recompose(revision int64) int64 {
+	_, number := kv.SplitRevision(revision)
+	composed, err := kv.ComposeRevision(m.era, number)
+	if err != nil {
+		panic(err)
+	}
+	return composed
+}
+
+// Era returns the number of restores.
+func (m *Memory) Era() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
 func (m *Memory) notifyWatches() {
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -237,7 +300,7 @@
 		if len(p.Value) > kv.MaxValueBytes {
 			return kv.TxnResult{}, rejectedError("value larger than 1 MiB")
 		}
-		if _, ok := m.leases[p.Lease]; p.Lease != 0 && !ok {
+		if l, ok := m.leases[p.Lease]; p.Lease != 0 && (!ok || l.era != m.era) {
 			return kv.TxnResult{}, rejectedError("requested lease not found")
 		}
 	}
@@ -321,7 +384,7 @@
 	defer m.mu.Unlock()
 	m.counters.Writes++
 	m.lastLeaseID++
-	m.leases[m.lastLeaseID] = &lease{expires: m.now().Add(ttl), ttl: ttl, keys: make(map[string]bool)}
+	m.leases[m.lastLeaseID] = &lease{expires: m.now().Add(ttl), ttl: ttl, keys: make(map[string]bool), era: m.era}
 	if consume(&m.faults.LostResponses) {
 		return 0, kv.ErrOutcomeUnknown
 	}
@@ -336,7 +399,7 @@
 	defer m.mu.Unlock()
 	m.counters.Writes++
 	l, ok := m.leases[id]
-	if !ok {
+	if !ok || l.era != m.era {
 		return false, nil
 	}
 	l.expires = m.now().Add(l.ttl)
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -403,7 +403,7 @@
 func (f *Feed) applyConfigItem(item kv.Item, source configSource) {
 	config, err := f.decoder.Config(item)
 	if err != nil {
-		f.log.Error(eventlog.ConfigurationInvalid, zap.Int64("revision", item.ModRevision), zap.Error(err))
+		f.log.Error(eventlog.ConfigurationInvalid, zap.String("revision", kv.FormatRevision(item.ModRevision)), zap.Error(err))
 		return
 	}
 	source.revision = item.ModRevision
@@ -422,7 +422,7 @@
 	}
 	if applied {
 		f.log.Info(eventlog.ConfigurationApplied, zap.Int64("version", config.Version), zap.String("from", source.address),
-			zap.String("call", source.call), zap.Int64("revision", source.revision), zap.Duration("waited_ms", time.Since(source.begin)),
+			zap.String("call", source.call), zap.String("revision", kv.FormatRevision(source.revision)), zap.Duration("waited_ms", time.Since(source.begin)),
 			zap.Int("routes", len(config.Routes)), zap.Duration("list_age_ms", f.listAge()), zap.Uint64("list_reads", view.Confirmations),
 			zap.String("list_source", f.peers.currentList().source))
 	}
@@ -479,7 +479,7 @@
 	f.invalidEntries[item.Key] = item.ModRevision
 	f.mu.Unlock()
 	if !known {
-		f.log.Warn(eventlog.EntryUnusable, zap.String("key", item.Key), zap.Int64("revision", item.ModRevision), zap.Error(err))
+		f.log.Warn(eventlog.EntryUnusable, zap.String("key", item.Key), zap.String("revision", kv.FormatRevision(item.ModRevision)), zap.Error(err))
 	}
 }
 
