A store restored from an older copy revives no replica (CONFIG)

What users would see: replicas that drain or have left get requests again for as long as the restored store lists them as before, some seconds, because a list replaced the known one by the time of its read, whatever it held.

Daemons now follow the era of the lists that they read. For 6 s after the store's return an entry is not used if it is older than the known one of its replica, by start and count of reports, or belongs to a start that has left; missing entries are kept as after an outage. Daemons tell each other the era, when the store came back and which replicas have left, so that a daemon that starts meanwhile and becomes the reader knows as much.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -49,6 +49,9 @@
 	// StartedAtMs is the replica's start time in Unix milliseconds, or 0 if unknown. A different value under the same ID
 	// means that the replica was restarted.
 	StartedAtMs int64 `json:"Born"`
+	// Sequence is the number of reports of the replica since its start when the entry was written. It tells which of two
+	// entries of the same start is older.
+	Sequence int64 `json:"Sequence,omitempty"`
 }
 
 // Load is the load that a replica reports in its responses.
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -24,6 +24,10 @@
 	// reregistrationGrace is how long missing entries are retained after the end of an outage. According to the platform,
 	// live replicas register again within about 2 s.
 	reregistrationGrace = 2200 * time.Millisecond
+	// restoredGrace is how long after the return of the store from an older copy an entry that is older than a known one is
+	// not used. The replicas write again what the store has lost, and the entries of those that have left expire, within three
+	// of their reports.
+	restoredGrace = 6 * time.Second
 )
 
 // View is an immutable snapshot of the data that a daemon has.
@@ -34,12 +38,17 @@
 	// list was received.
 	Servers    []balancer.Server
 	Generation uint64
-	// Digest is a hash of Servers that ignores Distance, WarmupLeft and LastReadyAt.
+	// Digest is a hash of Servers that ignores Distance, WarmupLeft, Sequence and LastReadyAt.
 	Digest uint64
 	// ReadAt is the time of the last store read that the list reflects. Confirmations counts these reads, including those
 	// that left the list unchanged.
 	ReadAt        time.Time
 	Confirmations uint64
+	// Era is the era of the store if eraKnown is set, RestoredAt the time at which it came back from an older copy, zero if that
+	// is not known.
+	Era        int64
+	eraKnown   bool
+	RestoredAt time.Time
 	// DataCentres describes the daemons of each data centre by the name of the data centre, nil if unknown. It is
 	// read-only.
 	DataCentres map[string]DataCentre
@@ -90,6 +99,11 @@
 // IsComplete reports whether the view holds a configuration and a list of replicas, without which a daemon can't serve.
 func (v *View) IsComplete() bool { return v.Table != nil && v.Generation > 0 }
 
+// isRecentlyRestored reports whether the store may still list entries of an older copy at the given time.
+func (v *View) isRecentlyRestored(at time.Time) bool {
+	return !v.RestoredAt.IsZero() && at.Sub(v.RestoredAt) < restoredGrace
+}
+
 // Directory stores the current view. It does no I/O and is safe for concurrent use.
 type Directory struct {
 	mu   sync.Mutex
@@ -99,15 +113,16 @@
 	lastChanges map[string]uint64
 	removals    []removal
 	deltaBase   uint64
-	// outageEnd is the time of the first successful read after the last outage of the store.
+	// outageEnd is the time of the first successful read after the last outage of the store, or after its return from an older
+	// copy.
 	outageEnd time.Time
 	// changed is closed when the view changes, confirmed also when a read of the store leaves the list unchanged.
 	changed, confirmed chan struct{}
 }
 
-// removal records the generation in which a replica was removed from the list.
+// removal records the generation in which a replica was removed from the list, with its last entry.
 type removal struct {
-	id         string
+	balancer.Server
 	generation uint64
 }
 
@@ -180,8 +195,8 @@
 
 // Change counts the entries that an update of the list added, removed, marked as draining, or kept after an outage of
 // the store although they were missing. Undrained counts those that were draining and are listed as ready by the same start
-// of their replica.
-type Change struct{ Added, Removed, Draining, Kept, Undrained int }
+// of their replica, Outdated the listed entries that were not used because a newer one is known.
+type Change struct{ Added, Removed, Draining, Kept, Undrained, Outdated int }
 
 // Origin is the source of a list.
 type Origin int
@@ -209,15 +224,56 @@
 	}
 	for _, r := range d.removals {
 		if r.generation > generation {
-			removed = append(removed, r.id)
+			removed = append(removed, r.ID)
 		}
 	}
 	return d.view, changed, removed, false
 }
 
+// ObserveEra records the era of a list, before the list is passed to SetServers. at is the time of the read of a list from the
+// store, and for one from another daemon the time at which the store came back from an older copy, zero if it did not lately.
+func (d *Directory) ObserveEra(era int64, at time.Time, origin Origin) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	isFirst := !d.view.eraKnown
+	if !isFirst && era <= d.view.Era {
+		return
+	}
+	d.view.eraKnown, d.view.Era = true, era
+	if isFirst && origin == FromStore || at.IsZero() {
+		return
+	}
+	// Replicas that registered after the copy was made register again, as after an outage.
+	d.view.RestoredAt, d.outageEnd = at, at
+}
+
+// RemovedServers returns the last entries of recently removed replicas, oldest first.
+func (d *Directory) RemovedServers() []balancer.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all []balancer.Server
+	for _, r := range d.removals {
+		all = append(all, r.Server)
+	}
+	return all
+}
+
+// AddRemovedServers adds replicas that other daemons have seen leave, unless this daemon knows as many as it records.
+func (d *Directory) AddRemovedServers(servers []balancer.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// Generation 0 precedes all that a follower may know, so these removals are in no delta.
+	var earlier []removal
+	for _, s := range servers[:min(len(servers), max(0, maxRemovals-len(d.removals)))] {
+		earlier = append(earlier, removal{Server: s})
+	}
+	d.removals = append(earlier, d.removals...)
+}
+
 // SetServers replaces the list of replicas by the complete list that was read from the store at readAt, and reports
 // whether it did: a list that is not newer than the current one is rejected. Entries that are missing from a list read
-// right after an outage of the store are kept for 2.2 s after the outage (reregistrationGrace).
+// right after an outage of the store are kept for 2.2 s after the outage (reregistrationGrace). After the store has come back
+// from an older copy, entries that are older than known ones are not used for 6 s (restoredGrace).
 func (d *Directory) SetServers(servers []balancer.Server, readAt time.Time, origin Origin) (Change, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -235,6 +291,9 @@
 		listed[s.ID] = s
 	}
 	var change Change
+	if origin == FromStore && d.view.isRecentlyRestored(readAt) {
+		change.Outdated = d.replaceOutdated(listed)
+	}
 	if origin == FromStore && !d.outageEnd.IsZero() && readAt.Sub(d.outageEnd) < reregistrationGrace {
 		for _, s := range d.view.Servers {
 			if _, ok := listed[s.ID]; !ok {
@@ -253,7 +312,7 @@
 		case !ok:
 			change.Removed++
 			delete(d.lastChanges, previous.ID)
-			d.removals = append(d.removals, removal{previous.ID, next})
+			d.removals = append(d.removals, removal{previous, next})
 		case s.State == balancer.Draining && previous.State != balancer.Draining:
 			change.Draining++
 			s.LastReadyAt = previousReadAt
@@ -296,6 +355,37 @@
 	return change, true
 }
 
+// replaceOutdated replaces the listed entries that are older than those of the current list, removes those that are not newer
+// than a removed one, and returns their number. The caller holds d.mu.
+func (d *Directory) replaceOutdated(listed map[string]balancer.Server) (outdated int) {
+	current := make(map[string]bool, len(d.view.Servers))
+	for _, known := range d.view.Servers {
+		current[known.ID] = true
+		if s, ok := listed[known.ID]; ok && isOlderEntry(s, known) {
+			listed[known.ID] = known
+			outdated++
+		}
+	}
+	for _, removed := range d.removals {
+		s, ok := listed[removed.ID]
+		if ok && !current[removed.ID] && s.StartedAtMs == removed.StartedAtMs && s.Sequence <= removed.Sequence {
+			delete(listed, removed.ID)
+			outdated++
+		}
+	}
+	return outdated
+}
+
+// isOlderEntry reports whether an entry was written before a known one of the same start of the replica. A replica that is
+// draining does not become ready again without a further report.
+func isOlderEntry(s, known balancer.Server) bool {
+	if s.StartedAtMs != known.StartedAtMs {
+		return s.StartedAtMs < known.StartedAtMs
+	}
+	return s.Sequence < known.Sequence ||
+		s.Sequence == known.Sequence && known.State == balancer.Draining && s.State == balancer.Ready
+}
+
 // digest returns the hash of a sorted list for View.Digest.
 func digest(servers []balancer.Server) uint64 {
 	// Writes to this hash never fail.
@@ -315,9 +405,10 @@
 }
 
 // equalEntries compares two entries. It ignores the remaining warm-up time, which changes with each report of a replica,
-// and the distance and the time of last readiness, which each daemon sets locally.
+// the number of its reports, and the distance and the time of last readiness, which each daemon sets locally.
 func equalEntries(a, b balancer.Server) bool {
 	a.WarmupLeft, b.WarmupLeft = 0, 0
+	a.Sequence, b.Sequence = 0, 0
 	a.Distance, b.Distance = 0, 0
 	a.LastReadyAt, b.LastReadyAt = time.Time{}, time.Time{}
 	return a == b
--- a/topology/directory_test.go
+++ b/topology/directory_test.go
@@ -52,6 +52,47 @@
 	must.Len(t, 1, view.Servers)
 }
 
+// TestOutdatedEntriesAfterRestore checks which listed entries are used while the store, back from an older copy, may not have been
+// written again: none that is older than the known one of its replica, and none of a start that has left.
+func TestOutdatedEntriesAfterRestore(t *testing.T) {
+	entry := func(started, sequence int64, state balancer.State) balancer.Server {
+		return balancer.Server{ID: "a", Service: "s", Address: "10.0.0.1:1", StartedAtMs: started, Sequence: sequence, State: state}
+	}
+	for name, c := range map[string]struct {
+		known    balancer.Server
+		hasLeft  bool
+		listed   balancer.Server
+		outdated int
+	}{
+		"older report":         {entry(1, 7, balancer.Draining), false, entry(1, 5, balancer.Ready), 1},
+		"older start":          {entry(2, 1, balancer.Ready), false, entry(1, 9, balancer.Ready), 1},
+		"reports not counted":  {entry(1, 0, balancer.Draining), false, entry(1, 0, balancer.Ready), 1},
+		"newer report":         {entry(1, 7, balancer.Draining), false, entry(1, 8, balancer.Ready), 0},
+		"newer start":          {entry(1, 7, balancer.Draining), false, entry(2, 1, balancer.Ready), 0},
+		"same entry":           {entry(1, 7, balancer.Ready), false, entry(1, 7, balancer.Ready), 0},
+		"left":                 {entry(1, 7, balancer.Draining), true, entry(1, 5, balancer.Ready), 1},
+		"left and reports":     {entry(1, 7, balancer.Draining), true, entry(1, 8, balancer.Ready), 0},
+		"left, another start":  {entry(1, 7, balancer.Draining), true, entry(2, 1, balancer.Ready), 0},
+		"unknown to this view": {balancer.Server{ID: "b"}, false, entry(1, 5, balancer.Ready), 0},
+	} {
+		d := NewDirectory()
+		at := time.Now()
+		d.ObserveEra(1, at, FromStore)
+		d.SetServers(append(servers("z"), c.known), at, FromStore)
+		at = at.Add(time.Second)
+		if c.hasLeft {
+			d.SetServers(servers("z"), at, FromStore)
+		}
+		at = at.Add(time.Second)
+		d.ObserveEra(2, at, FromStore)
+		change, applied := d.SetServers(append(servers("z"), c.listed), at, FromStore)
+		must.True(t, applied)
+		must.Eq(t, c.outdated, change.Outdated, must.Sprint(name))
+		change, _ = d.SetServers(append(servers("z"), c.listed), at.Add(restoredGrace), FromStore)
+		must.Eq(t, 0, change.Outdated, must.Sprint(name, ": the store is believed again"))
+	}
+}
+
 // TestSetServersRejectsOlderList guards against a list that is replaced by an older one from another daemon.
 func TestSetServersRejectsOlderList(t *testing.T) {
 	d := NewDirectory()
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -439,7 +439,7 @@
 		}
 	}
 	at := time.Now()
-	items, _, err := list(ctx, f.keys.Servers)
+	items, revision, err := list(ctx, f.keys.Servers)
 	f.recordStoreCall("servers", err)
 	if err != nil {
 		return false
@@ -458,6 +458,8 @@
 		at = at.Add(-staleReadPenalty)
 	}
 	f.peers.reset()
+	era, _ := kv.SplitRevision(revision)
+	f.dir.ObserveEra(era, at, FromStore)
 	f.applyServers(servers, at, storeName, FromStore)
 	return true
 }
@@ -495,7 +497,7 @@
 	if applied && change != (Change{}) {
 		f.log.Info(eventlog.ReplicaListChanged, zap.String("from", from), zap.Int("added", change.Added),
 			zap.Int("removed", change.Removed), zap.Int("draining", change.Draining), zap.Int("kept_after_outage", change.Kept),
-			zap.Int("ready_again", change.Undrained))
+			zap.Int("ready_again", change.Undrained), zap.Int("outdated", change.Outdated))
 	}
 	return applied
 }
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -72,6 +72,13 @@
 	// held the pull, rounded down; daemons of earlier versions do not state it.
 	AgeMS  int64  `json:"age_ms"`
 	HeldMS *int64 `json:"held_ms,omitempty"`
+	// Era is the era of the store that the list reflects; daemons of earlier versions do not state it. RestoredMS is the time
+	// since the store came back from an older copy, in milliseconds, if that is recent.
+	Era        *int64 `json:"era,omitempty"`
+	RestoredMS *int64 `json:"restored_ms,omitempty"`
+	// Left holds the last entries of replicas that have left, beside a complete list soon after the store came back: the store
+	// may list them again.
+	Left []balancer.Server `json:"left,omitempty"`
 	// Centres describes the daemons of all data centres if the follower's hash differs.
 	Centres map[string]DataCentre `json:"centres,omitempty"`
 }
@@ -142,6 +149,10 @@
 			servers = applyDelta(view.Servers, response.Servers, response.Removed)
 		}
 		readAt := response.readAt(begin)
+		if response.Era != nil {
+			f.dir.ObserveEra(*response.Era, response.restoredAt(time.Now()), FromDaemon)
+		}
+		f.dir.AddRemovedServers(response.Left)
 		if !f.applyServers(servers, readAt, address, FromDaemon) {
 			// The directory kept its own list, to which a delta doesn't apply. The next confirmation brings a complete list.
 			version.generation = 0
@@ -163,6 +174,14 @@
 	return begin.Add(time.Duration(*r.HeldMS-r.AgeMS) * time.Millisecond)
 }
 
+// restoredAt returns when the store came back from an older copy, zero if it did not lately.
+func (r *pullResponse) restoredAt(now time.Time) time.Time {
+	if r.RestoredMS == nil {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(*r.RestoredMS) * time.Millisecond)
+}
+
 // applyDelta returns the list after the addition or replacement of the changed entries and the removal of others. The
 // result is not sorted.
 func applyDelta(list, changed []balancer.Server, removed []string) []balancer.Server {
@@ -297,9 +316,19 @@
 		return response, hasUpdate
 	}
 	response.AgeMS = ceilMilliseconds(time.Since(view.ReadAt))
+	if view.eraKnown {
+		response.Era = &view.Era
+	}
+	if now := time.Now(); view.isRecentlyRestored(now) {
+		restoredMS := now.Sub(view.RestoredAt).Milliseconds()
+		response.RestoredMS = &restoredMS
+	}
 	if request.Digest != view.Digest && (whole || generation != view.Generation) {
 		response.Servers, response.Removed, response.Whole = changed, removed, whole
 	}
+	if response.Whole && response.RestoredMS != nil {
+		response.Left = f.dir.RemovedServers()
+	}
 	// Every change of the list also increments View.Confirmations. A follower that rejected a list waits for the next
 	// confirmation.
 	return response, hasUpdate || request.Source != f.source || request.Confirmed != view.Confirmations
