confsync: notices fit the broadcast, verification reads all keys

Two faults found by reading. Notices of 256 to 300 bytes were encoded and then rejected by the membership broadcast, so that their change was announced nowhere at once. A verification named its keys only as those to read, and a store that returns the keys of conditions only made the others look deleted.

TestNoticesFitBroadcast and TestVerifyReadsAllKeys failed before.

--- a/confsync/messages.go
+++ b/confsync/messages.go
@@ -81,10 +81,9 @@
 
 const (
 	noticeVersion = 1
-	// maxNotice is the maximum size of an encoded notice in bytes, so that several fit into one membership datagram.
-	// The membership broadcast rejects notices above 255 bytes, because its payloads have at most 256 bytes, of which
-	// package entry uses one for the kind. The changes of such notices propagate by digest comparison only.
-	maxNotice = 300
+	// maxNotice is the maximum size of an encoded notice in bytes: a payload of the membership broadcast has at most 256
+	// bytes, of which package entry uses one for the kind. The changes of longer notices propagate by digest comparison only.
+	maxNotice = 255
 )
 
 // encode returns the payload for the membership broadcast. ok is false if the key is too long; the change then
--- a/confsync/runner.go
+++ b/confsync/runner.go
@@ -161,8 +161,10 @@
 func (r *Runner) verify(ctx context.Context, a Verify) {
 	ctxTxn, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	txn := kv.Txn{If: []kv.Compare{{Key: a.Entries[0].Key, ModRevision: impossibleRevision}}}
+	var txn kv.Txn
 	for _, e := range a.Entries {
+		// Some stores return only the keys of conditions.
+		txn.If = append(txn.If, kv.Compare{Key: e.Key, ModRevision: impossibleRevision})
 		txn.Else = append(txn.Else, e.Key)
 		r.log.Warn("configuration revision of a peer is checked in the store",
 			zap.String("key", e.Key), zap.Int64("revision", e.Revision))
