entry: TestSearchNeverRunMeansNoExecution can fail

The stand-in counted executions and never reported them, so that the counter of the test stayed 0 and no wrong refusal could be seen.

--- a/entry/search_run_test.go
+++ b/entry/search_run_test.go
@@ -136,8 +136,8 @@
 }
 
 // runSearches sends the queries one after another and compares each result with the execution counters of the backend
-// servers.
-func runSearches(t *testing.T, s searchScenario, kinds map[api.Kind]int) error {
+// servers. It returns the number of executions.
+func runSearches(t *testing.T, s searchScenario, kinds map[api.Kind]int) (executed int64, failure error) {
 	fleet := memfleet.New()
 	daemon := fleet.NewDaemon()
 	d := newSearchDaemon(t, daemon)
@@ -147,7 +147,6 @@
 	if s.requireComplete {
 		p.Snapshot = profile.SnapshotRequireComplete
 	}
-	var failure error
 	for i, step := range s.queries {
 		before := executionCount(fleet)
 		ctx, cancel := context.WithTimeout(t.Context(), step.deadline)
@@ -164,9 +163,10 @@
 			failure = fmt.Errorf("query %d: %w after %d executions", i, err, executed)
 		}
 	}
+	executed = executionCount(fleet)
 	daemon.Close()
 	fleet.Stop()
-	return failure
+	return executed, failure
 }
 
 // Guards against a search error that states run: never although a backend server executed a part of the search.
@@ -175,15 +175,21 @@
 func TestSearchNeverRunMeansNoExecution(t *testing.T) {
 	limitChecks(t, "600")
 	gen, kinds := genSearchScenario(), map[api.Kind]int{}
+	executedTotal := int64(0)
 	rapid.Check(t, func(rt *rapid.T) {
 		s := gen.Draw(rt, "scenario")
 		var err error
-		synctest.Test(t, func(t *testing.T) { err = runSearches(t, s, kinds) })
+		synctest.Test(t, func(t *testing.T) {
+			var executed int64
+			executed, err = runSearches(t, s, kinds)
+			executedTotal += executed
+		})
 		if err != nil {
 			rt.Fatal(err)
 		}
 	})
-	t.Logf("outcomes by kind: %v", kinds)
+	t.Logf("outcomes by kind: %v, %d executions", kinds, executedTotal)
+	must.Positive(t, executedTotal, must.Sprint("without executions, no error can be wrong"))
 	for _, kind := range []api.Kind{api.Overloaded, api.NoSnapshot, api.BackendRefused, api.CoverageTooLow} {
 		must.Positive(t, kinds[kind], must.Sprint(kind))
 	}
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -161,7 +161,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Counters{
-		Executed: len(s.executions), Sent: len(s.sentAnswers), Received: s.receivedCount,
+		Executed: len(s.executions), Sent: len(s.sentAnswers), Received: s.receivedCount, ExecutedTotal: s.executedCount,
 		LastWorkAfterDrainMS: s.lastWorkAfterDrain.Milliseconds(), WorkAfterDrain: slices.Clone(s.workAfterDrain),
 		Connections: s.connections.open, PeakConnections: s.connections.peak,
 		Abandoned: maps.Clone(s.abandonedCounts),
