--- a/topology/feed.go
+++ b/topology/feed.go
@@ -258,23 +258,9 @@
 }
 
 // isStoreUnavailable reports whether the last call to the store failed.
-func (f *Feed) isStoreUnavailable() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.storeUnavailableSince.IsZero()
-}
-
 // probeStore reports whether a read of the list is likely to succeed. After a failed call it first reads the claim of the
 // role, which costs a tenth of a read of the list. Thus an outage costs each daemon one failed read of the list, and only
 // probes afterwards.
-func (f *Feed) probeStore(ctx context.Context, r *role) bool {
-	if !f.isStoreUnavailable() {
-		return true
-	}
-	_, _, err := f.readClaim(ctx, r, kv.GetStale)
-	return err == nil
-}
-
 // pullWaitFor returns how long a pull may wait at the holder of a role: until the list of this daemon becomes stale.
 func (f *Feed) pullWaitFor(r *role) time.Duration {
 	return max(minPullWait, min(maxPullWait, r.staleAfter-f.listAge()))
@@ -318,212 +304,24 @@
 }
 
 // pollStore reads the store as the fleet reader until ctx is done.
-func (f *Feed) pollStore(ctx context.Context) {
-	var wg sync.WaitGroup
-	wg.Go(func() { f.watchConfig(ctx) })
-	wg.Go(func() { f.collectCentres(ctx) })
-	for ctx.Err() == nil {
-		begin := time.Now()
-		f.readServers(ctx, fresh)
-		sleep(ctx, readInterval-time.Since(begin))
-	}
-	wg.Wait()
-}
-
 // watchConfig applies each new configuration until ctx is done. After a failure, or when the store has compacted the
 // history, it reads the configuration and resumes the watch from that revision.
-func (f *Feed) watchConfig(ctx context.Context) {
-	pause := minRetryPause
-	for ctx.Err() == nil {
-		revision := f.readConfig(ctx, fresh)
-		if revision == 0 {
-			sleep(ctx, jitter(pause))
-			pause = min(2*pause, maxRetryPause)
-			continue
-		}
-		pause = minRetryPause
-		begin := time.Now()
-		err := f.store.Watch(ctx, f.keys.Config, revision+1, func(batch kv.WatchBatch) {
-			for _, e := range batch.Events {
-				if !e.Deleted && e.Item.Key == f.keys.Config {
-					f.applyConfigItem(e.Item, configSource{address: storeName, call: "watch", begin: begin})
-				}
-			}
-			begin = time.Now()
-		})
-		if ctx.Err() == nil {
-			f.log.Info(eventlog.ConfigurationWatchEnded, zap.Error(err))
-			sleep(ctx, jitter(minRetryPause))
-		}
-	}
-}
-
 // freshness selects between an up-to-date read and one that may return an older state at a lower cost.
-type freshness int
-
 // Values of freshness.
-const (
-	fresh freshness = iota
-	allowStale
-)
-
 // readConfig reads and applies the configuration. It returns the revision of its key, or 0 if it could not be read.
-func (f *Feed) readConfig(ctx context.Context, wanted freshness) int64 {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	get := f.store.Get
-	if wanted == allowStale {
-		get = func(ctx context.Context, key string) (kv.Item, bool, error) { return kv.GetStale(ctx, f.store, key) }
-	}
-	begin := time.Now()
-	item, found, err := get(ctx, f.keys.Config)
-	f.recordStoreCall("configuration", err)
-	if err != nil || !found {
-		return 0
-	}
-	f.applyConfigItem(item, configSource{address: storeName, call: "read", begin: begin})
-	return item.ModRevision
-}
-
 // storeName denotes the store in log lines that name the source of data.
-const storeName = "store"
-
 // configSource describes the call that returned a configuration, for the log.
-type configSource struct {
-	// address is the address of a daemon, or storeName.
-	address string
-	// call is the kind of the call, begin the time at which it was sent.
-	call  string
-	begin time.Time
-	// revision is the store revision of the configuration, 0 if unknown.
-	revision int64
-}
-
 // applyConfigItem decodes and applies a configuration from the store.
-func (f *Feed) applyConfigItem(item kv.Item, source configSource) {
-	config, err := f.decoder.Config(item)
-	if err != nil {
-		f.log.Error(eventlog.ConfigurationInvalid, zap.String("revision", kv.FormatRevision(item.ModRevision)), zap.Error(err))
-		return
-	}
-	source.revision = item.ModRevision
-	f.applyConfig(config, source)
-}
-
 // applyConfig applies a configuration and logs the result. The log line includes the state of the replica list, because a
 // daemon reads the store itself only when that list is stale.
-func (f *Feed) applyConfig(config routing.Config, source configSource) {
-	view, _ := f.dir.View()
-	applied, err := f.dir.SetConfig(config)
-	if err != nil {
-		f.log.Error(eventlog.ConfigurationInvalid, zap.Int64("version", config.Version), zap.String("from", source.address),
-			zap.Error(err))
-		return
-	}
-	if applied {
-		f.log.Info(eventlog.ConfigurationApplied, zap.Int64("version", config.Version), zap.String("from", source.address),
-			zap.String("call", source.call), zap.String("revision", kv.FormatRevision(source.revision)), zap.Duration("waited_ms", time.Since(source.begin)),
-			zap.Int("routes", len(config.Routes)), zap.Duration("list_age_ms", f.listAge()), zap.Uint64("list_reads", view.Confirmations),
-			zap.String("list_source", f.peers.currentList().source))
-	}
-}
-
 // readServers reads and applies the list of replicas. It reports whether the store responded.
-func (f *Feed) readServers(ctx context.Context, wanted freshness) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	list := f.store.List
-	if wanted == allowStale {
-		list = func(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
-			return kv.ListStale(ctx, f.store, prefix)
-		}
-	}
-	at := time.Now()
-	items, revision, err := list(ctx, f.keys.Servers)
-	f.recordStoreCall("servers", err)
-	if err != nil {
-		return false
-	}
-	servers := make([]balancer.Server, 0, len(items))
-	for _, item := range items {
-		s, err := f.decoder.Server(item)
-		if err != nil {
-			f.logInvalidEntry(item, err)
-			continue
-		}
-		servers = append(servers, s)
-	}
-	if wanted == allowStale {
-		// Every fresh list has to replace one from a stale read.
-		at = at.Add(-staleReadPenalty)
-	}
-	f.peers.reset()
-	era, _ := kv.SplitRevision(revision)
-	f.dir.ObserveEra(era, at, FromStore)
-	f.applyServers(servers, at, storeName, FromStore)
-	return true
-}
-
 // staleReadPenalty is subtracted from the time of a stale read. The resulting view counts as stale, so the daemon tries to
 // find a fresh source immediately.
-const staleReadPenalty = 10 * time.Second
-
 // maxInvalidEntries bounds Feed.invalidEntries.
-const maxInvalidEntries = 1000
-
 // logInvalidEntry logs an entry that could not be decoded, once per revision.
-func (f *Feed) logInvalidEntry(item kv.Item, err error) {
-	f.mu.Lock()
-	known := f.invalidEntries[item.Key] == item.ModRevision
-	if len(f.invalidEntries) >= maxInvalidEntries {
-		clear(f.invalidEntries)
-	}
-	f.invalidEntries[item.Key] = item.ModRevision
-	f.mu.Unlock()
-	if !known {
-		f.log.Warn(eventlog.EntryUnusable, zap.String("key", item.Key), zap.String("revision", kv.FormatRevision(item.ModRevision)), zap.Error(err))
-	}
-}
-
 // applyServers sets the distances of the replicas and passes the list to the directory. It reports whether the list was
 // accepted.
-func (f *Feed) applyServers(servers []balancer.Server, readAt time.Time, from string, origin Origin) bool {
-	located := make([]balancer.Server, len(servers))
-	for i, s := range servers {
-		s.Distance = f.self.Distance(s.DataCentre)
-		located[i] = s
-	}
-	change, applied := f.dir.SetServers(located, readAt, origin)
-	if applied && change != (Change{}) {
-		f.log.Info(eventlog.ReplicaListChanged, zap.String("from", from), zap.Int("added", change.Added),
-			zap.Int("removed", change.Removed), zap.Int("draining", change.Draining), zap.Int("kept_after_outage", change.Kept),
-			zap.Int("ready_again", change.Undrained), zap.Int("outdated", change.Outdated))
-	}
-	return applied
-}
-
 // recordStoreCall updates the availability of the store after a call and logs when it changes.
-func (f *Feed) recordStoreCall(call string, err error) {
-	if errors.Is(err, context.Canceled) {
-		return
-	}
-	f.mu.Lock()
-	unavailableSince := f.storeUnavailableSince
-	switch {
-	case err != nil && unavailableSince.IsZero():
-		f.storeUnavailableSince = time.Now()
-	case err == nil:
-		f.storeUnavailableSince = time.Time{}
-	}
-	f.mu.Unlock()
-	switch {
-	case err != nil && unavailableSince.IsZero():
-		f.log.Warn(eventlog.StoreLost, zap.String("call", call), zap.Error(err))
-	case err == nil && !unavailableSince.IsZero():
-		f.log.Info(eventlog.StoreRegained, zap.String("call", call), zap.Duration("away", time.Since(unavailableSince)))
-	}
-}
-
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
