--- a/internal/boundedread/boundedread.go
+++ b/internal/boundedread/boundedread.go
@@ -27,6 +27,16 @@
 	return &MemoryLimit{semaphore.NewWeighted(maxBytes)}
 }
 
+// bodyBufferFraction is the fraction of the process's memory limit for response bodies that are being read. The heap takes a
+// few times as much, because outgrown and discarded buffers stay on it until the next garbage collection.
+const bodyBufferFraction = 1.0 / 16
+
+// NewProcessMemoryLimit returns the MemoryLimit for the response bodies that a process with a memory limit in bytes reads at the
+// same time.
+func NewProcessMemoryLimit(processBytes int64) *MemoryLimit {
+	return NewMemoryLimit(int64(bodyBufferFraction * float64(processBytes)))
+}
+
 // ReadAll reads r to its end. contentLength is the length that the sender declared, -1 if it is unknown. A body longer
 // than limit bytes, or one that exceeds the shared limit, ends with ErrTooLarge and is not read further; other errors are
 // those of r. The memory counts towards the shared limit only until ReadAll returns.
