--- a/topology/feed.go
+++ b/topology/feed.go
@@ -257,10 +257,6 @@
 	}
 }
 
-// isStoreUnavailable reports whether the last call to the store failed.
-// probeStore reports whether a read of the list is likely to succeed. After a failed call it first reads the claim of the
-// role, which costs a tenth of a read of the list. Thus an outage costs each daemon one failed read of the list, and only
-// probes afterwards.
 // pullWaitFor returns how long a pull may wait at the holder of a role: until the list of this daemon becomes stale.
 func (f *Feed) pullWaitFor(r *role) time.Duration {
 	return max(minPullWait, min(maxPullWait, r.staleAfter-f.listAge()))
@@ -303,25 +299,6 @@
 	}
 }
 
-// pollStore reads the store as the fleet reader until ctx is done.
-// watchConfig applies each new configuration until ctx is done. After a failure, or when the store has compacted the
-// history, it reads the configuration and resumes the watch from that revision.
-// freshness selects between an up-to-date read and one that may return an older state at a lower cost.
-// Values of freshness.
-// readConfig reads and applies the configuration. It returns the revision of its key, or 0 if it could not be read.
-// storeName denotes the store in log lines that name the source of data.
-// configSource describes the call that returned a configuration, for the log.
-// applyConfigItem decodes and applies a configuration from the store.
-// applyConfig applies a configuration and logs the result. The log line includes the state of the replica list, because a
-// daemon reads the store itself only when that list is stale.
-// readServers reads and applies the list of replicas. It reports whether the store responded.
-// staleReadPenalty is subtracted from the time of a stale read. The resulting view counts as stale, so the daemon tries to
-// find a fresh source immediately.
-// maxInvalidEntries bounds Feed.invalidEntries.
-// logInvalidEntry logs an entry that could not be decoded, once per revision.
-// applyServers sets the distances of the replicas and passes the list to the directory. It reports whether the list was
-// accepted.
-// recordStoreCall updates the availability of the store after a call and logs when it changes.
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/topology/storereads.go
+++ b/topology/storereads.go
@@ -14,12 +14,16 @@
 	"github.com/chivemill/chivemill/routing"
 )
 
+// isStoreUnavailable reports whether the last call to the store failed.
 func (f *Feed) isStoreUnavailable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return !f.storeUnavailableSince.IsZero()
 }
 
+// probeStore reports whether a read of the list is likely to succeed. After a failed call it first reads the claim of the
+// role, which costs a tenth of a read of the list. Thus an outage costs each daemon one failed read of the list, and only
+// probes afterwards.
 func (f *Feed) probeStore(ctx context.Context, r *role) bool {
 	if !f.isStoreUnavailable() {
 		return true
@@ -28,6 +32,7 @@
 	return err == nil
 }
 
+// pollStore reads the store as the fleet reader until ctx is done.
 func (f *Feed) pollStore(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { f.watchConfig(ctx) })
@@ -40,6 +45,8 @@
 	wg.Wait()
 }
 
+// watchConfig applies each new configuration until ctx is done. After a failure, or when the store has compacted the
+// history, it reads the configuration and resumes the watch from that revision.
 func (f *Feed) watchConfig(ctx context.Context) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
@@ -66,13 +73,16 @@
 	}
 }
 
+// freshness selects between an up-to-date read and one that may return an older state at a lower cost.
 type freshness int
 
+// Values of freshness.
 const (
 	fresh freshness = iota
 	allowStale
 )
 
+// readConfig reads and applies the configuration. It returns the revision of its key, or 0 if it could not be read.
 func (f *Feed) readConfig(ctx context.Context, wanted freshness) int64 {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -90,8 +100,10 @@
 	return item.ModRevision
 }
 
+// storeName denotes the store in log lines that name the source of data.
 const storeName = "store"
 
+// configSource describes the call that returned a configuration, for the log.
 type configSource struct {
 	// address is the address of a daemon, or storeName.
 	address string
@@ -102,6 +114,7 @@
 	revision int64
 }
 
+// applyConfigItem decodes and applies a configuration from the store.
 func (f *Feed) applyConfigItem(item kv.Item, source configSource) {
 	config, err := f.decoder.Config(item)
 	if err != nil {
@@ -112,6 +125,8 @@
 	f.applyConfig(config, source)
 }
 
+// applyConfig applies a configuration and logs the result. The log line includes the state of the replica list, because a
+// daemon reads the store itself only when that list is stale.
 func (f *Feed) applyConfig(config routing.Config, source configSource) {
 	view, _ := f.dir.View()
 	applied, err := f.dir.SetConfig(config)
@@ -128,6 +143,7 @@
 	}
 }
 
+// readServers reads and applies the list of replicas. It reports whether the store responded.
 func (f *Feed) readServers(ctx context.Context, wanted freshness) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -163,10 +179,14 @@
 	return true
 }
 
+// staleReadPenalty is subtracted from the time of a stale read. The resulting view counts as stale, so the daemon tries to
+// find a fresh source immediately.
 const staleReadPenalty = 10 * time.Second
 
+// maxInvalidEntries bounds Feed.invalidEntries.
 const maxInvalidEntries = 1000
 
+// logInvalidEntry logs an entry that could not be decoded, once per revision.
 func (f *Feed) logInvalidEntry(item kv.Item, err error) {
 	f.mu.Lock()
 	known := f.invalidEntries[item.Key] == item.ModRevision
@@ -180,6 +200,8 @@
 	}
 }
 
+// applyServers sets the distances of the replicas and passes the list to the directory. It reports whether the list was
+// accepted.
 func (f *Feed) applyServers(servers []balancer.Server, readAt time.Time, from string, origin Origin) bool {
 	located := make([]balancer.Server, len(servers))
 	for i, s := range servers {
@@ -195,6 +217,7 @@
 	return applied
 }
 
+// recordStoreCall updates the availability of the store after a call and logs when it changes.
 func (f *Feed) recordStoreCall(call string, err error) {
 	if errors.Is(err, context.Canceled) {
 		return
