--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/chivemill/chivemill/residency"
 )
 
 // Distance is the network distance between a replica and this daemon.
@@ -35,9 +37,11 @@
 	ID      string
 	Service string
 	Address string
-	// DataCentre is where the replica runs and Distance how far that is from this daemon.
+	// DataCentre is where the replica runs and Distance how far that is from this daemon. Region is the region of the data
+	// centre, empty if unknown; each daemon sets it locally, so it is not encoded.
 	DataCentre string
 	Distance   Distance
+	Region     string `json:"-"`
 	State      State
 	// LastReadyAt is the last time at which the list showed a replica that is now draining as ready. It is zero if this
 	// daemon never saw it ready. Each daemon sets it locally, so it is not encoded.
@@ -246,10 +250,12 @@
 	Kind string
 	// TargetLatency is the latency up to which a response has its full value to the caller.
 	TargetLatency time.Duration
+	// Regions are the regions in which the request may be served.
+	Regions residency.Regions
 }
 
 // Pick selects a replica of the service for a request of the class and counts an attempt in flight. It skips the
-// replicas in exclude and those that are removed, draining beyond the grace time, without a free connection, or whose
+// replicas in exclude and those that are in a region that is not allowed, removed, draining beyond the grace time, without a free connection, or whose
 // request limit leaves this daemon no further request now. It selects a paused or unresponsive replica only if there is no other. ok is false if none is left. Every successful
 // call must be followed by exactly one call of Done.
 func (b *Balancer) Pick(service string, class RequestClass, exclude []string, now time.Time) (c Choice, ok bool) {
@@ -267,7 +273,7 @@
 	}
 	for i := range list {
 		r := list[(offset+i)%len(list)]
-		if !b.isAvailable(r, now) || slices.Contains(exclude, r.ID) {
+		if !class.Regions.Allows(r.Region) || !b.isAvailable(r, now) || slices.Contains(exclude, r.ID) {
 			continue
 		}
 		suspect := r.isSuspect(expectedLatency, now)
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/residency"
 )
 
 // simulation runs a balancer in virtual time against replicas with configurable latency and outcome.
@@ -181,7 +183,7 @@
 	servers := replicas("a", "b", "c", "d")
 	servers[0].State = Draining
 	b.SetServers(servers, now)
-	must.Eq(t, 1, b.CountAvailable([]string{"s", "unknown"}, now))
+	must.Eq(t, 1, b.CountAvailable([]string{"s", "unknown"}, residency.Regions{}, now))
 	first, ok := b.Pick("s", testWork, []string{"c", "d"}, now)
 	must.True(t, ok)
 	must.Eq(t, "b", first.ID)
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chivemill/chivemill/residency"
 )
 
 // maxLoadAge is the maximum age at which a reported load is used to detect saturation.
@@ -12,13 +14,13 @@
 // ready, if the other replicas of their service are worse. It must be called before the balancer is used.
 func (b *Balancer) SetDrainingGrace(d time.Duration) { b.drainingGrace = d }
 
-// CountAvailable returns how many of the services have at least one replica that is available for a new attempt.
-func (b *Balancer) CountAvailable(services []string, now time.Time) int {
+// CountAvailable returns how many of the services have at least one replica in the regions that is available for a new attempt.
+func (b *Balancer) CountAvailable(services []string, regions residency.Regions, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
 	for _, s := range services {
-		if slices.ContainsFunc(b.services[s], func(r *replica) bool { return b.isAvailable(r, now) }) {
+		if slices.ContainsFunc(b.services[s], func(r *replica) bool { return regions.Allows(r.Region) && b.isAvailable(r, now) }) {
 			n++
 		}
 	}
--- a/balancer/requestlimit.go
+++ b/balancer/requestlimit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivemill/chivemill/limit"
+	"github.com/chivemill/chivemill/residency"
 )
 
 const (
@@ -243,13 +244,13 @@
 	return events
 }
 
-// RequestDelay returns how long this daemon has to wait until a replica of the service may get a request within its request
-// limit, 0 if one may now. ok is false if no replica accepts work for another reason.
-func (b *Balancer) RequestDelay(service string, now time.Time) (delay time.Duration, ok bool) {
+// RequestDelay returns how long this daemon has to wait until a replica of the service in the regions may get a request within
+// its request limit, 0 if one may now. ok is false if no replica accepts work for another reason.
+func (b *Balancer) RequestDelay(service string, regions residency.Regions, now time.Time) (delay time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range b.services[service] {
-		if !b.hasConnection(r, now) {
+		if !regions.Allows(r.Region) || !b.hasConnection(r, now) {
 			continue
 		}
 		if d := r.limit.delay(now); !ok || d < delay {
--- a/balancer/requestlimit_test.go
+++ b/balancer/requestlimit_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/residency"
 )
 
 // limitedFleet simulates daemons with a common demand on a service of which one replica names a request limit.
@@ -210,20 +212,20 @@
 func TestRequestDelay(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := limitedBalancer(now)
-	delay, ok := b.RequestDelay("s", now)
+	delay, ok := b.RequestDelay("s", residency.Regions{}, now)
 	must.True(t, ok)
 	must.Eq(t, 0, delay)
 	b.ReportLimit("a", LimitReport{Statement: LimitNamed, Rate: 2, SentAt: now}, now)
 	for range 2 {
-		delay, ok = b.RequestDelay("s", now)
+		delay, ok = b.RequestDelay("s", residency.Regions{}, now)
 		must.True(t, ok)
 		must.Between(t, time.Millisecond, delay, 500*time.Millisecond)
-		must.Eq(t, 0, b.CountAvailable([]string{"s"}, now))
+		must.Eq(t, 0, b.CountAvailable([]string{"s"}, residency.Regions{}, now))
 		now = now.Add(delay)
-		must.Eq(t, 1, b.CountAvailable([]string{"s"}, now))
+		must.Eq(t, 1, b.CountAvailable([]string{"s"}, residency.Regions{}, now))
 		_, ok = b.Pick("s", testWork, nil, now)
 		must.True(t, ok)
 	}
-	_, ok = b.RequestDelay("unknown", now)
+	_, ok = b.RequestDelay("unknown", residency.Regions{}, now)
 	must.False(t, ok)
 }
--- a/delegation/pool.go
+++ b/delegation/pool.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chivemill/chivemill/balancer"
+	"github.com/chivemill/chivemill/residency"
 	"github.com/chivemill/chivemill/topology"
 )
 
@@ -76,8 +77,17 @@
 	DataCentre string
 	// Cores is the CPU share of the daemon in cores, 0 if unknown.
 	Cores float64
-	// Distance returns the distance to a data centre.
+	// Distance returns the distance to a data centre, Region its region, empty if unknown.
 	Distance func(dataCentre string) balancer.Distance
+	Region   func(dataCentre string) string
+}
+
+// allows reports whether a request that is restricted to the regions may be sent to a daemon in the data centre.
+func (s Self) allows(regions residency.Regions, dataCentre string) bool {
+	if !regions.IsRestricted() {
+		return true
+	}
+	return s.Region != nil && regions.Allows(s.Region(dataCentre))
 }
 
 // Helper is a daemon that was selected for a query.
@@ -160,17 +170,17 @@
 	Shards []int
 }
 
-// Plan selects the shards of a query to delegate: the returned groups go to helpers, and this daemon sends the requests for
-// the other shards to replicas itself. depth is the number of daemons that have delegated the query so far.
+// Plan selects the shards of a query to delegate: the returned groups go to helpers in the regions, and this daemon sends the
+// requests for the other shards to replicas itself. depth is the number of daemons that have delegated the query so far.
 // RecordOutcome must be called once per group.
-func (p *Pool) Plan(shards []string, depth int, now time.Time) []Group {
+func (p *Pool) Plan(shards []string, regions residency.Regions, depth int, now time.Time) []Group {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if depth >= maxDepth || len(shards) < minGroupSize {
 		return nil
 	}
 	if depth == 0 {
-		if h := p.pickForWholeQuery(shards, now); h != nil {
+		if h := p.pickForWholeQuery(shards, regions, now); h != nil {
 			all := make([]int, len(shards))
 			for i := range all {
 				all[i] = i
@@ -180,7 +190,7 @@
 	}
 	byCentre := make(map[string][]int)
 	for i, s := range shards {
-		if centre := p.nearestCentre(p.centresByService[s]); centre != "" && centre != p.self.DataCentre {
+		if centre := p.nearestCentre(p.centresOf(s, regions)); centre != "" && centre != p.self.DataCentre {
 			byCentre[centre] = append(byCentre[centre], i)
 		}
 	}
@@ -200,18 +210,27 @@
 	return groups
 }
 
+// centresOf returns the data centres in the regions that have a ready replica of a service.
+func (p *Pool) centresOf(service string, regions residency.Regions) []string {
+	centres := p.centresByService[service]
+	if !regions.IsRestricted() {
+		return centres
+	}
+	return slices.DeleteFunc(slices.Clone(centres), func(c string) bool { return !p.self.allows(regions, c) })
+}
+
 // DelegatesWhole reports whether Plan would delegate a caller's query over the shards as a whole to one helper.
-func (p *Pool) DelegatesWhole(shards []string, now time.Time) bool {
+func (p *Pool) DelegatesWhole(shards []string, regions residency.Regions, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	centre, minCores := p.wholeQueryTarget(shards)
-	return len(shards) >= minGroupSize && slices.ContainsFunc(p.centres[centre], func(h *helper) bool { return h.isUsable(minCores, now) })
+	centre, minCores := p.wholeQueryTarget(shards, regions)
+	return p.self.allows(regions, centre) && len(shards) >= minGroupSize && slices.ContainsFunc(p.centres[centre], func(h *helper) bool { return h.isUsable(minCores, now) })
 }
 
 // wholeQueryTarget returns the data centre whose helpers are used for a whole query, and the minimum CPU share that they
 // need.
-func (p *Pool) wholeQueryTarget(shards []string) (centre string, minCores float64) {
-	centre = p.bestCentre(shards)
+func (p *Pool) wholeQueryTarget(shards []string, regions residency.Regions) (centre string, minCores float64) {
+	centre = p.bestCentre(shards, regions)
 	if centre == p.self.DataCentre {
 		minCores = minCoresRatio * p.self.Cores
 	}
@@ -219,17 +238,20 @@
 }
 
 // pickForWholeQuery selects a helper for a whole query, nil if none is usable.
-func (p *Pool) pickForWholeQuery(shards []string, now time.Time) *helper {
-	centre, minCores := p.wholeQueryTarget(shards)
+func (p *Pool) pickForWholeQuery(shards []string, regions residency.Regions, now time.Time) *helper {
+	centre, minCores := p.wholeQueryTarget(shards, regions)
+	if !p.self.allows(regions, centre) {
+		return nil
+	}
 	return p.pick(centre, minCores, now)
 }
 
-// PlanSingle returns a helper for a request to one replica of a service, in the nearest data centre with a replica; ok is
-// false if none is usable. RecordOutcome must be called once for a returned helper.
-func (p *Pool) PlanSingle(service string, now time.Time) (h Helper, ok bool) {
+// PlanSingle returns a helper for a request to one replica of a service, in the nearest data centre of the regions with a
+// replica; ok is false if none is usable. RecordOutcome must be called once for a returned helper.
+func (p *Pool) PlanSingle(service string, regions residency.Regions, now time.Time) (h Helper, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best := p.pick(p.nearestCentre(p.centresByService[service]), 0, now)
+	best := p.pick(p.nearestCentre(p.centresOf(service, regions)), 0, now)
 	if best == nil {
 		return Helper{}, false
 	}
@@ -277,14 +299,15 @@
 
 // bestCentre returns the data centre whose helpers are best placed for a whole query: the nearest one that has replicas of
 // sufficiently more shards than this daemon has nearby, or else this daemon's data centre.
-func (p *Pool) bestCentre(shards []string) string {
+func (p *Pool) bestCentre(shards []string, regions residency.Regions) string {
 	counts := make(map[string]int)
 	regionShards := 0
 	for _, s := range shards {
-		for _, centre := range p.centresByService[s] {
+		centres := p.centresOf(s, regions)
+		for _, centre := range centres {
 			counts[centre]++
 		}
-		if slices.ContainsFunc(p.centresByService[s], func(c string) bool { return p.self.Distance(c) != balancer.OtherRegion }) {
+		if slices.ContainsFunc(centres, func(c string) bool { return p.self.Distance(c) != balancer.OtherRegion }) {
 			regionShards++
 		}
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -81,7 +81,7 @@
 	store := platform.NewStoreClient(settings.StoreAddress, settings.MinLeaseTTL, observe, d.logStoreRestored)
 	self := topology.Self{
 		Node: settings.Node, DataCentre: settings.DataCentre, Address: settings.PeerAddress, HealthAddress: settings.HealthAddress, Distance: settings.Distance,
-		Cores: settings.Cores,
+		Region: settings.RegionOf, Cores: settings.Cores,
 	}
 	d.feed = topology.NewFeed(d.directory, store, platform.Decoder{}, platform.Keys(), self, settings.Contacts, log.Logger)
 	d.balancer = balancer.New(xxhash.Sum64String(settings.Node))
@@ -96,7 +96,7 @@
 		BudgetRatio: settings.RetryBudgetRatio, BudgetFixed: settings.RetryBudgetFixed, BudgetWindow: settings.RetryBudgetWindow,
 		Publisher: d.feed, Node: settings.Node, DelegationClient: delegation.NewClient(), Seed: xxhash.Sum64String(settings.Node),
 		Self: delegation.Self{Address: settings.PeerAddress, DataCentre: settings.DataCentre, Cores: settings.Cores,
-			Distance: settings.Distance},
+			Distance: settings.Distance, Region: settings.RegionOf},
 	}, d.directory, d.balancer, d.replicas, rand.Float64, metricsProvider.Meter(), log.Logger)
 	if err != nil {
 		return nil, err
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -92,7 +92,7 @@
 	if g.opts.DelegationClient == nil {
 		return
 	}
-	plannedGroups := g.helpers.Plan(services, r.request.DelegationDepth, time.Now())
+	plannedGroups := g.helpers.Plan(services, r.route.AllowedRegions(), r.request.DelegationDepth, time.Now())
 	if len(plannedGroups) == 0 {
 		return
 	}
--- /dev/null
+++ b/residency/residency_test.go
@@ -0,0 +1,21 @@
+package residency
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestRegions guards data that must stay in its regions: a region that is not named, or not known, is not allowed.
+func TestRegions(t *testing.T) {
+	must.True(t, Regions{}.Allows("norte"))
+	must.True(t, Of(nil).Allows(""))
+	must.False(t, Of(nil).IsRestricted())
+	only := Of([]string{"norte", "centro"})
+	must.True(t, only.IsRestricted())
+	must.True(t, only.Allows("centro"))
+	must.False(t, only.Allows("lisboa"))
+	must.False(t, only.Allows(""))
+	must.False(t, Of([]string{""}).Allows(""), must.Sprint("an unknown region is never one of those named"))
+	must.Eq(t, []string{"norte", "centro"}, only.Names())
+}
--- a/routing/config.go
+++ b/routing/config.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/chivemill/chivemill/residency"
 )
 
 // Safety states whether a request may be executed more than once.
@@ -51,8 +53,13 @@
 	MaxRecords int `json:"Top"`
 	// RequiredCoverage is the minimum fraction of the shards, from 0 to 1, that a response must include.
 	RequiredCoverage float64 `json:"LeastCoverage"`
+	// Regions lists the regions in which requests may be served. An empty list allows all regions.
+	Regions []string `json:",omitempty"`
 }
 
+// AllowedRegions returns the regions in which requests may be served.
+func (r *Route) AllowedRegions() residency.Regions { return residency.Of(r.Regions) }
+
 // IsQuery reports whether the route is a query over shards.
 func (r *Route) IsQuery() bool { return len(r.Shards) > 0 }
 
@@ -132,6 +139,8 @@
 		return fmt.Errorf("max attempts %d must be at least 1", r.MaxAttempts)
 	case r.Timeout <= 0:
 		return fmt.Errorf("timeout %v must be positive", r.Timeout)
+	case slices.Contains(r.Regions, ""):
+		return eris.New("allowed regions contain an empty name")
 	}
 	for _, p := range r.Split {
 		if p.Service == "" || p.Weight < 0 {
--- a/routing/config_test.go
+++ b/routing/config_test.go
@@ -43,6 +43,7 @@
 		"attempts":     func(r *Route) { r.MaxAttempts = 0 },
 		"timeout":      func(r *Route) { r.Timeout = 0 },
 		"weight":       func(r *Route) { r.Split[0].Weight = -1 },
+		"region":       func(r *Route) { r.Regions = []string{"norte", ""} },
 		"top":          func(r *Route) { r.Split, r.Shards = nil, []string{"s"} },
 		"least shards": func(r *Route) { r.Split, r.Shards, r.MaxRecords, r.RequiredCoverage = nil, []string{"s"}, 1, 1.5 },
 	} {
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -405,11 +405,12 @@
 }
 
 // equalEntries compares two entries. It ignores the remaining warm-up time, which changes with each report of a replica,
-// the number of its reports, and the distance and the time of last readiness, which each daemon sets locally.
+// the number of its reports, and the distance, the region and the time of last readiness, which each daemon sets locally.
 func equalEntries(a, b balancer.Server) bool {
 	a.WarmupLeft, b.WarmupLeft = 0, 0
 	a.Sequence, b.Sequence = 0, 0
 	a.Distance, b.Distance = 0, 0
+	a.Region, b.Region = "", ""
 	a.LastReadyAt, b.LastReadyAt = time.Time{}, time.Time{}
 	return a == b
 }
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -76,8 +76,9 @@
 	HealthAddress string
 	// Cores is the CPU share of the daemon in cores.
 	Cores float64
-	// Distance returns the distance to a data centre.
+	// Distance returns the distance to a data centre, Region its region, empty if unknown.
 	Distance func(dataCentre string) balancer.Distance
+	Region   func(dataCentre string) string
 }
 
 // Feed keeps a Directory up to date. Run may be called once; the other methods are safe for concurrent use.
--- a/topology/health_test.go
+++ b/topology/health_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/internal/testseed"
+	"github.com/chivemill/chivemill/residency"
 )
 
 // failingConn is a socket whose reads fail. It counts the open sockets.
@@ -77,7 +78,7 @@
 		feed.handleDatagram(recordingConn{sentTo: &sentTo}, []byte(datagram), healthRecorder{b}, healthRecorder{b})
 		must.Eq(t, want, sentTo, must.Sprint(datagram))
 	}
-	delay, ok := b.RequestDelay("s", now)
+	delay, ok := b.RequestDelay("s", residency.Regions{}, now)
 	must.True(t, ok)
 	must.Eq(t, 0, delay, must.Sprint("the other replica of the service has no limit"))
 }
--- a/topology/storereads.go
+++ b/topology/storereads.go
@@ -200,12 +200,15 @@
 	}
 }
 
-// applyServers sets the distances of the replicas and passes the list to the directory. It reports whether the list was
+// applyServers sets the distances and regions of the replicas and passes the list to the directory. It reports whether the list was
 // accepted.
 func (f *Feed) applyServers(servers []balancer.Server, readAt time.Time, from string, origin Origin) bool {
 	located := make([]balancer.Server, len(servers))
 	for i, s := range servers {
 		s.Distance = f.self.Distance(s.DataCentre)
+		if f.self.Region != nil {
+			s.Region = f.self.Region(s.DataCentre)
+		}
 		located[i] = s
 	}
 	change, applied := f.dir.SetServers(located, readAt, origin)
