Client accounts: keys, names towards replicas, regions

package account holds the keys as hashes. Regions of route and account both bind. An invalid account makes a version invalid, and the last valid one stays in force.

--- /dev/null
+++ b/account/account_test.go
@@ -0,0 +1,60 @@
+package account
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestAuthenticate guards accounts against callers with a key of another one, with part of a key, or without one.
+func TestAuthenticate(t *testing.T) {
+	table, err := NewTable([]Account{
+		{Name: "one", Keys: []KeyHash{HashKey("k1"), HashKey("k2")}}, {Name: "two", Keys: []KeyHash{HashKey("k3")}, Regions: []string{"n"}},
+	})
+	must.NoError(t, err)
+	for key, want := range map[string]string{"k1": "one", "k2": "one", "k3": "two"} {
+		a, ok := table.Authenticate(key)
+		must.True(t, ok)
+		must.Eq(t, want, a.Name)
+		found, ok := table.Find(want)
+		must.True(t, ok)
+		must.Eq(t, a, found)
+	}
+	for _, key := range []string{"", "k", "k11", "K1", " k1", string(HashKey("k1"))} {
+		_, ok := table.Authenticate(key)
+		must.False(t, ok, must.Sprint(key))
+	}
+	_, ok := table.Find("three")
+	must.False(t, ok)
+	none, err := NewTable(nil)
+	must.NoError(t, err)
+	must.Nil(t, none)
+}
+
+// TestInvalidAccounts guards against a version of the configuration in which a key belongs to nobody, to two accounts, or to
+// everybody.
+func TestInvalidAccounts(t *testing.T) {
+	key := []KeyHash{HashKey("k")}
+	for name, accounts := range map[string][]Account{
+		"no name":               {{Keys: key}},
+		"no keys":               {{Name: "one"}},
+		"empty key":             {{Name: "one", Keys: []KeyHash{HashKey("")}}},
+		"no hash":               {{Name: "one", Keys: []KeyHash{""}}},
+		"name twice":            {{Name: "one", Keys: key}, {Name: "one", Keys: []KeyHash{HashKey("l")}}},
+		"key of two accounts":   {{Name: "one", Keys: key}, {Name: "two", Keys: key}},
+		"key twice":             {{Name: "one", Keys: append(key, key...)}},
+		"region without a name": {{Name: "one", Keys: key, Regions: []string{""}}},
+	} {
+		_, err := NewTable(accounts)
+		must.ErrorContains(t, err, "account ", must.Sprint(name))
+	}
+}
+
+// TestEncodedAccountsHoldNoKeys guards keys against daemons and people that see messages between daemons.
+func TestEncodedAccountsHoldNoKeys(t *testing.T) {
+	data, err := json.Marshal(Account{Name: "one", Keys: []KeyHash{HashKey("secret-key")}})
+	must.NoError(t, err)
+	must.False(t, strings.Contains(string(data), "secret-key"))
+}
--- a/api/errors.go
+++ b/api/errors.go
@@ -33,6 +33,7 @@
 	OutcomeUnknown    Kind = "outcome_unknown"
 	Internal          Kind = "internal"
 	NoRoute           Kind = "no_route"
+	Unauthenticated   Kind = "unauthenticated"
 	NoConfiguration   Kind = "no_configuration"
 	NoReplica         Kind = "no_replica"
 	Stopping          Kind = "stopping"
@@ -88,6 +89,7 @@
 	OutcomeUnknown:    {http.StatusBadGateway, RunMaybe, RetryNo},
 	Internal:          {http.StatusInternalServerError, RunMaybe, RetryIdempotent},
 	NoRoute:           {http.StatusNotFound, RunNever, RetryNo},
+	Unauthenticated:   {http.StatusUnauthorized, RunNever, RetryNo},
 	NoConfiguration:   {http.StatusServiceUnavailable, RunNever, RetryLater},
 	NoReplica:         {http.StatusServiceUnavailable, RunNever, RetryLater},
 	Stopping:          {http.StatusServiceUnavailable, RunNever, RetryLater},
--- a/delegation/message.go
+++ b/delegation/message.go
@@ -63,6 +63,8 @@
 	// From is the node that delegates the query, Depth the number of daemons that have delegated it, including this one.
 	From  string `json:"from"`
 	Depth int    `json:"depth"`
+	// Account is the name of the client account whose key the caller sent, empty if there is none. The key itself is never sent.
+	Account string `json:"account,omitempty"`
 }
 
 // PartialAnswer is the merged answer of some shards. A helper sends the first part at the latest time at which the
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -28,7 +28,7 @@
 	g := r.gateway
 	switch {
 	case r.request.DelegatedBy == "":
-		if g.opts.DelegationClient != nil && g.helpers.DelegatesWhole(r.route.Shards, r.route.AllowedRegions(), now) {
+		if g.opts.DelegationClient != nil && g.helpers.DelegatesWhole(r.route.Shards, r.regions, now) {
 			return nil
 		}
 	case r.request.DelegationDepth != 1 || len(r.request.Shards) != len(r.route.Shards):
@@ -78,7 +78,7 @@
 func (r *run) retryAfterRefusal(services []string, requiredCoverage float64, now time.Time) time.Duration {
 	var delays []time.Duration
 	for _, service := range services {
-		if delay, ok := r.gateway.balancer.RequestDelay(service, r.route.AllowedRegions(), now); ok {
+		if delay, ok := r.gateway.balancer.RequestDelay(service, r.regions, now); ok {
 			delays = append(delays, delay)
 		}
 	}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -110,9 +110,15 @@
 	if route == nil {
 		return eris.Wrapf(delegation.ErrNotAccepted, "no route for host %q and path %q", q.Host, q.Path)
 	}
+	if accounts := view.Table.Accounts(); accounts != nil && !route.Public {
+		if _, ok := accounts.Find(q.Account); !ok {
+			return eris.Wrapf(delegation.ErrNotAccepted, "no account %q in version %d", q.Account, q.Version)
+		}
+	}
 	request := &Request{
 		ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Path: q.Path, Header: q.Header, Body: q.Body,
 		Received: time.Now().Add(-q.Elapsed), CallerTimeout: q.CallerTimeout, DelegatedBy: q.From, DelegationDepth: q.Depth,
+		Account: q.Account,
 	}
 	if route.IsQuery() {
 		return g.answerShards(ctx, q.Shards, route, request, view, send)
--- /dev/null
+++ b/gateway/authenticate.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/residency"
+	"github.com/chivemill/chivemill/routing"
+)
+
+// authenticate sets the client account of a request from its key, and returns the regions in which the request may be served:
+// those that both the route and the account allow. The account of a delegated request was determined by the daemon that the
+// caller asked, under the same version of the configuration.
+func authenticate(table *routing.Table, route *routing.Route, request *Request) (residency.Regions, *api.Error) {
+	accounts := table.Accounts()
+	if accounts == nil || route.Public {
+		request.Account = ""
+		return route.AllowedRegions(), nil
+	}
+	find, value := accounts.Authenticate, request.Key
+	if request.DelegatedBy != "" {
+		find, value = accounts.Find, request.Account
+	}
+	account, ok := find(value)
+	if !ok {
+		return residency.Regions{}, api.Errorf(api.Unauthenticated, "no client account has this key in version %d", table.Version())
+	}
+	request.Account = account.Name
+	return route.AllowedRegions().Intersect(account.AllowedRegions()), nil
+}
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -92,7 +92,7 @@
 	if g.opts.DelegationClient == nil {
 		return
 	}
-	plannedGroups := g.helpers.Plan(services, r.route.AllowedRegions(), r.request.DelegationDepth, time.Now())
+	plannedGroups := g.helpers.Plan(services, r.regions, r.request.DelegationDepth, time.Now())
 	if len(plannedGroups) == 0 {
 		return
 	}
@@ -157,7 +157,7 @@
 	return delegation.Query{
 		ID: request.ID, Method: request.Method, Host: request.Host, Target: request.Target, Path: request.Path, Header: request.Header, Body: request.Body,
 		Version: r.view.Table.Version(), Elapsed: time.Since(request.Received) + assumedRoundTrip(helper.Distance), CallerTimeout: request.CallerTimeout,
-		From: r.gateway.opts.Node, Depth: request.DelegationDepth + 1,
+		From: r.gateway.opts.Node, Depth: request.DelegationDepth + 1, Account: request.Account,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,8 +32,12 @@
 	// Method, Host, Target and Header are forwarded unchanged. Target is the path with the query string, Path the path
 	// alone.
 	Method, Host, Target, Path string
-	Header                     http.Header
-	Body                       []byte
+	// Header holds neither the key of a client account nor the name of one.
+	Header http.Header
+	Body   []byte
+	// Key is the key of a client account that the caller sent, empty if none. Account is the name of the account, set by the
+	// daemon that the caller asked.
+	Key, Account string
 	// Received is when the request's header was read; CallerTimeout is how long the caller waits from then on, 0 if
 	// unknown.
 	Received      time.Time
@@ -376,6 +380,10 @@
 	if request.CallerTimeout > 0 {
 		timeout = min(timeout, max(request.CallerTimeout/2, request.CallerTimeout-answerReserve))
 	}
+	regions, accountErr := authenticate(view.Table, route, request)
+	if accountErr != nil {
+		return Reply{Err: accountErr}, nil
+	}
 	if route.Safety == routing.AtMostOnce {
 		// A request that must not be executed twice continues after the caller has disconnected.
 		ctx = context.WithoutCancel(ctx)
@@ -393,7 +401,7 @@
 		return errorReply(api.Quarantined, quarantineDuration, "the request crashed replicas"), nil
 	}
 	defer quarantineRun.Done()
-	r := &run{gateway: g, request: request, route: route, view: &view, quarantineRun: quarantineRun}
+	r := &run{gateway: g, request: request, route: route, regions: regions, view: &view, quarantineRun: quarantineRun}
 	if !route.IsQuery() {
 		return r.serveSingle(ctx), r
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -27,15 +27,17 @@
 	mu        sync.Mutex
 	responses map[string]func(ctx context.Context) (Answer, error)
 	sent      []string
+	accounts  []string
 	timeLeft  []time.Duration
 }
 
-func (f *fakeSender) Send(ctx context.Context, r balancer.Choice, _ *Request, limits AnswerLimits, dispatch func() bool) (Answer, error) {
+func (f *fakeSender) Send(ctx context.Context, r balancer.Choice, request *Request, limits AnswerLimits, dispatch func() bool) (Answer, error) {
 	if !dispatch() {
 		return Answer{}, &backend.Error{Failure: backend.NotSent, Cause: errNotListed}
 	}
 	f.mu.Lock()
 	f.sent = append(f.sent, r.ID)
+	f.accounts = append(f.accounts, request.Account)
 	f.timeLeft = append(f.timeLeft, limits.TimeLeft)
 	respond := f.responses[r.ID]
 	f.mu.Unlock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -25,7 +25,7 @@
 		return Reply{}, false
 	}
 	start := time.Now()
-	helper, ok := g.helpers.PlanSingle(service, r.route.AllowedRegions(), start)
+	helper, ok := g.helpers.PlanSingle(service, r.regions, start)
 	if !ok {
 		return Reply{}, false
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -15,6 +15,7 @@
 	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/hedge"
 	"github.com/chivemill/chivemill/quarantine"
+	"github.com/chivemill/chivemill/residency"
 	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/scatter"
 	"github.com/chivemill/chivemill/snapshot"
@@ -45,9 +46,11 @@
 
 // run is the processing of one request over its shards; a request to a single replica has one shard.
 type run struct {
-	gateway       *Gateway
-	request       *Request
-	route         *routing.Route
+	gateway *Gateway
+	request *Request
+	route   *routing.Route
+	// regions are those in which the request may be served.
+	regions       residency.Regions
 	view          *topology.View
 	quarantineRun *quarantine.Run
 	plan          scatter.Plan
@@ -141,7 +144,7 @@
 	now := time.Now()
 	shardCount := float64(len(route.Shards))
 	if r.request.DelegatedBy == "" {
-		if available := r.gateway.balancer.CountAvailable(route.Shards, route.AllowedRegions(), now); !scatter.CoverageReached(
+		if available := r.gateway.balancer.CountAvailable(route.Shards, r.regions, now); !scatter.CoverageReached(
 			float64(available)/shardCount, route.RequiredCoverage) {
 			return errorReply(api.Overloaded, r.retryAfterRefusal(route.Shards, route.RequiredCoverage, now),
 				fmt.Sprintf("%d of %d shards have a replica with room", available, len(route.Shards)))
@@ -233,7 +236,7 @@
 	if reply, ok := r.relaySingle(ctx, service); ok {
 		return reply
 	}
-	if r.gateway.balancer.CountAvailable([]string{service}, r.route.AllowedRegions(), time.Now()) == 0 {
+	if r.gateway.balancer.CountAvailable([]string{service}, r.regions, time.Now()) == 0 {
 		return errorReply(api.NoReplica, r.retryAfterRefusal([]string{service}, 1, time.Now()), fmt.Sprintf("service %q has no replica with room", service))
 	}
 	r.prepare(ctx, []string{service})
@@ -308,7 +311,7 @@
 		}
 		return scatter.Target{ID: sg.Address, Done: done}, true
 	}
-	choice, ok := replicas.Pick(shard, balancer.RequestClass{Kind: r.route.Name, TargetLatency: r.route.TargetLatency, Regions: r.route.AllowedRegions()}, exclude, start)
+	choice, ok := replicas.Pick(shard, balancer.RequestClass{Kind: r.route.Name, TargetLatency: r.route.TargetLatency, Regions: r.regions}, exclude, start)
 	if !ok {
 		return scatter.Target{}, false
 	}
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -20,6 +20,23 @@
 	return !r.restricted || region != "" && slices.Contains(r.names, region)
 }
 
+// Intersect returns the regions that both sets allow.
+func (r Regions) Intersect(other Regions) Regions {
+	switch {
+	case !r.restricted:
+		return other
+	case !other.restricted:
+		return r
+	}
+	both := Regions{restricted: true}
+	for _, name := range r.names {
+		if other.Allows(name) {
+			both.names = append(both.names, name)
+		}
+	}
+	return both
+}
+
 // IsRestricted reports whether not all regions are allowed.
 func (r Regions) IsRestricted() bool { return r.restricted }
 
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -18,4 +18,10 @@
 	must.False(t, only.Allows(""))
 	must.False(t, Of([]string{""}).Allows(""), must.Sprint("an unknown region is never one of those named"))
 	must.Eq(t, []string{"norte", "centro"}, only.Names())
+	must.True(t, only.Intersect(Regions{}).Allows("norte"))
+	must.True(t, Regions{}.Intersect(only).Allows("norte"))
+	must.Eq(t, []string{"centro"}, only.Intersect(Of([]string{"lisboa", "centro"})).Names())
+	none := only.Intersect(Of([]string{"lisboa"}))
+	must.True(t, none.IsRestricted(), must.Sprint("no common region does not mean all regions"))
+	must.False(t, none.Allows("norte") || none.Allows("lisboa") || none.Allows(""))
 }
--- a/routing/config.go
+++ b/routing/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chivemill/chivemill/account"
 	"github.com/chivemill/chivemill/residency"
 )
 
@@ -55,6 +56,8 @@
 	RequiredCoverage float64 `json:"LeastCoverage"`
 	// Regions lists the regions in which requests may be served. An empty list allows all regions.
 	Regions []string `json:",omitempty"`
+	// Public routes need no key of a client account.
+	Public bool `json:",omitempty"`
 }
 
 // AllowedRegions returns the regions in which requests may be served.
@@ -93,6 +96,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Accounts lists the client accounts. Without accounts, requests need no key.
+	Accounts []account.Account `json:",omitempty"`
 }
 
 // Table matches requests to the routes of one configuration version. It is safe for concurrent use.
@@ -100,14 +105,19 @@
 	config   Config
 	services map[string]Service
 	// hosts holds the routes of each host in lower case, sorted by descending prefix length.
-	hosts map[string][]*Route
+	hosts    map[string][]*Route
+	accounts *account.Table
 }
 
-// NewTable validates the configuration and returns its table. The error names the first invalid route.
+// NewTable validates the configuration and returns its table. The error names the first invalid route or account.
 func NewTable(config Config) (*Table, error) {
 	t := &Table{
 		config: config, services: make(map[string]Service, len(config.Services)), hosts: make(map[string][]*Route),
 	}
+	var err error
+	if t.accounts, err = account.NewTable(config.Accounts); err != nil {
+		return nil, eris.Wrapf(err, "version %d", config.Version)
+	}
 	for _, s := range config.Services {
 		t.services[s.Name] = s
 	}
@@ -153,6 +163,9 @@
 // Config returns the configuration of the table. The caller must not modify it.
 func (t *Table) Config() Config { return t.config }
 
+// Accounts returns the client accounts, nil if requests need no key.
+func (t *Table) Accounts() *account.Table { return t.accounts }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() int64 { return t.config.Version }
 
