Evacuated data centres get no requests

The reader of the store lists and watches all keys of the operator in place of the configuration alone, and daemons pass the evacuations on, ordered by revision.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -189,6 +189,8 @@
 	healthUpdates []*replica
 	// limitUpdates lists the replicas whose request limit has to be sent to the other daemons.
 	limitUpdates []*replica
+	// evacuated holds the data centres whose replicas get no requests.
+	evacuated map[string]bool
 	// requestFractionOf returns this daemon's part of a replica's request limit.
 	requestFractionOf func(Server) float64
 }
@@ -225,6 +227,17 @@
 	}
 }
 
+// SetEvacuated sets the data centres whose replicas get no requests.
+func (b *Balancer) SetEvacuated(dataCentres []string) {
+	evacuated := make(map[string]bool, len(dataCentres))
+	for _, c := range dataCentres {
+		evacuated[c] = true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evacuated = evacuated
+}
+
 // SetConnectionShares sets the function that returns this daemon's connection share for a replica. The share must allow
 // at least one connection.
 func (b *Balancer) SetConnectionShares(shareOf func(Server) ConnectionShare) {
@@ -255,7 +268,7 @@
 }
 
 // Pick selects a replica of the service for a request of the class and counts an attempt in flight. It skips the
-// replicas in exclude and those that are in a region that is not allowed, removed, draining beyond the grace time, without a free connection, or whose
+// replicas in exclude and those that are in a region that is not allowed or an evacuated data centre, removed, draining beyond the grace time, without a free connection, or whose
 // request limit leaves this daemon no further request now. It selects a paused or unresponsive replica only if there is no other. ok is false if none is left. Every successful
 // call must be followed by exactly one call of Done.
 func (b *Balancer) Pick(service string, class RequestClass, exclude []string, now time.Time) (c Choice, ok bool) {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -329,3 +329,27 @@
 		must.LessEq(t, maxOverMean*daemons*rounds/(size/2), float64(n), must.Sprint(id))
 	}
 }
+
+// TestEvacuatedReplicasGetNoRequest guards an evacuated data centre against attempts of any kind, also if no other replica is left.
+func TestEvacuatedReplicasGetNoRequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(1)
+	b.SetServers([]Server{
+		{ID: "a", Service: "s", DataCentre: "c0", Slots: 4, Distance: OtherRegion}, {ID: "b", Service: "s", DataCentre: "c1", Slots: 4},
+	}, now)
+	b.SetConnectionShares(func(Server) ConnectionShare { return ConnectionShare{MaxConnections: 8} })
+	b.SetEvacuated([]string{"c1"})
+	for range 5 {
+		c, ok := b.Pick("s", testWork, nil, now)
+		must.True(t, ok)
+		must.Eq(t, "a", c.ID)
+	}
+	_, ok := b.Pick("s", testWork, []string{"a"}, now)
+	must.False(t, ok)
+	b.SetEvacuated([]string{"c0", "c1"})
+	must.Eq(t, 0, b.CountAvailable([]string{"s"}, residency.Regions{}, now))
+	b.SetEvacuated(nil)
+	c, ok := b.Pick("s", testWork, nil, now)
+	must.True(t, ok)
+	must.Eq(t, "b", c.ID)
+}
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -17,6 +17,7 @@
 	ConfigurationApplied    = "configuration applied"
 	ConfigurationInvalid    = "configuration invalid"
 	ConfigurationWatchEnded = "watch of the configuration ended"
+	EvacuationsChanged      = "evacuations changed"
 	ReplicaListChanged      = "replica list changed"
 	EntryUnusable           = "entry cannot be used"
 	StoreLost               = "store lost"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -213,6 +213,7 @@
 			generation = view.Generation
 			g.balancer.SetServers(view.Servers, now)
 		}
+		g.balancer.SetEvacuated(view.Evacuations.DataCentres)
 		g.helpers.SetView(&view)
 		g.setShares(newShares(view, g.opts.Self))
 		select {
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -49,6 +49,8 @@
 	Era        int64
 	eraKnown   bool
 	RestoredAt time.Time
+	// Evacuations are the data centres whose replicas must get no requests.
+	Evacuations Evacuations
 	// DataCentres describes the daemons of each data centre by the name of the data centre, nil if unknown. It is
 	// read-only.
 	DataCentres map[string]DataCentre
@@ -81,11 +83,12 @@
 	return n
 }
 
-// DataCentresByService returns, for each service, the data centres that have at least one ready replica of it.
+// DataCentresByService returns, for each service, the data centres that have at least one ready replica of it and are not
+// evacuated.
 func (v *View) DataCentresByService() map[string][]string {
 	centres := make(map[string][]string)
 	for _, s := range v.Servers {
-		if s.State == balancer.Ready && !slices.Contains(centres[s.Service], s.DataCentre) {
+		if s.State == balancer.Ready && !v.Evacuations.Has(s.DataCentre) && !slices.Contains(centres[s.Service], s.DataCentre) {
 			centres[s.Service] = append(centres[s.Service], s.DataCentre)
 		}
 	}
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -53,9 +53,10 @@
 
 // Keys holds the keys and key prefixes that the daemons use in the store.
 type Keys struct {
-	// Config is the key of the configuration, Servers the prefix of the entries of replicas, Readers the prefix of the claims
-	// to reader roles.
-	Config, Servers, Readers string
+	// Config is the key of the configuration, Evacuations the prefix of the keys of evacuated data centres, and Operator the
+	// common prefix of both. Servers is the prefix of the entries of replicas, Readers that of the claims to reader roles.
+	Config, Evacuations, Operator string
+	Servers, Readers              string
 }
 
 // Decoder decodes the documents of the platform. Implementations are safe for concurrent use.
@@ -158,7 +159,7 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { f.readConfig(ctx, allowStale) })
+	wg.Go(func() { f.readOperatorKeys(ctx, allowStale) })
 	wg.Go(func() { f.readServers(ctx, allowStale) })
 	wg.Wait()
 	f.pullFromContacts(ctx)
@@ -241,7 +242,7 @@
 		if f.listAge() >= r.staleAfter && time.Since(lastOwnRead) >= ownReadInterval {
 			lastOwnRead = time.Now()
 			if f.probeStore(ctx, r) && f.readServers(ctx, fresh) {
-				f.readConfig(ctx, fresh)
+				f.readOperatorKeys(ctx, fresh)
 			}
 			if err == nil && r.scope != fleetScope {
 				ownReadInterval = min(2*ownReadInterval, maxOwnReadInterval)
--- a/topology/feed_test.go
+++ b/topology/feed_test.go
@@ -192,7 +192,7 @@
 	return s, json.Unmarshal(item.Value, &s)
 }
 
-var testKeys = Keys{Config: "config", Servers: "servers/", Readers: "readers/"}
+var testKeys = Keys{Operator: "config", Config: "config", Evacuations: "config/evacuate/", Servers: "servers/", Readers: "readers/"}
 
 func newFleet(t must.T) *fleet {
 	f := &fleet{store: kvtest.NewMemory(nil), daemons: make(map[string]*daemon)}
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -55,6 +55,8 @@
 	// Cores is the follower's CPU share, Centres the View.DataCentresHash of its view.
 	Cores   float64 `json:"cores,omitempty"`
 	Centres uint64  `json:"centres,omitempty"`
+	// Evacuations is the revision of the follower's evacuations.
+	Evacuations int64 `json:"evacuations,omitempty"`
 }
 
 // pullResponse is the response to a pull. Absent fields are unchanged.
@@ -79,6 +81,8 @@
 	// Left holds the last entries of replicas that have left, beside a complete list soon after the store came back: the store
 	// may list them again.
 	Left []balancer.Server `json:"left,omitempty"`
+	// Evacuations are those of a higher revision than the follower's.
+	Evacuations *Evacuations `json:"evacuations,omitempty"`
 	// Centres describes the daemons of all data centres if the follower's hash differs.
 	Centres map[string]DataCentre `json:"centres,omitempty"`
 }
@@ -128,7 +132,7 @@
 	lastPulled := f.peers.currentList()
 	request := pullRequest{
 		Node: f.self.Node, Address: f.self.Address, Scope: scope, WaitMS: wait.Milliseconds(), Cores: f.self.Cores,
-		Centres: view.DataCentresHash, Digest: view.Digest,
+		Centres: view.DataCentresHash, Digest: view.Digest, Evacuations: view.Evacuations.Revision,
 		Source: lastPulled.source, Generation: lastPulled.generation, Confirmed: lastPulled.confirmations,
 	}
 	if view.Table != nil {
@@ -142,6 +146,9 @@
 	if response.Config != nil {
 		f.applyConfig(*response.Config, configSource{address: address, call: "pull", begin: begin})
 	}
+	if response.Evacuations != nil {
+		f.applyEvacuations(*response.Evacuations, address)
+	}
 	if version := (listVersion{response.Source, response.Generation,
 		response.Confirmed}); response.Generation > 0 && version != lastPulled {
 		servers := response.Servers
@@ -306,6 +313,10 @@
 		config := view.Table.Config()
 		response.Config, hasUpdate = &config, true
 	}
+	if view.Evacuations.Revision > request.Evacuations {
+		response.Evacuations = &view.Evacuations
+		hasUpdate = hasUpdate || len(view.Evacuations.DataCentres) > 0 || request.Evacuations > 0
+	}
 	if view.Generation == 0 {
 		return response, hasUpdate
 	}
--- a/topology/storereads.go
+++ b/topology/storereads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,27 +46,28 @@
 	wg.Wait()
 }
 
-// watchConfig applies each new configuration until ctx is done. After a failure, or when the store has compacted the
-// history, it reads the configuration and resumes the watch from that revision.
+// watchConfig applies each change of the configuration and of evacuations until ctx is done. After a failure, or when the store
+// has compacted the history, it reads them and resumes the watch from that revision. While the store may not have been written
+// again after it came back from an older copy, the watch is limited, so that they are read once more.
 func (f *Feed) watchConfig(ctx context.Context) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
-		revision := f.readConfig(ctx, fresh)
+		revision := int64(0)
+		if f.probeStore(ctx, f.roles[len(f.roles)-1]) {
+			revision = f.readOperatorKeys(ctx, fresh)
+		}
 		if revision == 0 {
 			sleep(ctx, jitter(pause))
 			pause = min(2*pause, maxRetryPause)
 			continue
 		}
 		pause = minRetryPause
-		begin := time.Now()
-		err := f.store.Watch(ctx, f.keys.Config, revision+1, func(batch kv.WatchBatch) {
-			for _, e := range batch.Events {
-				if !e.Deleted && e.Item.Key == f.keys.Config {
-					f.applyConfigItem(e.Item, configSource{address: storeName, call: "watch", begin: begin})
-				}
-			}
-			begin = time.Now()
-		})
+		watchCtx, cancel := ctx, context.CancelFunc(func() {})
+		if view, _ := f.dir.View(); view.isRecentlyRestored(time.Now()) {
+			watchCtx, cancel = context.WithTimeout(ctx, restoredGrace)
+		}
+		err := f.watchOperatorKeys(watchCtx, revision+1)
+		cancel()
 		if ctx.Err() == nil {
 			f.log.Info(eventlog.ConfigurationWatchEnded, zap.Error(err))
 			sleep(ctx, jitter(minRetryPause))
@@ -73,6 +75,22 @@
 	}
 }
 
+// watchOperatorKeys applies the changes from a revision on until the watch fails or ctx is done.
+func (f *Feed) watchOperatorKeys(ctx context.Context, from int64) error {
+	begin := time.Now()
+	return f.store.Watch(ctx, f.keys.Operator, from, func(batch kv.WatchBatch) {
+		for _, e := range batch.Events {
+			switch {
+			case f.isEvacuationKey(e.Item.Key):
+				f.applyEvacuationEvent(e)
+			case !e.Deleted && e.Item.Key == f.keys.Config:
+				f.applyConfigItem(e.Item, configSource{address: storeName, call: "watch", begin: begin})
+			}
+		}
+		begin = time.Now()
+	})
+}
+
 // freshness selects between an up-to-date read and one that may return an older state at a lower cost.
 type freshness int
 
@@ -82,22 +100,36 @@
 	allowStale
 )
 
-// readConfig reads and applies the configuration. It returns the revision of its key, or 0 if it could not be read.
-func (f *Feed) readConfig(ctx context.Context, wanted freshness) int64 {
+// readOperatorKeys reads and applies the configuration and the evacuations. It returns the revision of the store that they
+// reflect, or 0 if there is no configuration or it could not be read.
+func (f *Feed) readOperatorKeys(ctx context.Context, wanted freshness) int64 {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	get := f.store.Get
+	list := listFresh
 	if wanted == allowStale {
-		get = func(ctx context.Context, key string) (kv.Item, bool, error) { return kv.GetStale(ctx, f.store, key) }
+		list = kv.ListStale
 	}
 	begin := time.Now()
-	item, found, err := get(ctx, f.keys.Config)
+	items, revision, err := list(ctx, f.store, f.keys.Operator)
 	f.recordStoreCall("configuration", err)
-	if err != nil || !found {
+	if err != nil {
+		return 0
+	}
+	evacuations, found := Evacuations{Revision: revision}, false
+	for _, item := range items {
+		switch {
+		case f.isEvacuationKey(item.Key):
+			evacuations = evacuations.with(strings.TrimPrefix(item.Key, f.keys.Evacuations), true, revision)
+		case item.Key == f.keys.Config:
+			found = true
+			f.applyConfigItem(item, configSource{address: storeName, call: "read", begin: begin})
+		}
+	}
+	f.applyEvacuations(evacuations, storeName)
+	if !found {
 		return 0
 	}
-	f.applyConfigItem(item, configSource{address: storeName, call: "read", begin: begin})
-	return item.ModRevision
+	return revision
 }
 
 // storeName denotes the store in log lines that name the source of data.
