--- a/balancer/requestlimit.go
+++ b/balancer/requestlimit.go
@@ -105,7 +105,7 @@
 	return l.pace.Delay(now)
 }
 
-// countAttempt counts an attempt that allows has permitted, or the only possible one.
+// countAttempt counts an attempt that allows has permitted.
 func (l *requestLimit) countAttempt(now time.Time) {
 	l.attempts++
 	if l.isInForce(now) {
