topology: evacuations end in time after the store was restored

The keys are read again when the time for writing them again is over, until then known evacuations are kept by every read, and a read at the same revision replaces them.

--- a/topology/evacuation.go
+++ b/topology/evacuation.go
@@ -34,16 +34,18 @@
 	return next
 }
 
-// SetEvacuations replaces the evacuations if they are of a higher revision, and reports whether they changed. Those of an earlier
-// era remain until the store, back from an older copy, has been written again.
-func (d *Directory) SetEvacuations(e Evacuations) (changed bool) {
+// SetEvacuations replaces the evacuations if they are of a higher revision, and reports whether they changed. If keep is set, the
+// current ones remain as well.
+func (d *Directory) SetEvacuations(e Evacuations, keep bool) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	current := d.view.Evacuations
 	if e.Revision <= current.Revision {
 		return false
 	}
-	if era, _ := kv.SplitRevision(e.Revision); current.isOfEarlierEra(era) {
+	if keep {
+		// The next read of the store replaces them, even at the same revision.
+		e.Revision--
 		for _, c := range current.DataCentres {
 			e = e.with(c, true, e.Revision)
 		}
@@ -56,14 +58,9 @@
 	return true
 }
 
-func (e Evacuations) isOfEarlierEra(era int64) bool {
-	own, _ := kv.SplitRevision(e.Revision)
-	return e.Revision > 0 && own < era
-}
-
 // applyEvacuations passes evacuations to the directory and logs a change.
-func (f *Feed) applyEvacuations(e Evacuations, from string) {
-	if f.dir.SetEvacuations(e) {
+func (f *Feed) applyEvacuations(e Evacuations, keep bool, from string) {
+	if f.dir.SetEvacuations(e, keep) {
 		view, _ := f.dir.View()
 		f.log.Info(eventlog.EvacuationsChanged, zap.Strings("data_centres", view.Evacuations.DataCentres), zap.String("from", from),
 			zap.String("revision", kv.FormatRevision(e.Revision)))
@@ -74,7 +71,7 @@
 func (f *Feed) applyEvacuationEvent(e kv.Event) {
 	view, _ := f.dir.View()
 	dataCentre := strings.TrimPrefix(e.Item.Key, f.keys.Evacuations)
-	f.applyEvacuations(view.Evacuations.with(dataCentre, !e.Deleted, e.Item.ModRevision), storeName)
+	f.applyEvacuations(view.Evacuations.with(dataCentre, !e.Deleted, e.Item.ModRevision), false, storeName)
 }
 
 // isEvacuationKey reports whether a key of the store is that of an evacuation.
--- a/topology/evacuation_test.go
+++ b/topology/evacuation_test.go
@@ -108,12 +108,48 @@
 // TestEvacuationsAreOrderedByRevision guards against an evacuation that comes back from a daemon which does not know its end.
 func TestEvacuationsAreOrderedByRevision(t *testing.T) {
 	d := NewDirectory()
-	must.True(t, d.SetEvacuations(Evacuations{5, []string{"c1"}}))
-	must.True(t, d.SetEvacuations(Evacuations{7, nil}))
-	must.False(t, d.SetEvacuations(Evacuations{6, []string{"c1"}}))
+	must.True(t, d.SetEvacuations(Evacuations{5, []string{"c1"}}, false))
+	must.False(t, d.SetEvacuations(Evacuations{6, nil}, true), must.Sprint("kept"))
+	must.True(t, d.SetEvacuations(Evacuations{7, nil}, false))
+	must.False(t, d.SetEvacuations(Evacuations{6, []string{"c1"}}, false))
 	view, _ := d.View()
 	must.Len(t, 0, view.Evacuations.DataCentres)
 	e := Evacuations{}.with("b", true, 3).with("a", true, 4).with("b", true, 5)
 	must.True(t, slices.Equal([]string{"a", "b"}, e.DataCentres))
 	must.Eq(t, Evacuations{6, []string{"b"}}, e.with("a", false, 6))
 }
+
+// oldReadStore answers stale reads with old data and the latest revision.
+type oldReadStore struct {
+	kv.Store
+	old []kv.Item
+}
+
+func (s oldReadStore) GetStale(ctx context.Context, key string) (kv.Item, bool, error) {
+	return s.Get(ctx, key)
+}
+
+func (s oldReadStore) ListStale(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	items, revision, err := s.List(ctx, prefix)
+	if prefix == testKeys.Operator {
+		items = s.old
+	}
+	return items, revision, err
+}
+
+// TestStaleEvacuationsAreReplaced guards an evacuated data centre against a daemon that starts with a stale read, whose revision
+// says nothing about its age.
+func TestStaleEvacuationsAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, all := startEvacuationFleet(t)
+		defer f.stopAll()
+		old, _, err := f.store.List(t.Context(), testKeys.Operator)
+		must.NoError(t, err)
+		f.evacuate(t, "c1")
+		testseed.Sleep(inForceTime)
+		f.putServer(t, "r9", balancer.Ready)
+		started := f.startAt(oldReadStore{f.store, old}, "late", "c1")
+		testseed.Sleep(inForceTime)
+		checkEvacuated(t, append(all, started), "c1")
+	})
+}
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -147,7 +147,7 @@
 		f.applyConfig(*response.Config, configSource{address: address, call: "pull", begin: begin})
 	}
 	if response.Evacuations != nil {
-		f.applyEvacuations(*response.Evacuations, address)
+		f.applyEvacuations(*response.Evacuations, false, address)
 	}
 	if version := (listVersion{response.Source, response.Generation,
 		response.Confirmed}); response.Generation > 0 && version != lastPulled {
--- a/topology/storereads.go
+++ b/topology/storereads.go
@@ -64,7 +64,7 @@
 		pause = minRetryPause
 		watchCtx, cancel := ctx, context.CancelFunc(func() {})
 		if view, _ := f.dir.View(); view.isRecentlyRestored(time.Now()) {
-			watchCtx, cancel = context.WithTimeout(ctx, restoredGrace)
+			watchCtx, cancel = context.WithDeadline(ctx, view.RestoredAt.Add(restoredGrace))
 		}
 		err := f.watchOperatorKeys(watchCtx, revision+1)
 		cancel()
@@ -116,16 +116,24 @@
 		return 0
 	}
 	evacuations, found := Evacuations{Revision: revision}, false
+	if wanted == allowStale {
+		// What other daemons know is newer.
+		evacuations.Revision = 1
+	}
 	for _, item := range items {
 		switch {
 		case f.isEvacuationKey(item.Key):
-			evacuations = evacuations.with(strings.TrimPrefix(item.Key, f.keys.Evacuations), true, revision)
+			evacuations = evacuations.with(strings.TrimPrefix(item.Key, f.keys.Evacuations), true, item.ModRevision)
 		case item.Key == f.keys.Config:
 			found = true
 			f.applyConfigItem(item, configSource{address: storeName, call: "read", begin: begin})
 		}
 	}
-	f.applyEvacuations(evacuations, storeName)
+	era, _ := kv.SplitRevision(revision)
+	f.dir.ObserveEra(era, begin, FromStore)
+	// Evacuations that the store has lost are written again.
+	view, _ := f.dir.View()
+	f.applyEvacuations(evacuations, view.isRecentlyRestored(begin), storeName)
 	if !found {
 		return 0
 	}
