--- a/balancer/requestlimit_test.go
+++ b/balancer/requestlimit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/chivemill/chivemill/internal/timewindow"
 	"github.com/chivemill/chivemill/residency"
 )
 
@@ -121,16 +122,7 @@
 
 // maxArrivals returns the largest number of requests to the limited replica within 4 s after a time.
 func (f *limitedFleet) maxArrivals(after time.Time) int {
-	most, first := 0, 0
-	for last, at := range f.arrived {
-		for f.arrived[first].Before(after) && first < last || at.Sub(f.arrived[first]) >= 4*time.Second {
-			first++
-		}
-		if !at.Before(after) {
-			most = max(most, last-first+1)
-		}
-	}
-	return most
+	return timewindow.MaxWithin(f.arrived, after, 4*time.Second)
 }
 
 // TestFleetKeepsRequestLimit guards a replica in need against the sum of what all daemons send: in any 4 s it gets at most
--- a/limit/rateshare_test.go
+++ b/limit/rateshare_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/chivemill/chivemill/internal/timewindow"
 )
 
 // TestRateSharesStayWithinSharedRate guards a replica's request limit against daemons that use what they saved up at the same
@@ -35,13 +37,7 @@
 				}
 			}
 		}
-		most, first := 0, 0
-		for last := range sent {
-			for sent[last].Sub(sent[first]) >= window {
-				first++
-			}
-			most = max(most, last-first+1)
-		}
+		most := timewindow.MaxWithin(sent, time.Time{}, window)
 		must.LessEq(t, int(1.5*c.perSecond*window.Seconds())+5, most, must.Sprintf("%d daemons, %v a second", c.daemons, c.perSecond))
 		must.GreaterEq(t, int(0.9*c.perSecond*window.Seconds()-1), most, must.Sprintf("%d daemons, %v a second", c.daemons, c.perSecond))
 	}
