--- a/account/account.go
+++ b/account/account.go
@@ -24,7 +24,7 @@
 // Account is a client account in a configuration.
 type Account struct {
 	Name string
-	// Keys holds the hashes of the keys that callers of the account may use.
+	// Keys holds the hashes of the keys that callers of the account may use. Without keys, the account has no callers.
 	Keys []KeyHash
 	// Regions lists the regions in which requests may be served. An empty list allows all regions.
 	Regions []string `json:",omitempty"`
@@ -61,8 +61,6 @@
 		return eris.New("name is empty")
 	case t.byName[a.Name] != nil:
 		return eris.New("name is used twice")
-	case len(a.Keys) == 0:
-		return eris.New("there are no keys")
 	}
 	for _, region := range a.Regions {
 		if region == "" {
