--- a/edge/replica_reports.go
+++ b/edge/replica_reports.go
@@ -7,6 +7,7 @@
 
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/eventlog"
+	"github.com/chivemill/chivemill/topology"
 )
 
 // replicaReports passes what replicas state about themselves to the balancer and logs their request limits. It is safe for
@@ -25,6 +26,5 @@
 	if !ok {
 		return
 	}
-	r.log.Info(eventlog.ReplicaLimited, zap.String("replica", id), zap.String("service", event.Server.Service),
-		zap.Float64("per_second", event.Rate), zap.Float64("previous_per_second", event.Previous), zap.Int("attempts", event.Attempts))
+	r.log.Info(eventlog.ReplicaLimited, topology.LimitFields(event)...)
 }
--- a/topology/health.go
+++ b/topology/health.go
@@ -54,6 +54,14 @@
 	Limits  []balancer.LimitUpdate `json:"l,omitempty"`
 }
 
+// LimitFields returns the log fields of a change of a replica's request limit.
+func LimitFields(e balancer.LimitEvent) []zap.Field {
+	return []zap.Field{
+		zap.String("replica", e.Server.ID), zap.String("service", e.Server.Service), zap.Float64("per_second", e.Rate),
+		zap.Float64("previous_per_second", e.Previous), zap.Int("attempts", e.Attempts),
+	}
+}
+
 // concernsAllRegions reports whether the daemons of all regions need the message.
 func (m *healthMessage) concernsAllRegions() bool { return len(m.Notices) > 0 || len(m.Limits) > 0 }
 
@@ -165,9 +173,7 @@
 		f.log.Debug(eventlog.ReplicaHealthReceived, zap.String("from", m.Node), zap.Int("replicas", changed))
 	}
 	for _, limit := range source.ApplyLimitUpdates(m.Limits, time.Now()) {
-		f.log.Info(eventlog.ReplicaLimited, zap.String("replica", limit.Server.ID), zap.String("service", limit.Server.Service),
-			zap.Float64("per_second", limit.Rate), zap.Float64("previous_per_second", limit.Previous),
-			zap.Int("attempts", limit.Attempts), zap.String("from", m.Node))
+		f.log.Info(eventlog.ReplicaLimited, append(LimitFields(limit), zap.String("from", m.Node))...)
 	}
 	for _, notice := range m.Notices {
 		handler.AddRemoteNotice(notice)
