kv decides which transactions are of an earlier store era

The platform's client held that decision: which conditions and leases of a transaction are lost, and which transactions an era change makes uncertain.

--- a/kv/era.go
+++ b/kv/era.go
@@ -50,6 +50,9 @@
 // ErrEarlierEra means that a response is from an era before the latest known one, so that what it says may be lost.
 var ErrEarlierEra = errors.New("response of an earlier era of the store")
 
+// ErrLostLease means that a transaction uses a lease that was granted before the store came back from an older copy.
+var ErrLostLease = errors.New("lease of an earlier era of the store")
+
 // maxTrackedLeases bounds the leases that an EraTracker remembers.
 const maxTrackedLeases = 1024
 
@@ -125,6 +128,22 @@
 	return lease != 0 && ok && era != t.current
 }
 
+// Check returns ErrEarlierEra if a condition of the transaction names a revision of an earlier era, so that it cannot hold any
+// more, and ErrLostLease if it uses a lease of one.
+func (t *EraTracker) Check(txn Txn) error {
+	for _, cond := range txn.If {
+		if _, ok := t.Number(cond.ModRevision); !ok {
+			return ErrEarlierEra
+		}
+	}
+	for _, p := range txn.Puts {
+		if t.IsLost(p.Lease) {
+			return ErrLostLease
+		}
+	}
+	return nil
+}
+
 // Forget removes a lease that has ended.
 func (t *EraTracker) Forget(lease LeaseID) {
 	t.mu.Lock()
--- a/kv/era_test.go
+++ b/kv/era_test.go
@@ -66,6 +66,9 @@
 	must.True(t, ok, must.Sprint("a key that must not exist"))
 	must.True(t, tracker.IsLost(7))
 	must.False(t, tracker.IsLost(0))
+	must.ErrorIs(t, tracker.Check(Txn{If: []Compare{{Key: "a"}, {Key: "b", ModRevision: revision}}}), ErrEarlierEra)
+	must.ErrorIs(t, tracker.Check(Txn{Puts: []Put{{Key: "a"}, {Key: "b", Lease: 7}}}), ErrLostLease)
+	must.NoError(t, tracker.Check(Txn{If: []Compare{{Key: "a"}}, Puts: []Put{{Key: "a"}}}))
 	tracker.Granted(7, 2)
 	must.False(t, tracker.IsLost(7))
 	for lease := range LeaseID(2 * maxTrackedLeases) {
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -56,6 +57,13 @@
 	Else    []string
 }
 
+// DependsOnEra reports whether the transaction names revisions or leases, which a store that came back from an older copy may
+// have given out again.
+func (t Txn) DependsOnEra() bool {
+	return slices.ContainsFunc(t.If, func(cond Compare) bool { return cond.ModRevision != 0 }) ||
+		slices.ContainsFunc(t.Puts, func(p Put) bool { return p.Lease != 0 })
+}
+
 // TxnResult is the result of a transaction. Revision is the store's revision after the transaction; it may be 0 if Succeeded
 // is false. In that case Items holds those keys of Txn.Else that exist.
 type TxnResult struct {
