--- a/review/standins/crashing.go
+++ b/review/standins/crashing.go
@@ -35,7 +35,7 @@
 )
 
 // sendHistory sends a request on a new connection and returns its status, 0 if there is no answer, and the Retry-After.
-func sendHistory(address, path, id string, budget time.Duration) (status int, retryAfter time.Duration) {
+func sendHistory(address, path, cookie, id string, budget time.Duration) (status int, retryAfter time.Duration) {
 	time.Sleep(3 * clientDelay)
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
@@ -43,8 +43,8 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(budget))
-	if _, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: shop.example\r\nChivemill-Request-Id: %s\r\nChivemill-Time-Budget: %d\r\n\r\n",
-		path, id, budget.Milliseconds()); err != nil {
+	if _, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: shop.example\r\nCookie: %s\r\nChivemill-Request-Id: %s\r\n"+
+		"Chivemill-Time-Budget: %d\r\n\r\n", path, cookie, id, budget.Milliseconds()); err != nil {
 		return 0, 0
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -62,7 +62,7 @@
 
 // runClient sends a request as a client does: it repeats it on another machine within its deadline, and waits as long as
 // Retry-After says if that is at most a third of the time that it has left. sent is called before each send.
-func (d *deployment) runClient(path, id string, sent func(id string)) {
+func (d *deployment) runClient(path, cookie, id string, sent func(id string)) {
 	end := time.Now().Add(clientBudget)
 	first := rand.IntN(len(d.daemons))
 	for try := 0; try <= clientRetries; try++ {
@@ -73,7 +73,7 @@
 		attempt := fmt.Sprintf("%s-%d", id, try)
 		p := d.daemons[(first+try*(1+rand.IntN(len(d.daemons)-1)))%len(d.daemons)]
 		sent(attempt)
-		status, retryAfter := sendHistory(d.callerAddress(p), path, attempt, left)
+		status, retryAfter := sendHistory(d.callerAddress(p), path, cookie, attempt, left)
 		d.rec.add("client has status %d, Retry-After %.3f s, of %s from daemon %d", status, retryAfter.Seconds(), attempt, p.n)
 		if status >= 200 && status < 300 || retryAfter > time.Until(end)/3 {
 			return
@@ -82,17 +82,22 @@
 	}
 }
 
-// runCrashingResend checks BUDGET for a request that crashes the replicas that run it and comes again at any machine.
-func runCrashingResend(d *deployment, trouble bool) (broken bool, err error) {
+// startHistory starts the replicas and the daemons.
+func (d *deployment) startHistory() error {
 	if err := d.addService("history", historyReplicas, replicaOptions{capacity: 4, queue: 8, maxConnections: 100, meanWork: 60 * time.Millisecond,
 		bodyBytes: 3000, keepAliveSeconds: 10}); err != nil {
-		return false, err
+		return err
 	}
 	if err := d.writeConfig(1, map[string]any{"Name": "r-history", "Host": "shop.example", "PathPrefix": "/h/", "RouteType": "safe",
 		"TimeoutMs": 6000, "TargetLatencyMs": 1000, "Priority": 2, "Service": "history", "MaxAttempts": 2}); err != nil {
-		return false, err
+		return err
 	}
-	if err := d.startDaemons(historyDaemons); err != nil {
+	return d.startDaemons(historyDaemons)
+}
+
+// runCrashingResend checks BUDGET for a request that crashes the replicas that run it and comes again at any machine.
+func runCrashingResend(d *deployment, trouble bool) (broken bool, err error) {
+	if err := d.startHistory(); err != nil {
 		return false, err
 	}
 	path := "/h/bolinha"
@@ -108,14 +113,14 @@
 		if nextSound.Before(next) {
 			time.Sleep(time.Until(nextSound))
 			id := fmt.Sprintf("sound-%d", nextSound.UnixNano())
-			wg.Go(func() { d.runClient("/h/"+id, id, func(string) {}) })
+			wg.Go(func() { d.runClient("/h/"+id, "caller=1", id, func(string) {}) })
 			nextSound = nextSound.Add(time.Duration(rand.ExpFloat64() / soundPerSecond * float64(time.Second)))
 			continue
 		}
 		time.Sleep(time.Until(next))
 		id := fmt.Sprintf("crash-%d", i)
 		wg.Go(func() {
-			d.runClient(path, id, func(attempt string) {
+			d.runClient(path, "caller=1", id, func(attempt string) {
 				mu.Lock()
 				defer mu.Unlock()
 				sends[attempt] = time.Now()
--- a/review/standins/replica.go
+++ b/review/standins/replica.go
@@ -24,10 +24,12 @@
 	keepAliveSeconds int
 }
 
-// crashMark in the query of a request lets each replica that begins to run it crash; it is back after crashTime.
+// crashMark in the query of a request, or the cookie crashCaller, lets each replica that begins to run it crash; the replica is back
+// after crashTime.
 const (
-	crashMark = "crash"
-	crashTime = 3 * time.Second
+	crashMark   = "crash"
+	crashCaller = "caller=17"
+	crashTime   = 3 * time.Second
 )
 
 // arrival is a request that has reached a replica.
@@ -173,7 +175,7 @@
 	defer func() { <-r.slots }()
 	r.markRun(index)
 	r.rec.add("%s runs %s", r.id, id)
-	if strings.Contains(req.URL.RawQuery, crashMark) {
+	if strings.Contains(req.URL.RawQuery, crashMark) || req.Header.Get("Cookie") == crashCaller {
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
