--- a/review/standins/crashing.go
+++ b/review/standins/crashing.go
@@ -62,8 +62,8 @@
 
 // runClient sends a request as a client does: it repeats it on another machine within its deadline, and waits as long as
 // Retry-After says if that is at most a third of the time that it has left. sent is called before each send.
-func (d *deployment) runClient(path, cookie, id string, sent func(id string)) {
-	end := time.Now().Add(clientBudget)
+func (d *deployment) runClient(path, cookie, id string, budget time.Duration, sent func(id string)) {
+	end := time.Now().Add(budget)
 	first := rand.IntN(len(d.daemons))
 	for try := 0; try <= clientRetries; try++ {
 		left := time.Until(end)
@@ -82,9 +82,9 @@
 	}
 }
 
-// startHistory starts the replicas and the daemons.
-func (d *deployment) startHistory() error {
-	if err := d.addService("history", historyReplicas, replicaOptions{capacity: 4, queue: 8, maxConnections: 100, meanWork: 60 * time.Millisecond,
+// startHistory starts the replicas, with the mean time of an execution, and the daemons.
+func (d *deployment) startHistory(replicas int, meanWork time.Duration) error {
+	if err := d.addService("history", replicas, replicaOptions{capacity: 4, queue: 8, maxConnections: 100, meanWork: meanWork,
 		bodyBytes: 3000, keepAliveSeconds: 10}); err != nil {
 		return err
 	}
@@ -97,7 +97,7 @@
 
 // runCrashingResend checks BUDGET for a request that crashes the replicas that run it and comes again at any machine.
 func runCrashingResend(d *deployment, trouble bool) (broken bool, err error) {
-	if err := d.startHistory(); err != nil {
+	if err := d.startHistory(historyReplicas, 60*time.Millisecond); err != nil {
 		return false, err
 	}
 	path := "/h/bolinha"
@@ -113,14 +113,14 @@
 		if nextSound.Before(next) {
 			time.Sleep(time.Until(nextSound))
 			id := fmt.Sprintf("sound-%d", nextSound.UnixNano())
-			wg.Go(func() { d.runClient("/h/"+id, "caller=1", id, func(string) {}) })
+			wg.Go(func() { d.runClient("/h/"+id, "caller=1", id, clientBudget, func(string) {}) })
 			nextSound = nextSound.Add(time.Duration(rand.ExpFloat64() / soundPerSecond * float64(time.Second)))
 			continue
 		}
 		time.Sleep(time.Until(next))
 		id := fmt.Sprintf("crash-%d", i)
 		wg.Go(func() {
-			d.runClient(path, "caller=1", id, func(attempt string) {
+			d.runClient(path, "caller=1", id, clientBudget, func(attempt string) {
 				mu.Lock()
 				defer mu.Unlock()
 				sends[attempt] = time.Now()
--- a/review/standins/replica.go
+++ b/review/standins/replica.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -22,6 +23,8 @@
 	bodyBytes int
 	// keepAliveSeconds is the idle timeout that responses state.
 	keepAliveSeconds int
+	// bodyOf returns the body of the response to a request; nil for bodyBytes letters.
+	bodyOf func(id string) []byte
 }
 
 // crashMark in the query of a request, or the cookie crashCaller, lets each replica that begins to run it crash; the replica is back
@@ -48,6 +51,8 @@
 	slots                      chan struct{}
 	waiting                    atomic.Int64
 	answers                    atomic.Int64
+	// spoiling is set while the replica spoils some answers.
+	spoiling atomic.Bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -188,14 +193,50 @@
 	for i := range body {
 		body[i] = byte('a' + i%26)
 	}
+	if r.opts.bodyOf != nil {
+		body = r.opts.bodyOf(id)
+	}
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", fmt.Sprint(len(body)))
 	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", r.opts.keepAliveSeconds))
 	h.Set("Chivemill-Response-Stamp", fmt.Sprintf("%s.%s.%d", r.service, r.id, r.answers.Add(1)))
 	h.Set("Chivemill-Server-Load", fmt.Sprintf("%d,%d,%d", len(r.slots), max(0, r.waiting.Load()), r.opts.capacity))
+	if r.spoiling.Load() && rand.Float64() < spoiledShare {
+		r.spoil(w, id, body)
+		return
+	}
 	_, _ = w.Write(body)
 }
 
+// spoiledShare of the answers of a replica are spoiled while it is spoiling.
+const spoiledShare = 0.03
+
+// spoil breaks an answer off at a random point of its body and sends a second one on the same connection, which the peer then has
+// to close.
+func (r *replica) spoil(w http.ResponseWriter, id string, body []byte) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		r.rec.add("%s cannot spoil an answer: %v", r.id, err)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(&head)
+	head.WriteString("\r\n")
+	whole := append(head.Bytes(), body...)
+	missing := 1 + rand.IntN(len(body))
+	r.rec.add("%s breaks off its answer to %s %d bytes before its end and sends a second one", r.id, id, missing)
+	if _, err := conn.Write(whole[:len(whole)-missing]); err != nil {
+		return
+	}
+	if _, err := conn.Write(whole); err != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(clientBudget))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 func (r *replica) refuse(w http.ResponseWriter, status int) {
 	w.Header().Set("Chivemill-Not-Executed", "1")
 	w.WriteHeader(status)
