--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -46,6 +46,7 @@
 	ports        [4]int
 	replicas     []*replica
 	services     []map[string]any
+	mu           sync.Mutex
 	daemons      []*daemon
 	stop         chan struct{}
 	beats        sync.WaitGroup
@@ -103,10 +104,7 @@
 // close ends all processes and stand-ins.
 func (d *deployment) close() {
 	close(d.stop)
-	for _, p := range d.daemons {
-		_ = p.cmd.Process.Kill()
-		<-p.exited
-	}
+	d.killDaemons()
 	d.beats.Wait()
 	for _, r := range d.replicas {
 		r.close()
@@ -116,6 +114,16 @@
 	_ = os.RemoveAll(d.dir)
 }
 
+// killDaemons ends all daemons.
+func (d *deployment) killDaemons() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.daemons {
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+	}
+}
+
 // addService starts replicas of a service in the zones in turn.
 func (d *deployment) addService(service string, count int, opts replicaOptions) error {
 	d.services = append(d.services, map[string]any{"Name": service, "HealthPath": "/health", "MaxConnections": opts.maxConnections,
@@ -173,7 +181,9 @@
 		if err != nil {
 			return err
 		}
+		d.mu.Lock()
 		d.daemons = append(d.daemons, p)
+		d.mu.Unlock()
 	}
 	for _, p := range d.daemons {
 		if err := d.awaitReady(p); err != nil {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -38,6 +40,13 @@
 		return exitFailed
 	}
 	defer d.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		d.killDaemons()
+		os.Exit(exitFailed)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, disruption %v", args[0], trouble)
 	broken, err := scenarios[args[0]](d, trouble)
