--- a/review/standins/replica.go
+++ b/review/standins/replica.go
@@ -64,7 +64,9 @@
 	// dark is open while the replica is silent, and closed when it is back.
 	dark     chan struct{}
 	stopDark func()
-	arrivals []arrival
+	// darkUntil holds the ends of the silences.
+	darkUntil []time.Time
+	arrivals  []arrival
 	crashes  []time.Time
 }
 
@@ -148,6 +150,18 @@
 	return append([]arrival(nil), r.arrivals...)
 }
 
+// wasDarkWithin reports whether a silence of the replica ended within the span before a time.
+func (r *replica) wasDarkWithin(at time.Time, span time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, end := range r.darkUntil {
+		if !end.After(at) && at.Sub(end) < span {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *replica) takeCrashes() []time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -320,6 +334,7 @@
 		stop()
 		close(r.dark)
 		r.dark, r.stopDark = nil, nil
+		r.darkUntil = append(r.darkUntil, time.Now())
 		clear(r.conns)
 		server := r.server
 		r.mu.Unlock()
