--- a/review/standins/replica.go
+++ b/review/standins/replica.go
@@ -67,7 +67,7 @@
 	// darkUntil holds the ends of the silences.
 	darkUntil []time.Time
 	arrivals  []arrival
-	crashes  []time.Time
+	crashes   []time.Time
 }
 
 func startReplica(id, service, zone string, opts replicaOptions, rec *record) (*replica, error) {
