Attempts that are due after their caller has left are logged and counted

Observability for the incident of late orders, no change of logic: the event 'attempt after its caller left' with the number of the attempt, the times since the caller left and since the attempt began, and the delegating daemon; the counter chivemill_sub_requests_after_caller_left; left_ms and all failed attempts in the line of a request to a single replica.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -53,12 +53,15 @@
 	PanicContained = "panic contained"
 
 	// Requests.
-	RequestFailed   = "request failed"
-	RequestRefused  = "request refused"
-	RequestPartial  = "request partial"
-	RequestServed   = "request served"
-	CallerLeft      = "caller left"
-	RequestCrashing = "request crashes replicas"
+	RequestFailed  = "request failed"
+	RequestRefused = "request refused"
+	RequestPartial = "request partial"
+	RequestServed  = "request served"
+	CallerLeft     = "caller left"
+	// AttemptAfterCallerLeft reports an attempt that was due to be sent to a replica after the caller had left, and whether it
+	// was sent.
+	AttemptAfterCallerLeft = "attempt after its caller left"
+	RequestCrashing        = "request crashes replicas"
 	// RequestHalfOpen reports one of several requests of which one crashes replicas.
 	RequestHalfOpen = "request may crash replicas"
 	// RequestLostConnections reports a request that lost connections to replicas while they may have been executing it, and
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -343,6 +343,8 @@
 	if accountErr != nil {
 		return Reply{Err: accountErr}, nil
 	}
+	r := &run{gateway: g, request: request, route: route, regions: regions, view: &view, caller: &callerWatch{}}
+	defer r.caller.start(ctx)()
 	if route.Safety == routing.AtMostOnce {
 		// A request that must not be executed twice continues after the caller has disconnected.
 		ctx = context.WithoutCancel(ctx)
@@ -363,7 +365,7 @@
 		quarantineRun.Done()
 		g.reportLosses(request, quarantineRun.Summary())
 	}()
-	r := &run{gateway: g, request: request, route: route, regions: regions, view: &view, quarantineRun: quarantineRun}
+	r.quarantineRun = quarantineRun
 	return r.serveOrPassOn(ctx)
 }
 
--- a/gateway/passon.go
+++ b/gateway/passon.go
@@ -27,7 +27,7 @@
 	}
 	// What was sent before the isolation was noticed has had no response, and the request may be repeated.
 	next := &run{gateway: r.gateway, request: r.request, route: r.route, regions: r.regions, view: r.view, quarantineRun: r.quarantineRun,
-		passesOn: true}
+		caller: r.caller, passesOn: true}
 	nextReply := next.serve(ctx)
 	if nextReply.Err != nil && nextReply.Err.Kind.Outcome().Run == api.RunNever && !r.closeUnexecuted() {
 		// That holds for the second run only: replicas may have executed what the first one sent.
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -86,6 +86,9 @@
 		fields = append(fields, zap.String("from", request.DelegatedBy))
 	}
 	if r != nil {
+		if leftAt, ok := r.caller.left(); ok {
+			fields = append(fields, zap.Duration("left_ms", leftAt.Sub(request.Received)))
+		}
 		if helpers := r.helpers(); len(helpers) > 0 {
 			fields = append(fields, zap.Strings("helpers", helpers))
 		}
@@ -147,7 +150,7 @@
 const maxLoggedAttempts = 12
 
 // logFields returns what determined the answer: the numbers of attempts, and the failed attempts for shards without an
-// answer.
+// answer or, for a request to a single replica, all failed attempts.
 func (r *run) logFields() []zap.Field {
 	if r.machine == nil {
 		return nil
@@ -161,7 +164,7 @@
 	}
 	var attempts []string
 	for _, a := range r.failedAttempts {
-		if missing[a.shard] && len(attempts) < maxLoggedAttempts {
+		if (missing[a.shard] || !r.route.IsQuery()) && len(attempts) < maxLoggedAttempts {
 			attempts = append(attempts, a.String())
 		}
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -55,6 +55,7 @@
 	regions       residency.Regions
 	view          *topology.View
 	quarantineRun *quarantine.Run
+	caller        *callerWatch
 	plan          scatter.Plan
 	// groups holds the delegated shards by helper, groupByShard the group of each of these shards, shardIndexes the
 	// index of each service in the plan.
@@ -364,7 +365,7 @@
 	}
 	defer r.quarantineRun.AttemptEnded()
 	deadline, _ := ctx.Deadline()
-	dispatched := false
+	begin, dispatched := time.Now(), false
 	limits := AnswerLimits{TimeLeft: time.Until(deadline), MaxBodyBytes: maxAnswerBytes}
 	if r.route.IsQuery() {
 		limits.MaxBodyBytes, limits.IsPart = maxPartBytes, true
@@ -375,6 +376,7 @@
 		if !r.dispatchClosed && !dispatched {
 			r.dispatched++
 			dispatched = true
+			r.recordLateAttempt(a, begin, true)
 		}
 		return !r.dispatchClosed
 	})
