--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -136,7 +136,7 @@
 	for k, i := range sg.Shards {
 		shards[k] = run.routeIndex(i)
 	}
-	if !run.beginDispatch() {
+	if !run.gate.Begin() {
 		gateway.helpers.RecordOutcome(sg.Address, delegation.Abandoned, sg.start, time.Now())
 		return
 	}
@@ -196,23 +196,6 @@
 	}
 }
 
-// beginDispatch counts something that replicas may execute, and reports whether it may still be sent.
-func (r *run) beginDispatch() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.dispatchClosed {
-		r.dispatched++
-	}
-	return !r.dispatchClosed
-}
-
-// countNotExecuted counts something dispatched that was certainly not executed.
-func (r *run) countNotExecuted() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.notExecuted++
-}
-
 // routeIndex converts the index of a shard in the plan to its index in the route.
 func (r *run) routeIndex(shard int) int {
 	if r.request.Shards == nil {
@@ -330,7 +313,7 @@
 		sg.acceptedBy = helper.Address
 	}
 	if sg.notAccepted || sg.notExecuted {
-		sg.run.countNotExecuted()
+		sg.run.gate.NotExecuted()
 	}
 	if sg.notAccepted || sg.handedBack {
 		// This daemon now sends the sub-requests itself, so it counts them for the budget.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/eventlog"
+	"github.com/chivemill/chivemill/internal/dispatch"
 	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/reach"
 	"github.com/chivemill/chivemill/routing"
@@ -343,7 +344,7 @@
 	if accountErr != nil {
 		return Reply{Err: accountErr}, nil
 	}
-	r := &run{gateway: g, request: request, route: route, regions: regions, view: &view, caller: &callerWatch{}}
+	r := &run{gateway: g, request: request, route: route, regions: regions, view: &view, caller: &callerWatch{}, gate: dispatch.NewGate()}
 	defer r.caller.start(ctx)()
 	if route.Safety == routing.AtMostOnce {
 		// A request that must not be executed twice continues after the caller has disconnected.
--- a/gateway/passon.go
+++ b/gateway/passon.go
@@ -7,6 +7,7 @@
 
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/delegation"
+	"github.com/chivemill/chivemill/internal/dispatch"
 	"github.com/chivemill/chivemill/routing"
 )
 
@@ -27,9 +28,9 @@
 	}
 	// What was sent before the isolation was noticed has had no response, and the request may be repeated.
 	next := &run{gateway: r.gateway, request: r.request, route: r.route, regions: r.regions, view: r.view, quarantineRun: r.quarantineRun,
-		caller: r.caller, passesOn: true}
+		caller: r.caller, gate: dispatch.NewGate(), passesOn: true}
 	nextReply := next.serve(ctx)
-	if nextReply.Err != nil && nextReply.Err.Kind.Outcome().Run == api.RunNever && !r.closeUnexecuted() {
+	if nextReply.Err != nil && nextReply.Err.Kind.Outcome().Run == api.RunNever && !r.gate.Close() {
 		// That holds for the second run only: replicas may have executed what the first one sent.
 		return reply, r
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	// A replica may have executed the request on the helper's behalf, so that it cannot be reported as not executed any more.
-	return r.beginDispatch()
+	return r.gate.Begin()
 }
 
 // askForSingle delegates a request to a single replica to the helper and returns its answer.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,6 +14,7 @@
 	"github.com/chivemill/chivemill/coverage"
 	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/hedge"
+	"github.com/chivemill/chivemill/internal/dispatch"
 	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/residency"
 	"github.com/chivemill/chivemill/routing"
@@ -76,12 +77,10 @@
 	// accesses it.
 	failedAttempts []failedAttempt
 
+	// gate counts the attempts that replicas may be executing. It is closed once the caller's answer depends on their number.
+	gate *dispatch.Gate
+
 	mu sync.Mutex
-	// dispatched counts the attempts that may have been sent at least in part, notExecuted those of them that were
-	// certainly not executed. dispatchClosed is set once the caller's answer depends on these counts; nothing is
-	// dispatched from then on.
-	dispatched, notExecuted int
-	dispatchClosed          bool
 	// errorAnswer is the last error response of a replica.
 	errorAnswer *Answer
 	answers     []*Answer
@@ -174,7 +173,7 @@
 			services[k] = route.Shards[i]
 		}
 		r.runPlan(ctx, services)
-		if r.closeUnexecuted() {
+		if r.gate.Close() {
 			return errorReply(api.BackendRefused, r.retryAfterRefusal(services, route.RequiredCoverage, time.Now()), r.missingReasons())
 		}
 		return Reply{Query: r.mergedAnswer()}
@@ -273,7 +272,7 @@
 // failureReply returns the error for a request without a usable answer.
 func (r *run) failureReply(ctx context.Context, message string) Reply {
 	switch {
-	case r.closeUnexecuted():
+	case r.gate.Close():
 		return errorReply(api.BackendRefused, max(r.retryAfterMissing(), r.maxRetryAfter()), message)
 	case deadlinePassed(ctx):
 		return Reply{Err: api.Errorf(api.DeadlineExceeded, "%s", message)}
@@ -286,14 +285,6 @@
 	}
 }
 
-// closeUnexecuted stops further dispatches and reports whether no replica executed anything.
-func (r *run) closeUnexecuted() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.dispatchClosed = true
-	return r.dispatched == r.notExecuted
-}
-
 // deadlinePassed reports whether the deadline of ctx has passed. The state machine uses its own clock and may see the
 // deadline before ctx ends.
 func deadlinePassed(ctx context.Context) bool {
@@ -371,14 +362,14 @@
 		limits.MaxBodyBytes, limits.IsPart = maxPartBytes, true
 	}
 	answer, err := r.gateway.sender.Send(ctx, choice, r.request, limits, func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if !r.dispatchClosed && !dispatched {
-			r.dispatched++
+		switch {
+		case dispatched:
+			return !r.gate.IsClosed()
+		case r.gate.Begin():
 			dispatched = true
 			r.recordLateAttempt(a, begin, true)
 		}
-		return !r.dispatchClosed
+		return dispatched
 	})
 	r.gateway.recordResponse(err)
 	service := r.plan.ShardMap.Shards[a.Shard].ID
@@ -412,16 +403,16 @@
 var errNotListed = errors.New("the replica is no longer in the replica list")
 
 func (r *run) recordFailure(answer Answer, err error, dispatched bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var backendErr *backend.Error
 	if errors.As(err, &backendErr) && !backendErr.MayHaveExecuted() {
 		if dispatched {
-			r.notExecuted++
+			r.gate.NotExecuted()
 		}
 		return
 	}
 	if answer.Status != 0 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.errorAnswer = &answer
 	}
 }
