Nothing of an order is sent to a replica after its caller has left (GONE)

Cause: a request of an at-most-once route lost the end of its caller's connection on receipt, not only once a replica may be executing it.

Change: dispatch.Gate watches the caller. A withheld attempt does not count against the replica.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -58,10 +58,9 @@
 	RequestPartial = "request partial"
 	RequestServed  = "request served"
 	CallerLeft     = "caller left"
-	// AttemptAfterCallerLeft reports an attempt that was due to be sent to a replica after the caller had left, and whether it
-	// was sent.
-	AttemptAfterCallerLeft = "attempt after its caller left"
-	RequestCrashing        = "request crashes replicas"
+	// AttemptWithheld reports an attempt that was not sent to a replica because the caller had left.
+	AttemptWithheld = "attempt withheld"
+	RequestCrashing = "request crashes replicas"
 	// RequestHalfOpen reports one of several requests of which one crashes replicas.
 	RequestHalfOpen = "request may crash replicas"
 	// RequestLostConnections reports a request that lost connections to replicas while they may have been executing it, and
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -344,12 +344,13 @@
 	if accountErr != nil {
 		return Reply{Err: accountErr}, nil
 	}
-	r := &run{gateway: g, request: request, route: route, regions: regions, view: &view, caller: &callerWatch{}, gate: dispatch.NewGate()}
-	defer r.caller.start(ctx)()
+	caller := ctx
 	if route.Safety == routing.AtMostOnce {
-		// A request that must not be executed twice continues after the caller has disconnected.
+		// What a replica executes continues after the caller has disconnected; the gate ends the rest.
 		ctx = context.WithoutCancel(ctx)
 	}
+	gate, ctx := dispatch.NewGate(ctx, caller)
+	defer gate.Release()
 	ctx, cancel := context.WithDeadline(ctx, request.Received.Add(timeout))
 	defer cancel()
 	stop := context.AfterFunc(g.requestsCtx, cancel)
@@ -366,7 +367,7 @@
 		quarantineRun.Done()
 		g.reportLosses(request, quarantineRun.Summary())
 	}()
-	r.quarantineRun = quarantineRun
+	r := &run{gateway: g, request: request, route: route, regions: regions, view: &view, gate: gate, quarantineRun: quarantineRun}
 	return r.serveOrPassOn(ctx)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,9 +29,16 @@
 	sent      []string
 	accounts  []string
 	timeLeft  []time.Duration
+	// connect, if set, is called before a request is sent; its error ends the attempt.
+	connect func(ctx context.Context) error
 }
 
 func (f *fakeSender) Send(ctx context.Context, r balancer.Choice, request *Request, limits AnswerLimits, dispatch func() bool) (Answer, error) {
+	if f.connect != nil {
+		if err := f.connect(ctx); err != nil {
+			return Answer{}, err
+		}
+	}
 	if !dispatch() {
 		return Answer{}, &backend.Error{Failure: backend.NotSent, Cause: errNotListed}
 	}
--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -121,12 +121,15 @@
 	asked   []string
 	// takesAndLoses lets each helper take a request and then lose all replicas.
 	takesAndLoses bool
+	// delay is the time that a helper takes to answer.
+	delay time.Duration
 }
 
 func (c *elsewhereClient) Delegate(_ context.Context, address string, q delegation.Query, _ time.Duration, receive func(delegation.PartialAnswer)) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asked = append(c.asked, address)
+	testseed.Sleep(c.delay)
 	if c.takesAndLoses {
 		receive(delegation.PartialAnswer{Last: true, Isolated: true})
 		return nil
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -50,8 +50,8 @@
 	lossVerdicts metric.Int64Counter
 	// limitedAttempts counts the attempts to replicas that name a request limit.
 	limitedAttempts metric.Int64Counter
-	// afterCallerLeft counts the attempts that came to their dispatch after the caller had left, by result: sent or withheld.
-	afterCallerLeft metric.Int64Counter
+	// withheld counts the attempts that were not sent because the caller had left.
+	withheld metric.Int64Counter
 	// delegated counts the groups of shards that were delegated to helpers.
 	delegated metric.Int64Counter
 	// panics counts recovered panics by the place where they occurred.
@@ -100,8 +100,8 @@
 	m.limitedAttempts, err = meter.Int64Counter("chivemill_limited_sub_requests",
 		metric.WithDescription("Sub-requests to replicas that name a request limit, by attempt: first, or extra for hedges and retries."))
 	collect(err)
-	m.afterCallerLeft, err = meter.Int64Counter("chivemill_sub_requests_after_caller_left",
-		metric.WithDescription("Sub-requests that were due to be sent after their caller had left, by result: sent or withheld."))
+	m.withheld, err = meter.Int64Counter("chivemill_sub_requests_withheld",
+		metric.WithDescription("Sub-requests that were not sent because their caller had left."))
 	collect(err)
 	m.delegated, err = meter.Int64Counter("chivemill_delegated",
 		metric.WithDescription("Sets of shards passed to helpers by outcome: answered, refused, silent, abandoned or isolated."))
--- a/gateway/passon.go
+++ b/gateway/passon.go
@@ -27,8 +27,10 @@
 		return reply, r
 	}
 	// What was sent before the isolation was noticed has had no response, and the request may be repeated.
+	gate, ctx := dispatch.NewGate(ctx, ctx)
+	defer gate.Release()
 	next := &run{gateway: r.gateway, request: r.request, route: r.route, regions: r.regions, view: r.view, quarantineRun: r.quarantineRun,
-		caller: r.caller, gate: dispatch.NewGate(), passesOn: true}
+		gate: gate, passesOn: true}
 	nextReply := next.serve(ctx)
 	if nextReply.Err != nil && nextReply.Err.Kind.Outcome().Run == api.RunNever && !r.gate.Close() {
 		// That holds for the second run only: replicas may have executed what the first one sent.
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -15,6 +15,7 @@
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/quarantine"
+	"github.com/chivemill/chivemill/scatter"
 )
 
 // successLogInterval is the number of requests without errors of which one is logged.
@@ -86,7 +87,7 @@
 		fields = append(fields, zap.String("from", request.DelegatedBy))
 	}
 	if r != nil {
-		if leftAt, ok := r.caller.left(); ok {
+		if leftAt, ok := r.gate.CallerLeft(); ok {
 			fields = append(fields, zap.Duration("left_ms", leftAt.Sub(request.Received)))
 		}
 		if helpers := r.helpers(); len(helpers) > 0 {
@@ -109,6 +110,16 @@
 	g.log.Info(event, append(fields, r.logFields()...)...)
 }
 
+// recordWithheld reports an attempt that began at begin and was not sent because the caller had left.
+func (r *run) recordWithheld(a scatter.Action, begin time.Time) {
+	g, now := r.gateway, time.Now()
+	leftAt, _ := r.gate.CallerLeft()
+	g.metrics.withheld.Add(context.Background(), 1)
+	g.log.Info(eventlog.AttemptWithheld, zap.String("request", r.request.ID), zap.String("replica", a.Replica),
+		zap.Int("attempt", a.Attempt+1), zap.Duration("since_left_ms", now.Sub(leftAt)), zap.Duration("since_begin_ms", now.Sub(begin)),
+		zap.String("from", r.request.DelegatedBy))
+}
+
 // reportLosses counts and logs a request that lost connections to replicas.
 func (g *Gateway) reportLosses(request *Request, s quarantine.Summary) {
 	if s.Verdict == quarantine.NoLoss {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -56,7 +56,6 @@
 	regions       residency.Regions
 	view          *topology.View
 	quarantineRun *quarantine.Run
-	caller        *callerWatch
 	plan          scatter.Plan
 	// groups holds the delegated shards by helper, groupByShard the group of each of these shards, shardIndexes the
 	// index of each service in the plan.
@@ -367,10 +366,13 @@
 			return !r.gate.IsClosed()
 		case r.gate.Begin():
 			dispatched = true
-			r.recordLateAttempt(a, begin, true)
 		}
 		return dispatched
 	})
+	if _, left := r.gate.CallerLeft(); left && err != nil && !dispatched {
+		r.recordWithheld(a, begin)
+		return nil, &backend.Error{Failure: backend.NotSent, Cause: errCallerLeft}
+	}
 	r.gateway.recordResponse(err)
 	service := r.plan.ShardMap.Shards[a.Shard].ID
 	if err == nil && r.route.IsQuery() {
@@ -400,6 +402,8 @@
 	}, nil
 }
 
+var errCallerLeft = errors.New("the caller left before the request was sent")
+
 var errNotListed = errors.New("the replica is no longer in the replica list")
 
 func (r *run) recordFailure(answer Answer, err error, dispatched bool) {
@@ -429,6 +433,9 @@
 	default:
 		return balancer.Failed
 	}
+	if errors.Is(backendErr, errCallerLeft) {
+		return balancer.Abandoned
+	}
 	switch backendErr.Failure {
 	case backend.NotSent, backend.ConnectionLost, backend.TooLarge:
 		// A replica that sends an endless response costs each further attempt at least as much as a broken connection.
