The own interface withholds non-idempotent requests whose callers have left

The cause of the late orders stands in the own interface too: entry looked at the caller between two attempts, but an attempt that waited for a connection, or at a peer that relays it, reached the backend server after the caller had left, and the caller's leaving ended no such wait.

Change: the gate of the request travels with the context of its attempts. backend.Client asks it once a connection is assigned, before the first byte; a relaying peer is told that nobody waits for the request (the existing cancel message) and withholds it, or lets it end if a replica may be executing it. A withheld request counts as not executed, so that its claim is released, and its replica is not blamed.

--- a/backend/client.go
+++ b/backend/client.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chivemill/chivemill/internal/dispatch"
 	"github.com/chivemill/chivemill/snapshot"
 )
 
@@ -119,6 +120,9 @@
 // errClosedBeforeUse means that the assigned connection had been closed, so that nothing was sent.
 var errClosedBeforeUse = errors.New("connection was closed before its use")
 
+// errCallerLeft means that the caller had left before a connection was assigned.
+var errCallerLeft = errors.New("the caller left before the sub-request was sent")
+
 // maxSendTries limits the connections that the transport assigns to a sub-request if they turn out to be closed. The
 // transport takes a moment to notice that.
 const maxSendTries = 4
@@ -235,15 +239,24 @@
 	}
 }
 
-// sendOnce sends a sub-request on the connection that the transport assigns.
+// sendOnce sends a sub-request on the connection that the transport assigns, unless the gate that ctx carries withholds it.
 func (c *Client) sendOnce(ctx context.Context, sub SubRequest) (SubResponse, error) {
+	trip := roundTrip{gate: dispatch.FromContext(ctx)}
+	defer trip.end()
+	answer, err := c.exchange(trip.trace(ctx), sub, &trip)
+	var failure *Error
+	if errors.As(err, &failure) && !failure.MayHaveExecuted() {
+		trip.notExecuted()
+	}
+	return answer, err
+}
+
+// exchange sends a sub-request and reads the response.
+func (c *Client) exchange(ctx context.Context, sub SubRequest, trip *roundTrip) (SubResponse, error) {
 	path := PathSubRequest
 	if sub.Key != "" {
 		path = PathExecute
 	}
-	var trip roundTrip
-	defer trip.end()
-	ctx = trip.trace(ctx)
 	// For a plain reader, net/http does not set GetBody, so the transport cannot send the body a second time.
 	body := struct{ io.Reader }{strings.NewReader(sub.Query)}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+path, body)
@@ -258,6 +271,8 @@
 		defer resp.Body.Close()
 	}
 	switch {
+	case trip.withheld:
+		return SubResponse{}, &Error{Failure: NotSent, Cause: errCallerLeft}
 	case trip.closedBefore:
 		return SubResponse{}, &Error{Failure: NotSent, Cause: errClosedBeforeUse}
 	case err != nil:
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -6,6 +6,8 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"github.com/chivemill/chivemill/internal/dispatch"
 )
 
 // countedConn is a connection of a client. It decrements the client's count of open connections when it is closed.
@@ -32,6 +34,9 @@
 	conn *countedConn
 	// reused reports whether the connection carried an earlier request.
 	reused bool
+	// gate, if set, decides whether the request may still be sent; withheld reports that it may not, and begun that it was counted.
+	gate            *dispatch.Gate
+	withheld, begun bool
 	// closedBefore reports whether the connection was closed before it was assigned to the request, of which nothing can
 	// be written then.
 	closedBefore bool
@@ -52,6 +57,20 @@
 	}
 	conn.roundTrip.Lock()
 	t.conn, t.reused, t.closedBefore = conn, info.Reused, conn.closed.Load()
+	if t.gate == nil || t.closedBefore {
+		return
+	}
+	t.begun = t.gate.Begin()
+	if t.withheld = !t.begun; t.withheld {
+		t.closeConn()
+	}
+}
+
+// notExecuted tells the gate that the backend server has not executed the request.
+func (t *roundTrip) notExecuted() {
+	if t.begun {
+		t.gate.NotExecuted()
+	}
 }
 
 // end allows the next request to use the connection.
--- a/entry/nonidempotent.go
+++ b/entry/nonidempotent.go
@@ -9,6 +9,7 @@
 
 	"github.com/chivemill/chivemill/api"
 	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/internal/dispatch"
 	"github.com/chivemill/chivemill/oncerun"
 	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/scatter"
@@ -83,10 +84,14 @@
 		return "", err
 	}
 	defer run.Done()
-	// A dispatched request is not cancelled when its caller disconnects, because its outcome would become unknown.
+	// A dispatched request is not cancelled when its caller disconnects, because its outcome would become unknown. The gate
+	// withholds it before.
 	deadline, _ := ctx.Deadline()
 	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
+	gate, sendCtx := dispatch.NewGate(sendCtx, ctx)
+	defer gate.Release()
+	sendCtx = dispatch.NewContext(sendCtx, gate)
 	sub := backend.SubRequest{Service: q.Service, Request: id, Query: q.Query, Key: key.String()}
 	answer, err := r.dispatch(ctx, sendCtx, sub, run.WrapSender(r.sender))
 	if err == nil {
@@ -134,7 +139,12 @@
 		sub.Attempt = sub.Request + "/" + strconv.Itoa(len(tried))
 		start := time.Now()
 		answer, err := sender.Send(ctx, target.ID, sub)
-		target.Done(time.Since(start), err)
+		if callerCtx.Err() != nil && backend.FailureOf(err) == backend.NotSent {
+			// The caller left while the request waited to be sent, for which the replica is not to blame.
+			target.Done(time.Since(start), context.Canceled)
+		} else {
+			target.Done(time.Since(start), err)
+		}
 		if err == nil {
 			return answer, nil
 		}
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -105,3 +105,19 @@
 	g.checkCaller()
 	return g.leftAt, !g.leftAt.IsZero()
 }
+
+// OnCallerEnd calls f on a goroutine of its own once the context of the caller has ended, unless stop is called before.
+func (g *Gate) OnCallerEnd(f func()) (stop func() bool) { return context.AfterFunc(g.caller, f) }
+
+type contextKey struct{}
+
+// NewContext returns a child of ctx that carries the gate to the senders of its attempts.
+func NewContext(ctx context.Context, g *Gate) context.Context {
+	return context.WithValue(ctx, contextKey{}, g)
+}
+
+// FromContext returns the gate that ctx carries, nil if there is none.
+func FromContext(ctx context.Context) *Gate {
+	g, _ := ctx.Value(contextKey{}).(*Gate)
+	return g
+}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -17,7 +17,7 @@
 // Executor executes sub-requests for a peer over this daemon's own connections; relay.LocalExecutor implements it.
 type Executor interface {
 	// Execute calls done once for each sub-request, possibly concurrently, and returns after the last call. Each ID
-	// received from cancelled cancels the sub-request with that ID.
+	// received from cancelled means that nobody waits for the sub-request with that ID any more.
 	Execute(ctx context.Context, subs []relay.SubRequest, cancelled <-chan int32, done func(relay.SubResult))
 }
 
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/internal/dispatch"
 )
 
 const (
@@ -34,6 +37,8 @@
 	// sending is set once the batch is being sent; withdrawn if the caller left before that; finished once the caller
 	// has the outcome.
 	sending, withdrawn, finished bool
+	// begun is set if the gate of a non-idempotent sub-request has counted it.
+	begun bool
 }
 
 // withdraw cancels the sub-request if it is not being sent yet, and reports whether it did.
@@ -52,6 +57,11 @@
 	if p.withdrawn || p.ctx.Err() != nil {
 		return false
 	}
+	if gate := dispatch.FromContext(p.ctx); gate != nil {
+		if p.begun = gate.Begin(); !p.begun {
+			return false
+		}
+	}
 	if deadline, ok := p.ctx.Deadline(); ok {
 		p.sub.Remaining = deadline.Sub(now)
 	}
@@ -60,6 +70,14 @@
 	return true
 }
 
+// recordError tells the gate of a non-idempotent sub-request if err shows that no replica has executed it.
+func (p *pendingSub) recordError(err error) {
+	var e *backend.Error
+	if p.begun && errors.As(err, &e) && !e.MayHaveExecuted() {
+		dispatch.FromContext(p.ctx).NotExecuted()
+	}
+}
+
 // complete passes the outcome to the caller; only the first call has an effect.
 func (p *pendingSub) complete(o outcome) {
 	p.mu.Lock()
@@ -163,21 +181,23 @@
 	}
 }
 
-// watchCallers returns a context that ends when all callers have left or the batcher closes, and a channel with the IDs
-// of the sub-requests whose callers have left, so that the peer can cancel work whose result is no longer needed.
+// watchCallers returns a context that ends when nobody waits for the batch any more or the batcher closes, and a channel with the IDs
+// of the sub-requests whose callers have left, so that the peer can end work whose result is no longer needed. The peer itself knows
+// what of it must not be aborted.
 func (b *batcher) watchCallers(pendingByID map[int32]*pendingSub) (context.Context, <-chan int32, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(b.ctx)
-	var mu sync.Mutex
-	remaining := len(pendingByID)
-	cancelled := make(chan int32, remaining)
-	stops := make([]func() bool, 0, remaining)
+	var remaining atomic.Int64
+	remaining.Store(int64(len(pendingByID)))
+	// Each sub-request is cancelled at most twice: when its caller leaves, and when its context ends.
+	cancelled := make(chan int32, 2*len(pendingByID))
+	stops := make([]func() bool, 0, 2*len(pendingByID))
 	for id, pending := range pendingByID {
+		if gate := dispatch.FromContext(pending.ctx); gate != nil {
+			stops = append(stops, gate.OnCallerEnd(func() { cancelled <- id }))
+		}
 		stops = append(stops, context.AfterFunc(pending.ctx, func() {
-			mu.Lock()
-			defer mu.Unlock()
 			cancelled <- id
-			remaining--
-			if remaining == 0 {
+			if remaining.Add(-1) == 0 {
 				cancel()
 			}
 		}))
--- a/relay/local.go
+++ b/relay/local.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/internal/dispatch"
 )
 
 // LocalExecutor executes sub-requests of peers over this daemon's own connections. It never forwards them, so a
@@ -22,19 +23,19 @@
 }
 
 // Execute runs the sub-requests concurrently and returns after the last one. It calls done once for each as it ends,
-// possibly from several goroutines at once. The end of ctx cancels all of them; an ID received from cancelled cancels
-// that one. Sub-requests beyond the maximum batch size (maxBatch) are not sent and fail with backend.NotSent.
+// possibly from several goroutines at once. The end of ctx cancels all of them. An ID received from cancelled cancels that
+// one, unless it is non-idempotent and a replica may be executing it. Sub-requests beyond the maximum batch size (maxBatch) are not sent and fail with backend.NotSent.
 func (l *LocalExecutor) Execute(ctx context.Context, subs []SubRequest, cancelled <-chan int32, done func(SubResult)) {
 	ctx, cancelAll := context.WithCancel(ctx)
 	defer cancelAll()
 	cancels := make(map[int32]context.CancelFunc)
 	var wg sync.WaitGroup
 	for _, s := range subs[:min(len(subs), maxBatch)] {
-		subCtx, cancel := context.WithCancel(ctx)
-		cancels[s.ID] = cancel
+		waiting, leave := context.WithCancel(ctx)
+		cancels[s.ID] = leave
 		wg.Go(func() {
-			defer cancel()
-			done(l.execute(subCtx, s))
+			defer leave()
+			done(l.execute(ctx, waiting, s))
 		})
 	}
 	go cancelEach(ctx, cancels, cancelled)
@@ -58,10 +59,18 @@
 	}
 }
 
-func (l *LocalExecutor) execute(ctx context.Context, s SubRequest) SubResult {
+// execute sends a sub-request to its replica. ctx ends with the batch, waiting when nobody waits for the result any more.
+func (l *LocalExecutor) execute(ctx, waiting context.Context, s SubRequest) SubResult {
 	if !l.owners.IsDirect(s.Replica) || s.Remaining < 0 {
 		return SubResult{ID: s.ID, Attempt: s.Attempt, Failure: backend.NotSent}
 	}
+	if s.Key == "" {
+		ctx = waiting
+	} else {
+		gate, gated := dispatch.NewGate(ctx, waiting)
+		defer gate.Release()
+		ctx = dispatch.NewContext(gated, gate)
+	}
 	if s.Remaining > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, s.Remaining)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,7 +57,7 @@
 type Transport interface {
 	// Forward calls done for each result as it arrives, and returns after the last one or on failure. sent is false
 	// only if no byte of the batch reached the peer. The end of ctx cancels the batch at the peer; an ID received from
-	// cancelled cancels one sub-request. done is safe for concurrent use.
+	// cancelled means that nobody waits for this sub-request any more. done is safe for concurrent use.
 	Forward(ctx context.Context, to Peer, subs []SubRequest, cancelled <-chan int32, done func(SubResult)) (sent bool, err error)
 }
 
@@ -102,7 +102,9 @@
 	r.batcher.add(peer, pending)
 	select {
 	case o := <-pending.done:
-		return decodeAnswer(sub, replica, o)
+		answer, err := decodeAnswer(sub, replica, o)
+		pending.recordError(err)
+		return answer, err
 	case <-ctx.Done():
 	}
 	if pending.withdraw() {
