--- a/delegation/foreign_answer_test.go
+++ b/delegation/foreign_answer_test.go
@@ -74,7 +74,7 @@
 // delegateTwice delegates two queries to the helper over one client and returns the parts and the error of the second.
 func delegateTwice(t *testing.T, address string) (parts []PartialAnswer, err error) {
 	t.Helper()
-	client := NewClient()
+	client := NewClient(testMemory)
 	defer client.http.CloseIdleConnections()
 	query := Query{ID: "q", Shards: []int{0}}
 	must.NoError(t, client.Delegate(t.Context(), address, query, testTimeout, func(PartialAnswer) {}))
@@ -145,7 +145,7 @@
 			}}
 			address = helper.start(t)
 			parts := 0
-			err := NewClient().Delegate(t.Context(), address, Query{ID: "q"}, testTimeout, func(PartialAnswer) { parts++ })
+			err := NewClient(testMemory).Delegate(t.Context(), address, Query{ID: "q"}, testTimeout, func(PartialAnswer) { parts++ })
 			must.Error(t, err)
 			must.False(t, errors.Is(err, ErrNotAccepted), must.Sprint(err))
 			must.Eq(t, 0, parts)
@@ -170,7 +170,7 @@
 		return nil
 	})))
 	defer server.Close()
-	client := NewClient()
+	client := NewClient(testMemory)
 	defer client.http.CloseIdleConnections()
 	for i := range 200 {
 		id := fmt.Sprint(i)
--- a/delegation/fuzz_test.go
+++ b/delegation/fuzz_test.go
@@ -47,7 +47,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 		defer cancel()
 		last := false
-		err := NewClient().Delegate(ctx, strings.TrimPrefix(h.URL, "http://"), Query{ID: "q"}, time.Minute,
+		err := NewClient(testMemory).Delegate(ctx, strings.TrimPrefix(h.URL, "http://"), Query{ID: "q"}, time.Minute,
 			func(p PartialAnswer) { last = p.Last })
 		must.True(t, err != nil || last)
 	})
--- a/delegation/message.go
+++ b/delegation/message.go
@@ -1,6 +1,7 @@
 package delegation
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -17,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chivemill/chivemill/api"
+	"github.com/chivemill/chivemill/internal/boundedread"
 	"github.com/chivemill/chivemill/internal/httpjson"
 )
 
@@ -175,11 +177,16 @@
 }
 
 // Client delegates queries to other daemons. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	// messages limits the memory of the messages that are being read.
+	messages *boundedread.MemoryLimit
+}
 
-// NewClient returns a client. It opens connections on demand.
-func NewClient() *Client {
-	return &Client{&http.Client{Transport: &http.Transport{
+// NewClient returns a client for a process with a memory limit of processBytes, of which a fraction limits the messages that are being
+// read at the same time. It opens connections on demand.
+func NewClient(processBytes int64) *Client {
+	return &Client{messages: boundedread.NewProcessMemoryLimit(processBytes), http: &http.Client{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{}).DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerHelper,
 		IdleConnTimeout:        idleTimeout,
@@ -268,17 +275,35 @@
 		// The answer is that of an earlier query on the connection.
 		return eris.Wrap(ErrNotAccepted, "answer before the query was sent")
 	}
-	decoder := json.NewDecoder(io.LimitReader(resp.Body, maxMessageBytes))
+	return c.receiveParts(resp.Body, receive, cancel)
+}
+
+const (
+	// maxDrainBytes and drainTimeout limit the rest of a response behind the last part, which has to be read for the connection to be
+	// reused.
+	maxDrainBytes = 4 << 10
+	drainTimeout  = 50 * time.Millisecond
+)
+
+// receiveParts reads the parts up to the last one and calls receive with each. cancel ends the exchange.
+func (c *Client) receiveParts(body io.Reader, receive func(PartialAnswer), cancel context.CancelFunc) error {
+	reader := bufio.NewReader(io.LimitReader(body, maxMessageBytes))
 	for {
+		line, err := c.messages.ReadLine(reader, maxMessageBytes)
+		if err != nil {
+			return eris.Wrap(err, "answer")
+		}
 		var part PartialAnswer
-		if err := decoder.Decode(&part); err != nil {
+		if err := json.Unmarshal(line, &part); err != nil {
 			return eris.Wrap(err, "answer")
 		}
 		receive(part)
 		if part.Last {
-			// Reading the body to its end allows the connection to be reused.
-			_, err := io.Copy(io.Discard, resp.Body)
-			return eris.Wrap(err, "answer")
+			timer := time.AfterFunc(drainTimeout, cancel)
+			defer timer.Stop()
+			// The answer is complete, whatever becomes of the connection.
+			_, _ = io.CopyN(io.Discard, reader, maxDrainBytes)
+			return nil
 		}
 	}
 }
--- a/delegation/message_test.go
+++ b/delegation/message_test.go
@@ -26,7 +26,7 @@
 	h := httptest.NewServer(Handler(server))
 	defer h.Close()
 	var parts []PartialAnswer
-	err := NewClient().Delegate(t.Context(), strings.TrimPrefix(h.URL, "http://"), Query{ID: "q", Shards: []int{0, 1}, Body: []byte("b")},
+	err := NewClient(testMemory).Delegate(t.Context(), strings.TrimPrefix(h.URL, "http://"), Query{ID: "q", Shards: []int{0, 1}, Body: []byte("b")},
 		acceptTimeout, func(p PartialAnswer) { parts = append(parts, p) })
 	return parts, err
 }
@@ -92,14 +92,14 @@
 		_, _ = received.ReadFrom(conn)
 		receivedBytes <- received.Bytes()
 	}()
-	err = NewClient().Delegate(t.Context(), l.Addr().String(), Query{ID: "secret", Shards: []int{0}}, 50*time.Millisecond,
+	err = NewClient(testMemory).Delegate(t.Context(), l.Addr().String(), Query{ID: "secret", Shards: []int{0}}, 50*time.Millisecond,
 		func(PartialAnswer) {})
 	must.ErrorIs(t, err, ErrNotAccepted)
 	data := <-receivedBytes
 	must.StrContains(t, string(data), "100-continue")
 	must.StrNotContains(t, string(data), "secret")
 	must.NoError(t, l.Close())
-	err = NewClient().Delegate(t.Context(), l.Addr().String(), Query{Shards: []int{0}}, testTimeout, func(PartialAnswer) {})
+	err = NewClient(testMemory).Delegate(t.Context(), l.Addr().String(), Query{Shards: []int{0}}, testTimeout, func(PartialAnswer) {})
 	must.ErrorIs(t, err, ErrNotAccepted, must.Sprint("connection refused"))
 }
 
@@ -114,7 +114,7 @@
 	})))
 	defer h.Close()
 	ctx, cancel := context.WithCancel(t.Context())
-	err := NewClient().Delegate(ctx, strings.TrimPrefix(h.URL, "http://"), Query{Shards: []int{0}}, testTimeout,
+	err := NewClient(testMemory).Delegate(ctx, strings.TrimPrefix(h.URL, "http://"), Query{Shards: []int{0}}, testTimeout,
 		func(PartialAnswer) { cancel() })
 	must.ErrorIs(t, err, context.Canceled)
 	select {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -95,7 +95,7 @@
 	d.replicas.SetObserver(replicaObserver)
 	d.gateway, err = gateway.New(gateway.Options{
 		BudgetRatio: settings.RetryBudgetRatio, BudgetFixed: settings.RetryBudgetFixed, BudgetWindow: settings.RetryBudgetWindow,
-		Publisher: d.feed, ObservationPublisher: d.feed, Links: d.replicas, Node: settings.Node, DelegationClient: delegation.NewClient(), Seed: xxhash.Sum64String(settings.Node),
+		Publisher: d.feed, ObservationPublisher: d.feed, Links: d.replicas, Node: settings.Node, DelegationClient: delegation.NewClient(settings.MemoryBytes), Seed: xxhash.Sum64String(settings.Node),
 		Self: delegation.Self{Address: settings.PeerAddress, DataCentre: settings.DataCentre, Cores: settings.Cores,
 			Distance: settings.Distance, Region: settings.RegionOf},
 	}, d.directory, d.balancer, d.replicas, rand.Float64, metricsProvider.Meter(), log.Logger)
--- a/internal/boundedread/boundedread.go
+++ b/internal/boundedread/boundedread.go
@@ -3,6 +3,7 @@
 package boundedread
 
 import (
+	"bufio"
 	"errors"
 	"io"
 
@@ -76,6 +77,32 @@
 	}
 }
 
+// ReadLine reads a line with its newline. The last line may have none. A line longer than limit bytes, or one for which there is no
+// memory, gives ErrTooLarge; the end of r before the first byte gives io.EOF.
+func (m *MemoryLimit) ReadLine(r *bufio.Reader, limit int64) ([]byte, error) {
+	buf := buffer{memory: m}
+	defer buf.release()
+	for {
+		chunk, err := r.ReadSlice('\n')
+		size := int64(len(buf.data) + len(chunk))
+		if size > limit {
+			return nil, ErrTooLarge
+		}
+		if size > int64(cap(buf.data)) {
+			if err := buf.grow(min(max(initialBufferSize, 2*int64(cap(buf.data)), size), limit)); err != nil {
+				return nil, err
+			}
+		}
+		buf.data = append(buf.data, chunk...)
+		switch {
+		case err == nil, errors.Is(err, io.EOF) && size > 0:
+			return buf.data, nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		}
+	}
+}
+
 // buffer is the part of a body read so far, with the memory that it has reserved from the shared limit.
 type buffer struct {
 	memory   *MemoryLimit
--- a/internal/boundedread/boundedread_test.go
+++ b/internal/boundedread/boundedread_test.go
@@ -1,6 +1,7 @@
 package boundedread
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -70,3 +71,47 @@
 	_, err := NewMemoryLimit(1<<20).ReadAll(io.MultiReader(bytes.NewReader(make([]byte, 10)), iotest.ErrReader(errBroken)), -1, 100)
 	must.ErrorIs(t, err, errBroken)
 }
+
+// TestReadLine guards messages of a stream: each line is returned whole, however the bytes arrive, a longer one is refused, and all
+// memory is released.
+func TestReadLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 1 << 20
+		memory := NewMemoryLimit(limit)
+		sizes := rapid.SliceOfN(rapid.IntRange(0, 200<<10), 1, 4).Draw(t, "sizes")
+		lineLimit := rapid.Int64Range(1, 200<<10).Draw(t, "most")
+		var stream bytes.Buffer
+		for i, size := range sizes {
+			stream.Write(bytes.Repeat([]byte{byte('a' + i)}, size))
+			stream.WriteByte('\n')
+		}
+		r := bufio.NewReader(&stream)
+		for i, size := range sizes {
+			line, err := memory.ReadLine(r, lineLimit)
+			if int64(size+1) > lineLimit {
+				must.ErrorIs(t, err, ErrTooLarge)
+				must.True(t, memory.available.TryAcquire(limit), must.Sprint("all memory is released"))
+				return
+			}
+			must.NoError(t, err)
+			must.Eq(t, string(bytes.Repeat([]byte{byte('a' + i)}, size))+"\n", string(line))
+		}
+		_, err := memory.ReadLine(r, lineLimit)
+		must.ErrorIs(t, err, io.EOF)
+		must.True(t, memory.available.TryAcquire(limit), must.Sprint("all memory is released"))
+	})
+}
+
+// TestEndlessLineIsRefused guards against a line without an end: it is refused once the memory for all messages is used up, and a small
+// one is still read then.
+func TestEndlessLineIsRefused(t *testing.T) {
+	memory := NewMemoryLimit(256 << 10)
+	endless := &endlessBody{}
+	_, err := memory.ReadLine(bufio.NewReader(endless), 16<<20)
+	must.ErrorIs(t, err, ErrTooLarge)
+	must.Less(t, 512<<10, endless.read)
+	must.True(t, memory.available.TryAcquire(256<<10))
+	line, err := memory.ReadLine(bufio.NewReader(bytes.NewReader([]byte("last"))), 16<<20)
+	must.NoError(t, err)
+	must.Eq(t, "last", string(line))
+}
