--- a/delegation/message.go
+++ b/delegation/message.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -199,7 +200,8 @@
 	}}
 }
 
-// body is the request body of a query. It can be withdrawn until the transport starts to read it.
+// body is the request body of a query. The transport can read it only once the helper has asked for it with 100 Continue, and it can be
+// withdrawn until the transport starts to read it. After a final response without 100 Continue the transport would send the body too.
 type body struct {
 	*bytes.Reader
 	state *atomic.Int32
@@ -208,6 +210,7 @@
 // Values of body.state.
 const (
 	bodyPending int32 = iota
+	bodyRequested
 	bodySent
 	bodyWithdrawn
 )
@@ -216,7 +219,7 @@
 
 // Read implements io.Reader.
 func (b body) Read(p []byte) (int, error) {
-	if !b.state.CompareAndSwap(bodyPending, bodySent) && b.state.Load() == bodyWithdrawn {
+	if !b.state.CompareAndSwap(bodyRequested, bodySent) && b.state.Load() != bodySent {
 		return 0, errWithdrawn
 	}
 	return b.Reader.Read(p)
@@ -225,9 +228,9 @@
 // Close implements io.Closer.
 func (body) Close() error { return nil }
 
-// sent withdraws the body if it is pending, and reports whether any of it may have been sent.
-func sent(state *atomic.Int32) bool {
-	return !state.CompareAndSwap(bodyPending, bodyWithdrawn) && state.Load() == bodySent
+// withdraw prevents the body from being sent, and reports whether none of it has been.
+func withdraw(state *atomic.Int32) bool {
+	return state.CompareAndSwap(bodyPending, bodyWithdrawn) || state.CompareAndSwap(bodyRequested, bodyWithdrawn) || state.Load() == bodyWithdrawn
 }
 
 var errForeignResponse = errors.New("response belongs to another exchange")
@@ -244,12 +247,13 @@
 	defer cancel()
 	state := &atomic.Int32{}
 	withdrawal := time.AfterFunc(acceptTimeout, func() {
-		if state.CompareAndSwap(bodyPending, bodyWithdrawn) {
+		if withdraw(state) {
 			cancel()
 		}
 	})
 	defer withdrawal.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathQuery, body{bytes.NewReader(data), state})
+	trace := &httptrace.ClientTrace{Got100Continue: func() { state.CompareAndSwap(bodyPending, bodyRequested) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+address+PathQuery, body{bytes.NewReader(data), state})
 	if err != nil {
 		return eris.Wrapf(ErrNotAccepted, "create request: %v", err)
 	}
@@ -259,13 +263,13 @@
 	req.Header.Set(headerExchange, exchange)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		if !sent(state) {
+		if withdraw(state) {
 			return eris.Wrapf(ErrNotAccepted, "%v", err)
 		}
 		return eris.Wrap(err, "ask")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	wasSent := sent(state)
+	wasSent := !withdraw(state)
 	switch repeated := resp.Header.Get(headerExchange); {
 	case repeated != "" && repeated != exchange && wasSent:
 		return errForeignResponse
