--- a/backend/client.go
+++ b/backend/client.go
@@ -15,12 +15,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chivemill/chivemill/internal/boundedread"
 	"github.com/chivemill/chivemill/internal/dispatch"
 	"github.com/chivemill/chivemill/snapshot"
 )
 
-// maxBodyBytes is the largest size of a response body that is read from a backend server.
-const maxBodyBytes = 8 << 20
+const (
+	// maxBodyBytes is the largest size of a response body that is read from a backend server, maxHeaderBytes that of a header.
+	maxBodyBytes   = 8 << 20
+	maxHeaderBytes = 64 << 10
+	// DefaultBodyMemoryBytes limits the response bodies that a daemon reads from backend servers at the same time. Bodies of up to
+	// boundedread.SmallBodyBytes do not count.
+	DefaultBodyMemoryBytes = 16 << 20
+)
 
 // Failure is the class of a failed sub-request.
 type Failure string
@@ -32,8 +39,7 @@
 	ConnectionLost Failure = "connection_lost"
 	Truncated      Failure = "truncated"
 	Undecodable    Failure = "undecodable"
-	// TooLarge is an answer that does not end or exceeds a size limit. Package platform sets it; Client reports such an
-	// answer as Undecodable.
+	// TooLarge is an answer that does not end or exceeds a size limit.
 	TooLarge   Failure = "too_large"
 	Mismatched Failure = "mismatched"
 	// TimedOut means that ctx ended after a connection was assigned: its deadline passed or it was cancelled. Cause is
@@ -112,6 +118,7 @@
 	openCount       atomic.Int64
 	inFlight        atomic.Int64
 	warming         atomic.Bool
+	bodyMemory      *boundedread.MemoryLimit
 }
 
 // errConnectionLimit means that the daemon's share of the replica's connections is used up.
@@ -143,16 +150,17 @@
 
 // NewClientWithDial is like NewClient but opens connections with dial.
 func NewClientWithDial(address string, connections int, dial DialFunc) *Client {
-	c := &Client{address: address}
+	c := &Client{address: address, bodyMemory: boundedread.NewMemoryLimit(DefaultBodyMemoryBytes)}
 	c.connectionLimit.Store(int64(connections))
 	c.http = &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				return c.dial(ctx, dial, network, addr)
 			},
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     90 * time.Second,
-			DisableCompression:  true,
+			MaxIdleConnsPerHost:    maxIdleConnections,
+			IdleConnTimeout:        90 * time.Second,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		// Following a redirect would send a second request to a backend server.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -186,6 +194,10 @@
 // called before the first request.
 func (c *Client) SetDataCentre(name string) { c.dataCentre = name }
 
+// SetBodyMemory sets the limit of the response bodies that are being read, which clients of one daemon share. It must be called before
+// the first request.
+func (c *Client) SetBodyMemory(limit *boundedread.MemoryLimit) { c.bodyMemory = limit }
+
 // OpenConnections returns the number of open connections.
 func (c *Client) OpenConnections() int { return int(c.openCount.Load()) }
 
@@ -278,7 +290,7 @@
 	case err != nil:
 		return SubResponse{}, classify(ctx, err, trip.conn != nil)
 	}
-	answer, err := readAnswer(ctx, resp, sub, trip.reused)
+	answer, err := c.readAnswer(ctx, resp, sub, trip.reused)
 	if err != nil && FailureOf(err) != Refused {
 		// The response may belong to an earlier request on this connection, so every later response would be off by one.
 		trip.closeConn()
@@ -322,8 +334,11 @@
 
 // readAnswer reads and validates the response to a sub-request. reused reports whether its connection carried an earlier
 // request, to which the response may belong.
-func readAnswer(ctx context.Context, resp *http.Response, sub SubRequest, reused bool) (SubResponse, error) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+func (c *Client) readAnswer(ctx context.Context, resp *http.Response, sub SubRequest, reused bool) (SubResponse, error) {
+	data, err := c.bodyMemory.ReadAll(resp.Body, resp.ContentLength, maxBodyBytes)
+	if errors.Is(err, boundedread.ErrTooLarge) {
+		return SubResponse{}, &Error{Failure: TooLarge, Cause: err}
+	}
 	if err != nil && ctx.Err() != nil {
 		return SubResponse{}, &Error{Failure: TimedOut, Cause: ctx.Err()}
 	}
@@ -419,7 +434,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	data, err := c.bodyMemory.ReadAll(resp.Body, resp.ContentLength, maxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/internal/boundedread"
 	"github.com/chivemill/chivemill/kv"
 	"github.com/chivemill/chivemill/limit"
 	"github.com/chivemill/chivemill/metrics"
@@ -43,6 +44,8 @@
 	draining        atomic.Bool
 	// initialPollDone is set after the first poll of the load endpoints that started with a connection share.
 	initialPollDone atomic.Bool
+	// bodyMemory limits the responses of backend servers that are being read.
+	bodyMemory *boundedread.MemoryLimit
 
 	mu            sync.Mutex
 	clients       map[string]*backend.Client
@@ -57,6 +60,7 @@
 	d := &Daemon{
 		cfg: cfg, log: log, vmList: vmList,
 		registry:        replica.NewRegistry(xxhash.Sum64String(cfg.Node)),
+		bodyMemory:      boundedread.NewMemoryLimit(backend.DefaultBodyMemoryBytes),
 		clients:         make(map[string]*backend.Client),
 		catalogues:      make(map[string]*snapshot.Catalogue),
 		profiles:        make(map[string]activeProfile),
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -185,6 +185,7 @@
 	if !ok {
 		c = backend.NewClient(r.Address, 0)
 		c.SetDataCentre(d.cfg.DataCentre)
+		c.SetBodyMemory(d.bodyMemory)
 		d.clients[r.Address] = c
 	}
 	return c
--- a/entry/search_run_test.go
+++ b/entry/search_run_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/chivemill/chivemill/api"
 	client "github.com/chivemill/chivemill/backend"
+	"github.com/chivemill/chivemill/internal/boundedread"
 	"github.com/chivemill/chivemill/internal/standin/backend"
 	"github.com/chivemill/chivemill/internal/standin/memfleet"
 	"github.com/chivemill/chivemill/internal/testseed"
@@ -33,6 +34,7 @@
 		log: zap.NewNop(), registry: replica.NewRegistry(1),
 		guard:      quarantine.NewGuard(quarantine.DefaultRule(), quarantine.DefaultExpiry, nil, nil),
 		catalogues: make(map[string]*snapshot.Catalogue), serviceStates: make(map[string]*serviceState),
+		bodyMemory: boundedread.NewMemoryLimit(client.DefaultBodyMemoryBytes),
 	}
 	d.peers = &peers{limitFor: d.connectionLimit, shareTracker: share.NewTracker("e", 1000*time.Hour, time.Hour),
 		shareSet: share.NewSet([]string{"e"})}
