--- a/kv/etcdjson/client.go
+++ b/kv/etcdjson/client.go
@@ -24,6 +24,8 @@
 	callTimeout = 2 * time.Second
 	// maxResponseBytes limits the size of a response body. It is large because a list holds many base64-encoded values.
 	maxResponseBytes = 256 << 20
+	// maxHeaderBytes limits the size of a response header.
+	maxHeaderBytes = 64 << 10
 )
 
 // Calls holds the numbers of calls that a client has made, by type.
@@ -59,7 +61,7 @@
 		silenceTimeout:   defaultSilenceTimeout,
 		progressInterval: defaultProgressInterval,
 		http: &http.Client{
-			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8},
+			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxHeaderBytes},
 			// Redirects are not followed: the gateway sends none, and following one could turn the POST into a GET.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/kv/etcdjson/watch.go
+++ b/kv/etcdjson/watch.go
@@ -79,12 +79,35 @@
 	}
 }
 
-// readMessages decodes the messages of a watch until the stream or ctx ends.
+// maxWatchMessageBytes limits a message of a watch: the events of one transaction in base64.
+const maxWatchMessageBytes = 8 << 20
+
+var errMessageTooLarge = errors.New("message of the watch is too large")
+
+// messageReader reads at most left bytes.
+type messageReader struct {
+	body io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (m *messageReader) Read(p []byte) (int, error) {
+	if m.left == 0 {
+		return 0, errMessageTooLarge
+	}
+	n, err := m.body.Read(p[:min(len(p), m.left)])
+	m.left -= n
+	return n, err
+}
+
+// readMessages decodes the messages of a watch until the stream or ctx ends, or a message is too large.
 func readMessages(ctx context.Context, body io.Reader) (<-chan WatchResponse, <-chan error) {
 	messages, ended := make(chan WatchResponse), make(chan error, 1)
 	go func() {
-		dec := json.NewDecoder(body)
+		limited := &messageReader{body: body}
+		dec := json.NewDecoder(limited)
 		for {
+			limited.left = maxWatchMessageBytes
 			var msg WatchResponse
 			if err := dec.Decode(&msg); err != nil {
 				ended <- err
