--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,6 +11,7 @@
 	"reflect"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,8 +47,10 @@
 	// drainMargin is how much earlier than allowed the last new request is sent to a draining replica: an attempt may
 	// wait for a connection, and the daemons' replica lists are confirmed with a delay.
 	drainMargin = 1500 * time.Millisecond
-	// finalAnswerTimeout limits the time to write the final answers.
-	finalAnswerTimeout = 300 * time.Millisecond
+	// lastWriteFraction of the grace time is when the process ends, whatever is still being written: the platform kills it soon after.
+	lastWriteFraction = 0.95
+	// leaveTimeout limits the last phase of a planned stop.
+	leaveTimeout = 300 * time.Millisecond
 )
 
 // Daemon is a running edge daemon. It is safe for concurrent use.
@@ -62,6 +65,10 @@
 	replicas     *platform.ReplicaClient
 	shutdown     *drain.Shutdown
 	callers      *http.Server
+	// responses counts the answers to callers and other daemons that have not been written out. stopsWaiting is set when a planned stop
+	// does not wait for them any longer.
+	responses    drain.Responses
+	stopsWaiting atomic.Bool
 	serverErrors chan error
 }
 
@@ -105,9 +112,10 @@
 	d.feed.SetNoticeHandler(d.gateway)
 	reports.gateway = d.gateway
 	d.shutdown = drain.NewShutdown(drain.Options{
-		BalancerLag: time.Duration(acceptFraction * float64(settings.StopGrace)), LeaveTimeout: finalAnswerTimeout,
+		BalancerLag: time.Duration(acceptFraction * float64(settings.StopGrace)), LeaveTimeout: leaveTimeout,
 	}, d.stopHooks())
-	d.callers = &http.Server{Handler: platform.NewCallerHandler(d.gateway, d.isStopping), ReadHeaderTimeout: defaultHeaderTimeout}
+	callerHandler := d.responses.Track(platform.NewCallerHandler(d.gateway, d.isStopping))
+	d.callers = &http.Server{Handler: callerHandler, ReadHeaderTimeout: defaultHeaderTimeout}
 	return d, d.listen(metricsProvider.Handler())
 }
 
@@ -119,7 +127,7 @@
 	peers.Handle(topology.PathPull, d.feed.Handler())
 	peers.Handle(topology.PathNotices, d.feed.Handler())
 	peers.HandleFunc("GET "+StatusPath, d.serveStatus)
-	peers.Handle("POST "+delegation.PathQuery, delegation.Handler(d.gateway))
+	peers.Handle("POST "+delegation.PathQuery, d.responses.Track(delegation.Handler(d.gateway)))
 	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !d.gateway.Ready() || d.isStopping() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -142,6 +150,7 @@
 		if s.server == d.callers {
 			listener = connlimit.Install(s.server, listener, d.callerLimits)
 		}
+		d.responses.Watch(s.server)
 		go func() {
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				d.serverErrors <- eris.Wrapf(err, "server at %s", s.address)
@@ -163,32 +172,44 @@
 
 // stopHooks connects the planned stop to the daemon. While the load balancer may still send requests, they are served
 // and their connections closed; afterwards new requests are refused, and those in flight get a final answer before the
-// grace time ends.
+// grace time ends. The process ends once all answers have been written, or at the end of the time for that.
 func (d *Daemon) stopHooks() drain.Hooks {
 	return drain.Hooks{
 		// The readiness handler checks the phase itself.
 		NotReady: d.gateway.RejectDelegated,
 		CloseListeners: func() {
 			d.gateway.RejectNew()
-			remaining := time.Duration((finalAnswerFraction - acceptFraction) * float64(d.settings.StopGrace))
-			time.AfterFunc(remaining, d.gateway.CancelInFlight)
+			untilFinalAnswers := time.Duration((finalAnswerFraction - acceptFraction) * float64(d.settings.StopGrace))
+			untilLastWrite := time.Duration((lastWriteFraction - acceptFraction) * float64(d.settings.StopGrace))
+			time.AfterFunc(untilFinalAnswers, d.gateway.CancelInFlight)
+			time.AfterFunc(untilLastWrite, func() { d.stopsWaiting.Store(true) })
 			go func() {
-				ctx, cancel := context.WithTimeout(context.Background(), remaining+finalAnswerTimeout)
+				ctx, cancel := context.WithTimeout(context.Background(), untilLastWrite)
 				defer cancel()
 				if err := d.callers.Shutdown(ctx); err != nil {
 					d.log.Warn(eventlog.Stopping, zap.String("phase", "connections still open"), zap.Error(err))
 				}
 			}()
 		},
-		InFlight: d.gateway.InFlight,
+		InFlight: d.inFlight,
 		Leave:    func(context.Context) error { return nil },
 		PhaseChanged: func(phase drain.Phase) {
-			d.log.Info(eventlog.Stopping, zap.String("phase", string(phase)), zap.Int64("in_flight", d.gateway.InFlight()))
+			d.log.Info(eventlog.Stopping, zap.String("phase", string(phase)), zap.Int64("in_flight", d.gateway.InFlight()),
+				zap.Int64("unwritten", d.responses.Unwritten()))
 		},
 		SignalIgnored: func() { d.log.Info(eventlog.Stopping, zap.String("phase", "further stop signal ignored")) },
 	}
 }
 
+// inFlight returns the number of requests that a planned stop waits for: those without an answer and those whose answers have not been
+// written out.
+func (d *Daemon) inFlight() int64 {
+	if d.stopsWaiting.Load() {
+		return 0
+	}
+	return max(d.gateway.InFlight(), d.responses.Unwritten())
+}
+
 // Stop starts the planned stop.
 func (d *Daemon) Stop() { d.shutdown.Signal() }
 
@@ -214,7 +235,7 @@
 	}
 	cancel()
 	wg.Wait()
-	d.log.Info(eventlog.Stopped, zap.Int64("in_flight", d.gateway.InFlight()), zap.Error(err))
+	d.log.Info(eventlog.Stopped, zap.Int64("in_flight", d.gateway.InFlight()), zap.Int64("unwritten", d.responses.Unwritten()), zap.Error(err))
 	return err
 }
 
