Answers that wait for slow callers are limited in memory

Callers of a daemon that exceeds its memory lose all their requests with it; the review saw peaks above the limit with large answers to slow callers. Cause: an answer waits in memory until its caller has received it, without a bound on the sum. Change: a request reserves the expected size of its answer in a quarter of the process's memory (limit.AnswerBuffer) before it is accepted, and is refused as overloaded, not run, with a time to return, if there is no room.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,6 +23,7 @@
 	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/internal/dispatch"
+	"github.com/chivemill/chivemill/limit"
 	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/reach"
 	"github.com/chivemill/chivemill/routing"
@@ -82,6 +84,18 @@
 	Err *api.Error
 }
 
+// bodyBytes returns the size of the body of an answer, 0 for an error.
+func (r Reply) bodyBytes() int64 {
+	switch {
+	case r.Answer != nil:
+		return int64(len(r.Answer.Body))
+	case r.Query != nil:
+		return int64(len(r.Query.Records))
+	default:
+		return 0
+	}
+}
+
 // QueryAnswer is the merged answer of a query.
 type QueryAnswer struct {
 	// Records is the body: the greatest records of the included shards.
@@ -139,6 +153,19 @@
 	Self             delegation.Self
 	DelegationClient DelegationClient
 	Seed             uint64
+	// MemoryBytes is the memory limit of the process; 0 for none. A fraction of it limits the answers that wait for their callers.
+	MemoryBytes int64
+}
+
+// answerMemoryFraction is the fraction of the process's memory for answers that wait until their callers have received them.
+const answerMemoryFraction = 0.25
+
+// newAnswerBuffer returns the buffer for a process with the memory limit, which may be 0 for none.
+func newAnswerBuffer(memoryBytes int64) *limit.AnswerBuffer {
+	if memoryBytes == 0 {
+		return limit.NewAnswerBuffer(math.MaxInt64)
+	}
+	return limit.NewAnswerBuffer(int64(answerMemoryFraction * float64(memoryBytes)))
 }
 
 // Gateway answers requests. It is safe for concurrent use.
@@ -158,6 +185,9 @@
 	// successes counts the requests without errors, of which only a sample is logged.
 	successes atomic.Uint64
 
+	// answers limits the answers that wait for their callers.
+	answers *limit.AnswerBuffer
+
 	inFlight atomic.Int64
 	// delegatedInFlight is the number of queries of other daemons in flight.
 	delegatedInFlight atomic.Int64
@@ -186,7 +216,7 @@
 	meter metric.Meter, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{
 		opts: opts, directory: directory, balancer: b, sender: sender, random: random, log: log, budgets: make(map[string]*budget),
-		shares: newShares(topology.View{}, opts.Self),
+		shares: newShares(topology.View{}, opts.Self), answers: newAnswerBuffer(opts.MemoryBytes),
 	}
 	g.reach = reach.NewTracker(time.Now())
 	g.helpers = delegation.NewPool(opts.Self, opts.Seed)
@@ -299,6 +329,20 @@
 	return view.Table.Config().Limits, true
 }
 
+// ServeCaller answers a request that came directly from a caller, as Serve does. It refuses the request if its answer would probably not
+// fit into the memory for answers that wait for their callers. written must be called once the reply has been written or dropped.
+func (g *Gateway) ServeCaller(ctx context.Context, request *Request) (reply Reply, written func()) {
+	reservation, ok := g.answers.Reserve()
+	if !ok {
+		reply = errorReply(api.Overloaded, g.overloadRetryAfter(), "answers that wait for their callers use the memory for them")
+		g.report(ctx, request, reply, nil)
+		return reply, func() {}
+	}
+	reply = g.Serve(ctx, request)
+	reservation.Resize(reply.bodyBytes())
+	return reply, reservation.Release
+}
+
 // Serve answers a request. The end of ctx means that the caller disconnected.
 func (g *Gateway) Serve(ctx context.Context, request *Request) Reply {
 	view, _ := g.directory.View()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -125,6 +125,8 @@
 	}
 	type observer = func(v float64, attrs ...attribute.KeyValue)
 	gauge("chivemill_in_flight", "Callers' requests in flight.", func(_ time.Time, observe observer) { observe(float64(g.InFlight())) })
+	gauge("chivemill_answer_buffer_bytes", "Bytes of answers that wait until their callers have received them, with the room reserved for those to come.",
+		func(_ time.Time, observe observer) { observe(float64(g.answers.Used())) })
 	gauge("chivemill_ready", "1 while the daemon takes requests.", func(_ time.Time, observe observer) {
 		if g.Ready() {
 			observe(1)
