--- a/entry/connection_shares.go
+++ b/entry/connection_shares.go
@@ -43,7 +43,9 @@
 		p.shareTracker.StartJoinDelay(now)
 	}
 	p.shareTracker.Update(now, live, listed)
-	p.shareSet = share.NewSet(p.shareTracker.Members())
+	members := p.shareTracker.Members()
+	p.shareSet = share.NewSet(members)
+	p.onFleetSize(len(members))
 }
 
 // ownShare returns the number of connections that this daemon may hold to a replica, out of the limit of all daemons.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -61,6 +61,8 @@
 	limitFor      func(replica string) int
 	// onSignal is called for each new signal that another daemon raised.
 	onSignal func(s signal.Signal)
+	// onFleetSize is called with the number of daemons at intervals.
+	onFleetSize func(daemons int)
 	// onCrashNotice is called for each new crash fingerprint that another daemon published.
 	onCrashNotice func(n quarantine.Notice)
 
@@ -93,6 +95,7 @@
 			d.registry.MarkLeaving(s.Replica, int64(s.Incarnation))
 		}
 	}
+	p.onFleetSize = func(daemons int) { d.guard.SetFleet(cfg.Node, daemons) }
 	p.onCrashNotice = func(n quarantine.Notice) { d.guard.AddRemoteNotice(n) }
 	direct := directSender{d}
 	p.router = relay.NewRouter(p, direct, p.client)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -270,6 +270,7 @@
 	now := time.Now()
 	g.balancer.SetConnectionShares(s.connections)
 	g.balancer.SetRequestShares(s.requestFraction, now)
+	g.quarantine.SetFleet(g.opts.Node, s.daemons)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.shares = s
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -11,7 +11,8 @@
 // those that other daemons have observed, until a replica of the service answers one of them.
 //
 // After the quarantine, a request is half-open: it makes one attempt at a time until a replica answers it. The same holds for
-// a request of which it cannot be told whether it or another one crashed the replicas that executed both.
+// a request of which it cannot be told whether it or another one crashed the replicas that executed both. After a quarantine, a daemon
+// also admits one such request at a time, and the daemons begin with that one after the other.
 package quarantine
 
 import (
@@ -79,7 +80,14 @@
 	mu sync.Mutex
 	// The maps below have fingerprints as keys. The values of notices are the times at which the quarantine ends. A request is
 	// half-open for the expiry from then on.
-	notices     map[string]time.Time
+	notices map[string]time.Time
+	// wasQuarantined has the fingerprints of notices whose requests were refused, trials the only run of each of them that is admitted
+	// while it is half-open.
+	wasQuarantined map[string]bool
+	trials         map[string]*Run
+	// node is the name of this daemon, daemons their number.
+	node        string
+	daemons     int
 	running     map[string]map[*Run]bool
 	orderLosses map[string][]connectionLoss
 	// answered holds the time of the last answer.
@@ -99,12 +107,14 @@
 	}
 	return &Guard{
 		rule: rule, expiry: expiry, publisher: publisher, clock: clock,
-		notices:     make(map[string]time.Time),
-		running:     make(map[string]map[*Run]bool),
-		orderLosses: make(map[string][]connectionLoss),
-		answered:    make(map[string]time.Time),
-		tally:       tally{rule: rule, losses: make(map[lossKey][]connectionLoss)},
-		shared:      sharedLosses{byReplica: make(map[string]crash)},
+		notices:        make(map[string]time.Time),
+		wasQuarantined: make(map[string]bool),
+		trials:         make(map[string]*Run),
+		running:        make(map[string]map[*Run]bool),
+		orderLosses:    make(map[string][]connectionLoss),
+		answered:       make(map[string]time.Time),
+		tally:          tally{rule: rule, losses: make(map[lossKey][]connectionLoss)},
+		shared:         sharedLosses{byReplica: make(map[string]crash)},
 	}
 }
 
@@ -123,6 +133,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	until, isKnown := g.notices[fingerprint]
+	isTrial := isKnown && g.wasQuarantined[fingerprint]
+	if isTrial {
+		until = until.Add(g.trialDelay(fingerprint))
+	}
 	remaining := until.Sub(g.clock.Now())
 	switch {
 	case !isKnown:
@@ -131,14 +145,21 @@
 		err.RetryAfter = remaining
 		return ctx, nil, err
 	case remaining < -g.expiry:
-		delete(g.notices, fingerprint)
-		isKnown = false
+		g.removeNotice(fingerprint)
+		isKnown, isTrial = false, false
+	case isTrial && g.trials[fingerprint] != nil:
+		err := api.Errorf(api.Quarantined, "this request crashed backend servers; another one like it is being tried")
+		err.RetryAfter = trialRetryAfter()
+		return ctx, nil, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	run := &Run{guard: g, fingerprint: fingerprint, kind: kind, ctx: ctx, cancel: cancel}
 	if isKnown {
 		run.halfOpen = newHalfOpenGate()
 	}
+	if isTrial {
+		g.trials[fingerprint] = run
+	}
 	if g.running[fingerprint] == nil {
 		g.running[fingerprint] = make(map[*Run]bool)
 	}
@@ -239,6 +260,7 @@
 	}
 	if n.Until.After(until) {
 		g.notices[n.Fingerprint] = n.Until
+		g.wasQuarantined[n.Fingerprint] = true
 	}
 	for run := range g.running[n.Fingerprint] {
 		run.cancel(ErrQuarantined)
@@ -254,7 +276,14 @@
 			earliest = fingerprint
 		}
 	}
-	delete(g.notices, earliest)
+	g.removeNotice(earliest)
+}
+
+// removeNotice removes a notice. The caller must hold the lock.
+func (g *Guard) removeNotice(fingerprint string) {
+	delete(g.notices, fingerprint)
+	delete(g.wasQuarantined, fingerprint)
+	delete(g.trials, fingerprint)
 }
 
 // Notices returns the fingerprints in quarantine, for status pages and for daemons that join.
--- a/quarantine/halfopen.go
+++ b/quarantine/halfopen.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // halfOpenGate lets a request whose quarantine has expired make one attempt at a time until a replica answers it, so that one that
@@ -55,8 +59,38 @@
 	r.halfOpen.isEnded = true
 	close(r.halfOpen.ended)
 	if until, ok := r.guard.notices[r.fingerprint]; ok && !r.guard.clock.Now().Before(until) {
-		delete(r.guard.notices, r.fingerprint)
+		r.guard.removeNotice(r.fingerprint)
+	}
+}
+
+// trialInterval is the time in which the number of daemons doubles that admit a request after its quarantine. A notice reaches all daemons
+// in a fraction of it, so that few of them admit one that still crashes replicas.
+const trialInterval = 3 * time.Second
+
+// SetFleet sets the name of this daemon and the number of daemons, which decide when this one admits a request after its quarantine.
+func (g *Guard) SetFleet(node string, daemons int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node, g.daemons = node, daemons
+}
+
+// trialDelay returns how long after the end of its quarantine this daemon refuses a request. The daemons take positions from 0 to their
+// number at random, though each always the same for a fingerprint. The caller must hold the lock.
+func (g *Guard) trialDelay(fingerprint string) time.Duration {
+	if g.daemons <= 1 {
+		return 0
 	}
+	hash := xxhash.Sum64String(g.node + "\x00" + fingerprint)
+	position := float64(hash) / math.MaxUint64 * float64(g.daemons)
+	return time.Duration(math.Log2(1+position) * float64(trialInterval))
+}
+
+// meanTrialRetryAfter is the mean Retry-After while another request with the fingerprint is being tried.
+const meanTrialRetryAfter = time.Second
+
+// trialRetryAfter returns a Retry-After between half and one and a half times the mean, so that callers do not return together.
+func trialRetryAfter() time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(meanTrialRetryAfter))
 }
 
 // firstExpiry returns how long a fingerprint is quarantined for the first time.
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -105,6 +105,9 @@
 	if len(g.running[r.fingerprint]) == 0 {
 		delete(g.running, r.fingerprint)
 	}
+	if g.trials[r.fingerprint] == r {
+		delete(g.trials, r.fingerprint)
+	}
 	r.isDone = true
 	g.mu.Unlock()
 	r.cancel(nil)
