Answers to other callers do not clear a request that crashes replicas (BUDGET)

Cause: the fingerprint did not include the caller, so that each answer to another one wiped the losses and cleared the suspicion. Now a second guard holds the requests of each caller alone, by account, credentials and cookies; either guard refuses a request.

--- a/gateway/crashing_request_test.go
+++ b/gateway/crashing_request_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -75,7 +76,7 @@
 		for range 5 {
 			must.NotEq(t, api.Quarantined, g.Serve(context.Background(), newRequest("/q/1")).Err.Kind)
 		}
-		must.SliceEmpty(t, g.quarantine.Notices())
+		must.SliceEmpty(t, g.Notices())
 	})
 }
 
@@ -118,8 +119,7 @@
 	for i := range n {
 		g, f := newGateway(t)
 		link := gatewayLink{func() []*Gateway { return append(slices.Clone(gateways[:i]), gateways[i+1:]...) }}
-		g.quarantine = quarantine.NewGuard(quarantine.DefaultRule(), quarantineDuration, link, nil)
-		g.quarantine.SetObservationPublisher(link)
+		g.quarantines = newQuarantines(quarantine.DefaultRule(), quarantineDuration, link, link)
 		gateways, senders = append(gateways, g), append(senders, f)
 	}
 	return gateways, senders
@@ -221,7 +221,7 @@
 			links := &fakeLinks{}
 			links.cutOff.Store(cutOff)
 			g.opts.Links = links
-			g.quarantine.SetConfirmation(g.reachesReplicas)
+			g.quarantines.byRequest.SetConfirmation(g.reachesReplicas)
 			f.crashAll()
 			for _, path := range []string{"/q/1", "/r/1"} {
 				g.Serve(context.Background(), newRequest(path))
@@ -241,3 +241,45 @@
 		})
 	}
 }
+
+// TestCrashingCallerIsQuarantinedBesideSoundOnes guards replicas against a request that crashes them for one caller only, which comes again
+// while others are answered on the same path: their answers must not clear it, and they must not be refused with it (BUDGET).
+func TestCrashingCallerIsQuarantinedBesideSoundOnes(t *testing.T) {
+	for _, path := range []string{"/q/1", "/r/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			gateways, senders := newLinkedGateways(t, 6)
+			for _, f := range senders {
+				f.crashCookie = "caller=17"
+			}
+			sent := func(cookie string, i int) Reply {
+				request := newRequest(path)
+				request.Header = http.Header{"Cookie": {cookie}}
+				return gateways[i%len(gateways)].Serve(context.Background(), request)
+			}
+			crashes := func() (n int) {
+				for _, f := range senders {
+					n += f.crashes()
+				}
+				return n
+			}
+			served, sound, late := 0, 0, 0
+			for i := range 40 {
+				for k := range 10 {
+					sound++
+					if sent(fmt.Sprint("caller=", k), i+k).Err == nil {
+						served++
+					}
+					testseed.Sleep(20 * time.Millisecond)
+				}
+				before := crashes()
+				sent("caller=17", i)
+				if crashes() > before && before >= 3 {
+					late++
+				}
+			}
+			t.Logf("RESULT %s: %d crashes, %d late sends, %d of %d sound requests served", path, crashes(), late, served, sound)
+			must.LessEq(t, 3, late)
+			must.GreaterEq(t, sound*99/100, served)
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,12 +7,10 @@
 	"errors"
 	"math"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
@@ -170,16 +168,16 @@
 
 // Gateway answers requests. It is safe for concurrent use.
 type Gateway struct {
-	opts       Options
-	directory  *topology.Directory
-	balancer   *balancer.Balancer
-	sender     Sender
-	log        *zap.Logger
-	random     func() float64
-	quarantine *quarantine.Guard
-	metrics    *instruments
-	reach      *reach.Tracker
-	isolation  isolationWatch
+	opts        Options
+	directory   *topology.Directory
+	balancer    *balancer.Balancer
+	sender      Sender
+	log         *zap.Logger
+	random      func() float64
+	quarantines quarantines
+	metrics     *instruments
+	reach       *reach.Tracker
+	isolation   isolationWatch
 	// confirmations shares the probes of requests that lose connections at the same time.
 	confirmations singleflight.Group
 	// successes counts the requests without errors, of which only a sample is logged.
@@ -222,10 +220,9 @@
 	g.helpers = delegation.NewPool(opts.Self, opts.Seed)
 	rule := quarantine.DefaultRule()
 	rule.FirstExpiry = quarantineDuration
-	g.quarantine = quarantine.NewGuard(rule, quarantine.DefaultExpiry, opts.Publisher, nil)
-	g.quarantine.SetObservationPublisher(opts.ObservationPublisher)
+	g.quarantines = newQuarantines(rule, quarantine.DefaultExpiry, opts.Publisher, opts.ObservationPublisher)
 	if opts.Links != nil {
-		g.quarantine.SetConfirmation(g.reachesReplicas)
+		g.quarantines.each(func(guard *quarantine.Guard) { guard.SetConfirmation(g.reachesReplicas) })
 	}
 	g.requestsCtx, g.cancelRequests = context.WithCancel(context.Background())
 	var err error
@@ -270,7 +267,7 @@
 	now := time.Now()
 	g.balancer.SetConnectionShares(s.connections)
 	g.balancer.SetRequestShares(s.requestFraction, now)
-	g.quarantine.SetFleet(g.opts.Node, s.daemons)
+	g.quarantines.each(func(guard *quarantine.Guard) { guard.SetFleet(g.opts.Node, s.daemons) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.shares = s
@@ -404,24 +401,28 @@
 	if route.IsQuery() {
 		kind = quarantine.Search
 	}
-	ctx, quarantineRun, err := g.quarantine.Admit(ctx, fingerprint(request), kind)
+	ctx, quarantineRun, err := g.quarantines.admit(ctx, request, kind)
 	if err != nil {
 		return quarantinedReply(err), nil
 	}
 	defer func() {
 		quarantineRun.Done()
-		g.reportLosses(request, quarantineRun.Summary())
+		for _, summary := range quarantineRun.Summaries() {
+			g.reportLosses(request, summary)
+		}
 	}()
 	r := &run{gateway: g, request: request, route: route, regions: regions, view: &view, gate: gate, quarantineRun: quarantineRun}
 	return r.serveOrPassOn(ctx)
 }
 
 // Notices returns the notices of requests that crash replicas that are in force.
-func (g *Gateway) Notices() []quarantine.Notice { return g.quarantine.Notices() }
+func (g *Gateway) Notices() []quarantine.Notice {
+	return append(g.quarantines.byRequest.Notices(), g.quarantines.byCaller.Notices()...)
+}
 
 // AddRemoteNotice adds a request that crashed replicas, as reported by another daemon.
 func (g *Gateway) AddRemoteNotice(notice quarantine.Notice) {
-	if g.quarantine.AddRemoteNotice(notice) {
+	if g.quarantines.guardOf(notice.Fingerprint).AddRemoteNotice(notice) {
 		g.log.Info(eventlog.RequestCrashing, zap.String("fingerprint", notice.Fingerprint), zap.Time("until", notice.Until),
 			zap.String("from", "another daemon"))
 	}
@@ -439,20 +440,9 @@
 
 // AddRemoteObservations adds what other daemons have observed of requests that may crash replicas.
 func (g *Gateway) AddRemoteObservations(observations []quarantine.Observation) {
-	g.quarantine.AddObservations(observations)
-}
-
-// fingerprint identifies equivalent requests: one that crashes replicas is usually sent again with the same path and
-// body.
-func fingerprint(request *Request) string {
-	// Writes to this hash never fail.
-	h := xxhash.New()
-	for _, part := range []string{request.Method, request.Host, request.Target} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
+	for _, o := range observations {
+		g.quarantines.guardOf(o.Fingerprint).AddObservations([]quarantine.Observation{o})
 	}
-	_, _ = h.Write(request.Body)
-	return strconv.FormatUint(h.Sum64(), 16)
 }
 
 func errorReply(kind api.Kind, retryAfter time.Duration, message string) Reply {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,6 +31,16 @@
 	timeLeft  []time.Duration
 	// connect, if set, is called before a request is sent; its error ends the attempt.
 	connect func(ctx context.Context) error
+	// crashCookie is the cookie of a caller whose requests crash each replica, crashed the number of these crashes.
+	crashCookie string
+	crashed     int
+}
+
+// crashes returns the number of crashes by crashCookie.
+func (f *fakeSender) crashes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashed
 }
 
 func (f *fakeSender) Send(ctx context.Context, r balancer.Choice, request *Request, limits AnswerLimits, dispatch func() bool) (Answer, error) {
@@ -47,6 +57,10 @@
 	f.accounts = append(f.accounts, request.Account)
 	f.timeLeft = append(f.timeLeft, limits.TimeLeft)
 	respond := f.responses[r.ID]
+	if f.crashCookie != "" && request.Header.Get("Cookie") == f.crashCookie {
+		f.crashed++
+		respond = crash
+	}
 	f.mu.Unlock()
 	return respond(ctx)
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -22,7 +22,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			g, sender := newGateway(t)
 			var notices []quarantine.Notice
-			g.quarantine = quarantine.NewGuard(quarantine.DefaultRule(), quarantineDuration,
+			g.quarantines = newQuarantines(quarantine.DefaultRule(), quarantineDuration,
 				publisherFunc(func(n quarantine.Notice) { notices = append(notices, n) }), nil)
 			for id := range sender.responses {
 				sender.responses[id] = respondAfter(3*time.Millisecond, Answer{}, failWith(backend.ConnectionLost))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -15,7 +15,6 @@
 	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/hedge"
 	"github.com/chivemill/chivemill/internal/dispatch"
-	"github.com/chivemill/chivemill/quarantine"
 	"github.com/chivemill/chivemill/residency"
 	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/scatter"
@@ -55,7 +54,7 @@
 	// regions are those in which the request may be served.
 	regions       residency.Regions
 	view          *topology.View
-	quarantineRun *quarantine.Run
+	quarantineRun *quarantineRun
 	plan          scatter.Plan
 	// groups holds the delegated shards by helper, groupByShard the group of each of these shards, shardIndexes the
 	// index of each service in the plan.
