A caller that has its answer does not count as one that left

Seen in logs of a process test: 'attempt withheld' for hedges that were still ending after an answer. net/http ends the context of a request when its handler returns, and the gate took that for a caller that leaves. Release now ends the watch of the caller. No request was affected, only the event and chivemill_sub_requests_withheld. Failed before: TestServedCallerHasNotLeft.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -35,9 +35,14 @@
 	return g, ctx
 }
 
-// Release ends the context of the attempts and the watch of the caller.
+// Release ends the context of the attempts and the watch of the caller. A server ends the context of a caller that has its answer, which
+// does not count as leaving.
 func (g *Gate) Release() {
 	g.stop()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.checkCaller()
+	g.closed, g.callerEnded = true, true
 	g.cancel()
 }
 
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -51,6 +51,19 @@
 	}
 }
 
+// TestServedCallerHasNotLeft guards the count of withheld attempts: a server ends the context of a caller that has its answer, while slower
+// attempts are still ending.
+func TestServedCallerHasNotLeft(t *testing.T) {
+	caller, end := context.WithCancel(t.Context())
+	g, ctx := NewGate(t.Context(), caller)
+	g.Release()
+	end()
+	must.False(t, g.Begin())
+	_, left := g.CallerLeft()
+	must.False(t, left)
+	must.Error(t, ctx.Err())
+}
+
 // TestAttemptsEndWithCaller guards replicas against requests whose callers have left, and requests that a replica may be executing
 // against being aborted, in any order of events: nothing begins once the caller has left, and the attempts end exactly when the caller
 // has left and no replica may be executing one.
