Replicas that say in their responses that they leave get no new work (DRAIN)

Now a response with it marks that start of the replica as leaving: used as the last resort within the draining grace, as one with a draining entry, and not at all after it. The mark ends with the next start only. Daemons that had the response tell all regions each second, in the updates of request limits.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -139,6 +139,9 @@
 	failedAt    time.Time
 	pausedUntil time.Time
 	removed     bool
+	// leavingSince is when the replica first stated that it leaves, zero if it has not. It holds as long as the replica is not
+	// started again. leavingSentAt is when this daemon last told the others.
+	leavingSince, leavingSentAt time.Time
 
 	// answeredAt is the time of the last valid response to this daemon.
 	answeredAt time.Time
@@ -154,7 +157,8 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	shareOf func(Server) ConnectionShare
-	// drainingGrace is how long after LastReadyAt a draining replica may still get new work.
+	// drainingGrace is how long after LastReadyAt a draining replica may still get new work, and one that states that it leaves after
+	// its first such statement.
 	drainingGrace time.Duration
 	replicas      map[string]*replica
 	services      map[string][]*replica
@@ -168,6 +172,8 @@
 	respondedAt time.Time
 	// limitUpdates lists the replicas whose request limit has to be sent to the other daemons.
 	limitUpdates []*replica
+	// leaving lists the replicas that have stated to this daemon that they leave.
+	leaving []*replica
 	// evacuated holds the data centres whose replicas get no requests.
 	evacuated map[string]bool
 	// requestFractionOf returns this daemon's part of a replica's request limit.
@@ -349,7 +355,7 @@
 	if now.Before(r.warmupUntil) {
 		work *= warmupCostFactor
 	}
-	if r.State == Draining {
+	if r.State == Draining || !r.leavingSince.IsZero() {
 		work *= drainingCostFactor
 	}
 	// Load below the number of slots also adds a small cost, so that equally fast replicas share the work.
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -54,5 +54,8 @@
 // hasConnection reports whether the replica accepts work and this daemon has a free connection for it.
 func (b *Balancer) hasConnection(r *replica, now time.Time) bool {
 	acceptsWork := r.State == Ready || !r.LastReadyAt.IsZero() && now.Sub(r.LastReadyAt) < b.drainingGrace
+	if !r.leavingSince.IsZero() && now.Sub(r.leavingSince) >= b.drainingGrace {
+		acceptsWork = false
+	}
 	return acceptsWork && !r.removed && !b.evacuated[r.DataCentre] && len(r.inFlight) < r.share.MaxConnections
 }
--- a/balancer/requestlimit.go
+++ b/balancer/requestlimit.go
@@ -56,8 +56,8 @@
 	Attempts int
 }
 
-// LimitUpdate is a replica's request limit as exchanged between daemons: all of them have to keep to it from the first
-// response that names it.
+// LimitUpdate is what a replica states of the work that it takes, as exchanged between daemons: its request limit, or that it leaves. All
+// of them have to keep to it from the first response that states it.
 type LimitUpdate struct {
 	Replica string `json:"r"`
 	// StartedAtMs identifies the start of the replica that named the limit.
@@ -65,6 +65,8 @@
 	// Rate is the limit in requests a second. Ended is set, and Rate is 0, if the replica no longer names one.
 	Rate  float64 `json:"q,omitempty"`
 	Ended bool    `json:"e,omitempty"`
+	// Leaving is set if the replica leaves. The update then says nothing of a limit, and daemons of earlier versions ignore it.
+	Leaving bool `json:"l,omitempty"`
 }
 
 // requestLimit is the request limit of a replica.
@@ -207,7 +209,7 @@
 func (b *Balancer) TakeLimitUpdates(now time.Time) []LimitUpdate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var all []LimitUpdate
+	all := b.takeLeavingUpdates(now)
 	for _, r := range b.limitUpdates {
 		r.limit.sharedAt = now
 		all = append(all, LimitUpdate{Replica: r.ID, StartedAtMs: r.StartedAtMs, Rate: r.limit.rate, Ended: r.limit.rate == 0})
@@ -225,6 +227,9 @@
 	var events []LimitEvent
 	for _, u := range updates {
 		r := b.replicas[u.Replica]
+		if r != nil && r.StartedAtMs == u.StartedAtMs && u.Leaving && r.leavingSince.IsZero() {
+			r.leavingSince = now
+		}
 		if r == nil || r.StartedAtMs != u.StartedAtMs || !u.Ended && !(u.Rate > 0 && !math.IsInf(u.Rate, 0)) {
 			continue
 		}
--- a/balancer/status.go
+++ b/balancer/status.go
@@ -12,6 +12,8 @@
 	Refused  float64
 	Paused   bool
 	Removed  bool
+	// Leaving is set if the replica has stated that it leaves.
+	Leaving bool
 }
 
 // Conditions returns all possible results of Status.Condition.
@@ -31,7 +33,7 @@
 	switch {
 	case s.Removed:
 		return "gone"
-	case s.State == Draining:
+	case s.State == Draining, s.Leaving:
 		return "draining"
 	case s.Paused:
 		return "paused"
@@ -53,6 +55,7 @@
 		all = append(all, Status{
 			Server: r.Server, InFlight: len(r.inFlight), Slowness: r.slownessAt(now), Refused: r.refusalRateAt(now),
 			Paused: now.Before(r.pausedUntil), Removed: r.removed,
+			Leaving: !r.leavingSince.IsZero(),
 		})
 	}
 	return all
--- a/edge/replica_reports.go
+++ b/edge/replica_reports.go
@@ -24,6 +24,13 @@
 	r.gateway.ReportOpen(id, err, now)
 }
 
+// ReportLeaving implements platform.ReplicaReports.
+func (r *replicaReports) ReportLeaving(id string, startedAtMs int64, now time.Time) {
+	if r.Balancer.ReportLeaving(id, startedAtMs, now) {
+		r.log.Info(eventlog.ReplicaLeaving, zap.String("replica", id))
+	}
+}
+
 // ReportLimit implements platform.ReplicaReports.
 func (r *replicaReports) ReportLimit(id string, report balancer.LimitReport, now time.Time) {
 	if report.Statement == balancer.LimitUnreadable {
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -33,6 +33,7 @@
 	ReplicaPaused         = "replica paused"
 	ReplicaRecovered      = "replica recovered"
 	ReplicaGone           = "replica gone"
+	ReplicaLeaving        = "replica leaving"
 	ReplicaHealthReceived = "replica health heard"
 	// ReplicaLimited reports a replica's request limit when it is named, changes or ends, and once a second in between.
 	ReplicaLimited       = "replica request limit"
