--- a/backend/endless_response_test.go
+++ b/backend/endless_response_test.go
@@ -1,11 +1,8 @@
 package backend_test
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -15,35 +12,9 @@
 
 	"github.com/chivemill/chivemill/backend"
 	"github.com/chivemill/chivemill/internal/boundedread"
-	"github.com/chivemill/chivemill/internal/heapwatch"
+	"github.com/chivemill/chivemill/internal/endless"
 )
 
-// serveEndlessly answers each request with start and then repeats chunk until the client closes the connection.
-func serveEndlessly(t *testing.T, start, chunk string) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, start)
-				for err == nil {
-					_, err = io.WriteString(conn, chunk)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // TestEndlessResponsesAreBoundedInMemory guards a daemon against backend servers that send bytes without end: sub-requests, health
 // checks, load reports and shard maps of 42 servers at once use less than a third of 184 MB.
 func TestEndlessResponsesAreBoundedInMemory(t *testing.T) {
@@ -73,9 +44,9 @@
 	for name, call := range calls {
 		for part, start := range map[string]string{"header": "HTTP/1.1 200 OK\r\nX-Fill: ", "body": "HTTP/1.1 200 OK\r\n\r\n\""} {
 			t.Run(name+" "+part, func(t *testing.T) {
-				address := serveEndlessly(t, start, strings.Repeat("a", 32<<10))
+				address := endless.Server{Start: start, Chunk: strings.Repeat("a", 32<<10)}.Serve(t)
 				memory := boundedread.NewMemoryLimit(backend.DefaultBodyMemoryBytes)
-				growth := heapwatch.Growth(func() {
+				growth := endless.Growth(func() {
 					var wg sync.WaitGroup
 					for range servers {
 						wg.Go(func() {
--- a/delegation/endless_response_test.go
+++ b/delegation/endless_response_test.go
@@ -1,12 +1,8 @@
 package delegation
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -14,44 +10,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/chivemill/chivemill/internal/heapwatch"
+	"github.com/chivemill/chivemill/internal/endless"
 )
 
-// serveEndlessly accepts queries, sends start and then repeats chunk until the client closes the connection. Each address of the result
-// is one helper.
-func serveEndlessly(t *testing.T, start, chunk string) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if _, err := io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, req.Body); err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, start)
-				for err == nil && chunk != "" {
-					_, err = io.WriteString(conn, chunk)
-				}
-				_, _ = io.Copy(io.Discard, conn)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // testMemory is the memory limit of the processes in these tests in bytes.
 const testMemory = 284 << 20
 
@@ -78,9 +39,9 @@
 		"no HTTP at all": {endlessChunk, endlessChunk},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := serveEndlessly(t, write.start, write.chunk)
+			address := endless.Server{Continue: true, Start: write.start, Chunk: write.chunk}.Serve(t)
 			c := NewClient(memory)
-			growth := heapwatch.Growth(func() {
+			growth := endless.Growth(func() {
 				var wg sync.WaitGroup
 				for i := range exchanges {
 					wg.Go(func() {
@@ -102,7 +63,7 @@
 func TestBytesAfterLastPartDoNotDelay(t *testing.T) {
 	for name, chunk := range map[string]string{"endless": endlessChunk, "silent": ""} {
 		t.Run(name, func(t *testing.T) {
-			address := serveEndlessly(t, responseStart+"{\"last\":true}\n", chunk)
+			address := endless.Server{Continue: true, Start: responseStart + "{\"last\":true}\n", Chunk: chunk}.Serve(t)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
 			begin, received := time.Now(), false
--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -95,6 +95,26 @@
 	})
 }
 
+// TestQuickRefusalBlamesNoReplica guards replicas against being taken for broken when a helper refuses a query before its first attempts
+// are picked: these then go to the preferred replicas, and none of them is paused. The order of the goroutines is drawn by the runtime.
+func TestQuickRefusalBlamesNoReplica(t *testing.T) {
+	for range 1000 {
+		synctest.Test(t, func(t *testing.T) {
+			g, sender, f := newDelegatingGateway(t)
+			f.respond = func(context.Context, delegation.Query, time.Duration, func(delegation.PartialAnswer)) error {
+				return delegation.ErrIsolated
+			}
+			must.Nil(t, g.Serve(t.Context(), newRequest("/q/x")).Err)
+			for _, id := range sender.sentTo() {
+				must.StrHasSuffix(t, "-0", id)
+			}
+			for _, s := range g.balancer.Statuses(time.Now()) {
+				must.False(t, s.Paused, must.Sprint(s.ID))
+			}
+		})
+	}
+}
+
 // TestLostReplicasDoNotIsolate guards callers against a daemon that takes the loss of most replicas for a partition of its own.
 func TestLostReplicasDoNotIsolate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -341,7 +341,8 @@
 				Cause: r.gateway.recordPanic(p, panicInAttempt, r.request.ID)}
 		}
 	}()
-	if sg := r.groupByShard[a.Shard]; sg != nil && a.Attempt == 0 {
+	// The helper may have refused before the first attempt was picked, which is then one at a replica.
+	if sg := r.groupByShard[a.Shard]; sg != nil && a.Replica == sg.Address {
 		p, err := sg.waitForPart(ctx, a.Shard)
 		return func() { r.addPart(p) }, err
 	}
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -31,7 +31,7 @@
 func NewGate(ctx, caller context.Context) (*Gate, context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	g := &Gate{caller: caller, cancel: cancel}
-	g.stop = context.AfterFunc(caller, func() { g.IsClosed() })
+	g.stop = context.AfterFunc(caller, g.onCallerEnd)
 	return g, ctx
 }
 
@@ -46,6 +46,13 @@
 	g.cancel()
 }
 
+// onCallerEnd is called once the context of the caller has ended.
+func (g *Gate) onCallerEnd() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.checkCaller()
+}
+
 // checkCaller applies the end of the caller's context. The caller holds the lock.
 func (g *Gate) checkCaller() {
 	err := g.caller.Err()
--- a/internal/heapwatch/heapwatch.go
+++ b/internal/endless/growth.go
@@ -1,5 +1,5 @@
-// Package heapwatch measures the memory that a piece of code needs, for tests.
-package heapwatch
+// Package endless has a server that sends bytes without end and measures the memory that reading them needs, for tests.
+package endless
 
 import (
 	"runtime"
--- a/kv/etcdjson/endless_watch_test.go
+++ b/kv/etcdjson/endless_watch_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/chivemill/chivemill/internal/heapwatch"
+	"github.com/chivemill/chivemill/internal/endless"
 	"github.com/chivemill/chivemill/kv"
 )
 
@@ -31,7 +31,7 @@
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	growth := heapwatch.Growth(func() { err = client.Watch(ctx, "p/", 1, func(kv.WatchBatch) {}) })
+	growth := endless.Growth(func() { err = client.Watch(ctx, "p/", 1, func(kv.WatchBatch) {}) })
 	t.Logf("RESULT growth %d MB, %v", growth>>20, err)
 	must.ErrorIs(t, err, kv.ErrUnavailable)
 	must.Less(t, maxGrowth, int(growth))
