A test of trials after a quarantine has no data race

The race detector found that two goroutines of TestFewTrialsAfterQuarantine shared a counter. The product code has no race in this run; the test passes under the race detector now.

--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -66,8 +66,9 @@
 					_, run, err := fleet[rng.IntN(daemons)].Admit(context.Background(), fingerprint, quarantine.Order)
 					if err == nil {
 						admitted++
+						replica := fmt.Sprint("replica-", admitted)
 						time.AfterFunc(crashTime, func() {
-							run.ConnectionLost("s", fmt.Sprint("replica-", admitted), time.Now())
+							run.ConnectionLost("s", replica, time.Now())
 							run.Done()
 						})
 					}
