--- a/review/second/review-frozen-reader/main.go
+++ b/review/second/review-frozen-reader/main.go
@@ -20,8 +20,8 @@
 	shards = 4
 	// frozenFor is how long the machine stands still; the site's dose is 3.5 s.
 	frozenFor = 2700 * time.Millisecond
-	// drainMs is the bound DrainMs of the settings.
-	drainMs = 3000 * time.Millisecond
+	// drainTime is the bound DrainMs of the settings.
+	drainTime = 3000 * time.Millisecond
 	// rounds is the number of freezes, each with another replica that leaves.
 	rounds = 3
 )
@@ -172,7 +172,7 @@
 				continue
 			}
 			total++
-			if a.At.Sub(acceptedAt) > drainMs && s.at.Sub(acceptedAt) > drainMs {
+			if a.At.Sub(acceptedAt) > drainTime && s.at.Sub(acceptedAt) > drainTime {
 				late++
 				record.Line("DRAIN: %s, which a client sent to %s %d ms after the store had accepted that %s leaves, reaches it %d ms after that", a.ID, s.daemon.Name,
 					s.at.Sub(acceptedAt).Milliseconds(), leaving.ID, a.At.Sub(acceptedAt).Milliseconds())
