Log names of replicas that a list removes, keeps or brings back

The line "replica list changed" has counts only, so a late request could not be traced to the list that named its replica. It now names the replicas that were removed, kept and brought back (at most 8 each), the age of the list and the time since the previous one. No logic changes.

--- a/topology/storereads.go
+++ b/topology/storereads.go
@@ -251,15 +251,58 @@
 		}
 		located[i] = s
 	}
+	before, _ := f.dir.View()
 	change, applied := f.dir.SetServers(located, readAt, origin)
 	if applied && change != (Change{}) {
+		after, _ := f.dir.View()
+		names := nameChanges(before.Servers, after.Servers, located, f.dir.RemovedServers())
 		f.log.Info(eventlog.ReplicaListChanged, zap.String("from", from), zap.Int("added", change.Added),
 			zap.Int("removed", change.Removed), zap.Int("draining", change.Draining), zap.Int("kept_after_outage", change.Kept),
-			zap.Int("ready_again", change.Undrained), zap.Int("outdated", change.Outdated))
+			zap.Int("ready_again", change.Undrained), zap.Int("outdated", change.Outdated),
+			zap.Duration("list_age_ms", time.Since(readAt)), zap.Duration("since_previous_ms", readAt.Sub(before.ReadAt)),
+			zap.Strings("removed_ids", names.removed), zap.Strings("kept_ids", names.kept), zap.Strings("returned_ids", names.returned))
 	}
 	return applied
 }
 
+// maxNamedReplicas bounds the replicas that a log line names in each field.
+const maxNamedReplicas = 8
+
+// namedChanges holds the IDs of replicas whose presence changed, for the log, at most maxNamedReplicas each: removed ones, those
+// in use although the new list lacks them, and those that are back after they had been removed.
+type namedChanges struct{ removed, kept, returned []string }
+
+// nameChanges compares the replicas in use before and after a list was applied. removed holds those that left earlier.
+func nameChanges(before, after, listed, removed []balancer.Server) (names namedChanges) {
+	isIn := func(servers []balancer.Server) map[string]bool {
+		ids := make(map[string]bool, len(servers))
+		for _, s := range servers {
+			ids[s.ID] = true
+		}
+		return ids
+	}
+	add := func(ids *[]string, id string) {
+		if len(*ids) < maxNamedReplicas {
+			*ids = append(*ids, id)
+		}
+	}
+	wasInUse, inUse, isListed, hadLeft := isIn(before), isIn(after), isIn(listed), isIn(removed)
+	for _, s := range before {
+		if !inUse[s.ID] {
+			add(&names.removed, s.ID)
+		}
+	}
+	for _, s := range after {
+		if !isListed[s.ID] {
+			add(&names.kept, s.ID)
+		}
+		if !wasInUse[s.ID] && hadLeft[s.ID] {
+			add(&names.returned, s.ID)
+		}
+	}
+	return names
+}
+
 // recordStoreCall updates the availability of the store after a call and logs when it changes.
 func (f *Feed) recordStoreCall(call string, err error) {
 	if errors.Is(err, context.Canceled) {
