A gap in the reads of one daemon is no outage of the store (DRAIN)

Callers' requests reached replicas up to 5.5 s after they had left. Cause: Directory.SetServers took every gap above 2.5 s between two applied lists for an outage of the store and kept the entries that were missing, whether the daemon had stood still, been cut off, read slowly or started with a stale read.

Now a daemon records when the store answered and when calls to it failed (storeHistory): its own calls, but none that outlasted its timeout, since then the process stood still, and those that other daemons tell. Only a gap in which a call failed and that no answer shortens is an outage. Before a list that lacks known entries is applied after a gap, the daemon asks readers of other data centres and some of its followers, whose lists and failures complete the history. While nobody answers, the list waits for two reads. Stale reads count as no answer.

The opposite direction, TestReplicasThatLapsedInOutageStay (84 cases: disruptions of a reader beside a real outage), passed before and passes now. TestSetServersKeepsMissingEntriesAfterOutage took the gap itself for the outage, which is the fault; it now records the answers and the failed call and keeps each of its bounds.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,6 +20,7 @@
 	EvacuationsChanged      = "evacuations changed"
 	ReplicaListChanged      = "replica list changed"
 	EntryUnusable           = "entry cannot be used"
+	StoreGap                = "gap between answers of the store"
 	StoreLost               = "store lost"
 	StoreRegained           = "store regained"
 	StoreRestored           = "store restored from an older copy"
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -129,7 +129,7 @@
 	read.Name, read.Prefix, read.Split, read.Safety = "read", "/r/", order.Split, routing.Idempotent
 	_, err := dir.SetConfig(routing.Config{Version: 1, Routes: []routing.Route{query, order, read}})
 	must.NoError(t, err)
-	dir.SetServers(list, time.Now(), topology.FromStore)
+	dir.SetServers(topology.List{Servers: list, ReadAt: time.Now()})
 	b := balancer.New(1)
 	opts := Options{BudgetRatio: 0.2, BudgetFixed: 700, BudgetWindow: 10 * time.Second}
 	g, err := New(opts, dir, b, f, func() float64 { return 0.5 }, noop.Meter{}, zap.NewNop())
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -231,7 +231,7 @@
 			}
 			list = append(list, s)
 		}
-		g.directory.SetServers(list, time.Now(), topology.FromStore)
+		g.directory.SetServers(topology.List{Servers: list, ReadAt: time.Now()})
 		g.balancer.SetServers(list, time.Now())
 	}
 }
--- a/gateway/residency_test.go
+++ b/gateway/residency_test.go
@@ -36,7 +36,7 @@
 			servers[i].Region = "s"
 		}
 	}
-	g.directory.SetServers(servers, time.Now().Add(time.Millisecond), topology.FromStore)
+	g.directory.SetServers(topology.List{Servers: servers, ReadAt: time.Now().Add(time.Millisecond)})
 	g.balancer.SetServers(servers, time.Now())
 	return g, f
 }
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -4,7 +4,6 @@
 package topology
 
 import (
-	"encoding/binary"
 	"fmt"
 	"maps"
 	"slices"
@@ -17,19 +16,6 @@
 	"github.com/chivemill/chivemill/routing"
 )
 
-const (
-	// outageThreshold is the time without a successful read of the store after which the next successful read counts as
-	// the end of an outage. During an outage the leases of live replicas may expire and their entries disappear.
-	outageThreshold = 2500 * time.Millisecond
-	// reregistrationGrace is how long missing entries are retained after the end of an outage. According to the platform,
-	// live replicas register again within about 2 s.
-	reregistrationGrace = 2200 * time.Millisecond
-	// restoredGrace is how long after the return of the store from an older copy an entry that is older than a known one is
-	// not used. The replicas write again what the store has lost, and the entries of those that have left expire, within three
-	// of their reports.
-	restoredGrace = 6 * time.Second
-)
-
 // View is an immutable snapshot of the data that a daemon has.
 type View struct {
 	// Table is the routing table of the configuration, nil until a configuration was received.
@@ -116,9 +102,8 @@
 	lastChanges map[string]uint64
 	removals    []removal
 	deltaBase   uint64
-	// outageEnd is the time of the first successful read after the last outage of the store, or after its return from an older
-	// copy.
-	outageEnd time.Time
+	// history tells outages of the store.
+	history storeHistory
 	// changed is closed when the view changes, confirmed also when a read of the store leaves the list unchanged.
 	changed, confirmed chan struct{}
 }
@@ -196,22 +181,6 @@
 	}
 }
 
-// Change counts the entries that an update of the list added, removed, marked as draining, or kept after an outage of
-// the store although they were missing. Undrained counts those that were draining and are listed as ready by the same start
-// of their replica, Outdated the listed entries that were not used because a newer one is known.
-type Change struct{ Added, Removed, Draining, Kept, Undrained, Outdated int }
-
-// Origin is the source of a list.
-type Origin int
-
-// Values of Origin.
-const (
-	// FromStore is a list that this daemon read from the store.
-	FromStore Origin = iota
-	// FromDaemon is a list pulled from another daemon, which already includes the entries kept after an outage.
-	FromDaemon
-)
-
 // Delta returns the view and the changes of the list since a generation: the added or changed entries and the IDs of the
 // removed ones. If the recorded changes don't reach back that far, whole is set and changed is the complete list.
 func (d *Directory) Delta(generation uint64) (view View, changed []balancer.Server, removed []string, whole bool) {
@@ -247,7 +216,7 @@
 		return
 	}
 	// Replicas that registered after the copy was made register again, as after an outage.
-	d.view.RestoredAt, d.outageEnd = at, at
+	d.view.RestoredAt = at
 }
 
 // RemovedServers returns the last entries of recently removed replicas, oldest first.
@@ -272,148 +241,3 @@
 	}
 	d.removals = append(earlier, d.removals...)
 }
-
-// SetServers replaces the list of replicas by the complete list that was read from the store at readAt, and reports
-// whether it did: a list that is not newer than the current one is rejected. Entries that are missing from a list read
-// right after an outage of the store are kept for 2.2 s after the outage (reregistrationGrace). After the store has come back
-// from an older copy, entries that are older than known ones are not used for 6 s (restoredGrace).
-func (d *Directory) SetServers(servers []balancer.Server, readAt time.Time, origin Origin) (Change, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.view.Generation > 0 && !readAt.After(d.view.ReadAt) {
-		return Change{}, false
-	}
-	if d.view.Generation > 0 && readAt.Sub(d.view.ReadAt) > outageThreshold {
-		d.outageEnd = readAt
-	}
-	previousReadAt := d.view.ReadAt
-	d.view.ReadAt = readAt
-	d.view.Confirmations++
-	listed := make(map[string]balancer.Server, len(servers))
-	for _, s := range servers {
-		listed[s.ID] = s
-	}
-	var change Change
-	if origin == FromStore && d.view.isRecentlyRestored(readAt) {
-		change.Outdated = d.replaceOutdated(listed)
-	}
-	if origin == FromStore && !d.outageEnd.IsZero() && readAt.Sub(d.outageEnd) < reregistrationGrace {
-		for _, s := range d.view.Servers {
-			if _, ok := listed[s.ID]; !ok {
-				listed[s.ID] = s
-				change.Kept++
-			}
-		}
-	}
-	next := d.view.Generation + 1
-	differs := d.view.Generation == 0
-	previousIDs := make(map[string]bool, len(d.view.Servers))
-	for _, previous := range d.view.Servers {
-		previousIDs[previous.ID] = true
-		s, ok := listed[previous.ID]
-		switch {
-		case !ok:
-			change.Removed++
-			delete(d.lastChanges, previous.ID)
-			d.removals = append(d.removals, removal{previous, next})
-		case s.State == balancer.Draining && previous.State != balancer.Draining:
-			change.Draining++
-			s.LastReadyAt = previousReadAt
-			listed[s.ID] = s
-		case s.State == balancer.Draining && s.StartedAtMs == previous.StartedAtMs:
-			s.LastReadyAt = previous.LastReadyAt
-			listed[s.ID] = s
-		}
-		if ok && s.State == balancer.Ready && previous.State == balancer.Draining && s.StartedAtMs == previous.StartedAtMs {
-			change.Undrained++
-		}
-		if ok && !equalEntries(previous, s) {
-			d.lastChanges[s.ID] = next
-			differs = true
-		}
-	}
-	for id := range listed {
-		if !previousIDs[id] {
-			d.lastChanges[id] = next
-			change.Added++
-		}
-	}
-	if !differs && change.Added == 0 && change.Removed == 0 {
-		d.confirm()
-		return change, true
-	}
-	if n := len(d.removals) - maxRemovals; n > 0 {
-		d.deltaBase = d.removals[n-1].generation
-		d.removals = slices.Delete(d.removals, 0, n)
-	}
-	d.view.Servers = slices.SortedFunc(maps.Values(listed), func(a, b balancer.Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	d.view.Generation++
-	d.view.Digest = digest(d.view.Servers)
-	d.publish()
-	return change, true
-}
-
-// replaceOutdated replaces the listed entries that are older than those of the current list, removes those that are not newer
-// than a removed one, and returns their number. The caller holds d.mu.
-func (d *Directory) replaceOutdated(listed map[string]balancer.Server) (outdated int) {
-	current := make(map[string]bool, len(d.view.Servers))
-	for _, known := range d.view.Servers {
-		current[known.ID] = true
-		if s, ok := listed[known.ID]; ok && isOlderEntry(s, known) {
-			listed[known.ID] = known
-			outdated++
-		}
-	}
-	for _, removed := range d.removals {
-		s, ok := listed[removed.ID]
-		if ok && !current[removed.ID] && s.StartedAtMs == removed.StartedAtMs && s.Sequence <= removed.Sequence {
-			delete(listed, removed.ID)
-			outdated++
-		}
-	}
-	return outdated
-}
-
-// isOlderEntry reports whether an entry was written before a known one of the same start of the replica. A replica that is
-// draining does not become ready again without a further report.
-func isOlderEntry(s, known balancer.Server) bool {
-	if s.StartedAtMs != known.StartedAtMs {
-		return s.StartedAtMs < known.StartedAtMs
-	}
-	return s.Sequence < known.Sequence ||
-		s.Sequence == known.Sequence && known.State == balancer.Draining && s.State == balancer.Ready
-}
-
-// digest returns the hash of a sorted list for View.Digest.
-func digest(servers []balancer.Server) uint64 {
-	// Writes to this hash never fail.
-	h := xxhash.New()
-	var numbers []byte
-	for _, s := range servers {
-		for _, field := range []string{s.ID, s.Service, s.Address, s.DataCentre} {
-			_, _ = h.WriteString(field)
-			_, _ = h.Write([]byte{0})
-		}
-		numbers = binary.AppendVarint(numbers[:0], int64(s.State))
-		numbers = binary.AppendVarint(numbers, int64(s.Slots))
-		numbers = binary.AppendVarint(numbers, s.StartedAtMs)
-		_, _ = h.Write(numbers)
-	}
-	return h.Sum64()
-}
-
-// equalEntries compares two entries. It ignores the remaining warm-up time, which changes with each report of a replica,
-// the number of its reports, and the distance, the region and the time of last readiness, which each daemon sets locally.
-func equalEntries(a, b balancer.Server) bool {
-	a.WarmupLeft, b.WarmupLeft = 0, 0
-	a.Sequence, b.Sequence = 0, 0
-	a.Distance, b.Distance = 0, 0
-	a.Region, b.Region = "", ""
-	a.LastReadyAt, b.LastReadyAt = time.Time{}, time.Time{}
-	return a == b
-}
--- a/topology/directory_test.go
+++ b/topology/directory_test.go
@@ -38,15 +38,18 @@
 func TestSetServersKeepsMissingEntriesAfterOutage(t *testing.T) {
 	d := NewDirectory()
 	at := time.Now()
-	d.SetServers(servers("a", "b"), at, FromStore)
+	d.RecordStoreAnswer(at)
+	d.SetServers(List{Servers: servers("a", "b"), ReadAt: at})
 	at = at.Add(outageThreshold + time.Second)
-	change, applied := d.SetServers(servers("a"), at, FromStore)
+	d.RecordStoreFailure(at.Add(-time.Second))
+	d.RecordStoreAnswer(at)
+	change, applied := d.SetServers(List{Servers: servers("a"), ReadAt: at})
 	must.True(t, applied)
 	must.Eq(t, Change{Kept: 1}, change)
 	at = at.Add(reregistrationGrace - time.Millisecond)
-	change, _ = d.SetServers(servers("a"), at, FromStore)
+	change, _ = d.SetServers(List{Servers: servers("a"), ReadAt: at})
 	must.Eq(t, 1, change.Kept)
-	change, _ = d.SetServers(servers("a"), at.Add(time.Millisecond), FromStore)
+	change, _ = d.SetServers(List{Servers: servers("a"), ReadAt: at.Add(time.Millisecond)})
 	must.Eq(t, Change{Removed: 1}, change)
 	view, _ := d.View()
 	must.Len(t, 1, view.Servers)
@@ -78,17 +81,17 @@
 		d := NewDirectory()
 		at := time.Now()
 		d.ObserveEra(1, at, FromStore)
-		d.SetServers(append(servers("z"), c.known), at, FromStore)
+		d.SetServers(List{Servers: append(servers("z"), c.known), ReadAt: at})
 		at = at.Add(time.Second)
 		if c.hasLeft {
-			d.SetServers(servers("z"), at, FromStore)
+			d.SetServers(List{Servers: servers("z"), ReadAt: at})
 		}
 		at = at.Add(time.Second)
 		d.ObserveEra(2, at, FromStore)
-		change, applied := d.SetServers(append(servers("z"), c.listed), at, FromStore)
+		change, applied := d.SetServers(List{Servers: append(servers("z"), c.listed), ReadAt: at})
 		must.True(t, applied)
 		must.Eq(t, c.outdated, change.Outdated, must.Sprint(name))
-		change, _ = d.SetServers(append(servers("z"), c.listed), at.Add(restoredGrace), FromStore)
+		change, _ = d.SetServers(List{Servers: append(servers("z"), c.listed), ReadAt: at.Add(restoredGrace)})
 		must.Eq(t, 0, change.Outdated, must.Sprint(name, ": the store is believed again"))
 	}
 }
@@ -97,9 +100,9 @@
 func TestSetServersRejectsOlderList(t *testing.T) {
 	d := NewDirectory()
 	at := time.Now()
-	_, applied := d.SetServers(servers("a"), at, FromStore)
+	_, applied := d.SetServers(List{Servers: servers("a"), ReadAt: at})
 	must.True(t, applied)
-	_, applied = d.SetServers(servers("a", "b"), at.Add(-time.Second), FromStore)
+	_, applied = d.SetServers(List{Servers: servers("a", "b"), ReadAt: at.Add(-time.Second)})
 	must.False(t, applied)
 }
 
@@ -121,7 +124,7 @@
 				}
 			}
 			at = at.Add(time.Second)
-			d.SetServers(list, at, FromStore)
+			d.SetServers(List{Servers: list, ReadAt: at})
 			if rapid.IntRange(0, 9).Draw(t, "forget") == 0 {
 				d.deltaBase = d.view.Generation
 			}
@@ -148,16 +151,16 @@
 	at := time.Now()
 	list := servers("a", "b")
 	list[1].State = balancer.Draining
-	d.SetServers(list, at, FromStore)
+	d.SetServers(List{Servers: list, ReadAt: at})
 	for i := range 3 {
 		draining := servers("a", "b")
 		draining[0].State, draining[1].State = balancer.Draining, balancer.Draining
-		d.SetServers(draining, at.Add(time.Duration(i+1)*time.Second), FromDaemon)
+		d.SetServers(List{Servers: draining, ReadAt: at.Add(time.Duration(i+1) * time.Second), Origin: FromDaemon})
 		view, _ := d.View()
 		must.Eq(t, at, view.Servers[0].LastReadyAt)
 		must.True(t, view.Servers[1].LastReadyAt.IsZero())
 	}
-	d.SetServers(servers("a", "b"), at.Add(5*time.Second), FromStore)
+	d.SetServers(List{Servers: servers("a", "b"), ReadAt: at.Add(5 * time.Second)})
 	view, _ := d.View()
 	must.True(t, view.Servers[0].LastReadyAt.IsZero(), must.Sprint("the replica is ready again"))
 }
--- a/topology/election.go
+++ b/topology/election.go
@@ -102,7 +102,7 @@
 // elect determines the holder of a role, or claims the role if it is vacant. A claim left by an earlier process of this
 // daemon, or one that can't be decoded, is replaced.
 func (f *Feed) elect(ctx context.Context, r *role) {
-	item, found, err := f.readClaim(ctx, r, kv.GetStale)
+	item, found, err := f.readClaim(ctx, r, allowStale)
 	if err == nil && !found {
 		if r.reader() == "" {
 			sleep(ctx, f.electionDelay(r))
@@ -112,7 +112,7 @@
 			}
 		}
 		// A stale read may miss a recent claim, and an attempt to claim the role costs two writes.
-		item, found, err = f.readClaim(ctx, r, getFresh)
+		item, found, err = f.readClaim(ctx, r, fresh)
 	}
 	if err != nil || found && f.acceptHolder(r, item) {
 		return
@@ -144,23 +144,17 @@
 	return jitter(electionJitter)
 }
 
-// getFresh reads one key with Store.Get. It has the signature of kv.GetStale.
-func getFresh(ctx context.Context, store kv.Store, key string) (kv.Item, bool, error) {
-	return store.Get(ctx, key)
-}
-
-// listFresh lists a prefix with Store.List. It has the signature of kv.ListStale.
-func listFresh(ctx context.Context, store kv.Store, prefix string) ([]kv.Item, int64, error) {
-	return store.List(ctx, prefix)
-}
-
-// readClaim reads the claim of a role; get is getFresh or kv.GetStale.
-func (f *Feed) readClaim(ctx context.Context, r *role, get func(context.Context, kv.Store, string) (kv.Item, bool,
-	error)) (kv.Item, bool, error) {
+// readClaim reads the claim of a role.
+func (f *Feed) readClaim(ctx context.Context, r *role, wanted freshness) (item kv.Item, found bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	item, found, err := get(callCtx, f.store, r.key)
-	f.recordStoreCall("claim", err)
+	record := f.startStoreCall("claim", storeTimeout, wanted)
+	if wanted == allowStale {
+		item, found, err = kv.GetStale(callCtx, f.store, r.key)
+	} else {
+		item, found, err = f.store.Get(callCtx, r.key)
+	}
+	record(err)
 	return item, found, err
 }
 
@@ -177,13 +171,15 @@
 	callCtx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
 	begin := time.Now()
+	recordGrant := f.startStoreCall("lease", 2*storeTimeout, fresh)
 	lease, err := f.store.Grant(callCtx, claimTTL)
-	f.recordStoreCall("lease", err)
+	recordGrant(err)
 	if err != nil {
 		return
 	}
+	recordWrite := f.startStoreCall("claim", 2*storeTimeout, fresh)
 	result, err := f.writeClaim(callCtx, r, lease, revision)
-	f.recordStoreCall("claim", err)
+	recordWrite(err)
 	switch {
 	case err != nil, time.Since(begin) > claimTTL:
 		return
@@ -227,6 +223,7 @@
 		lease, revision, centre := r.lease, r.revision, r.centre
 		r.mu.Unlock()
 		begin := time.Now()
+		record := f.startStoreCall("renewal", storeTimeout, fresh)
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		alive, err := f.store.KeepAlive(callCtx, lease)
 		if err == nil && alive && r.scope != fleetScope && !equalCentres(f.describeCentre(begin), centre) {
@@ -239,7 +236,7 @@
 			f.log.Info(eventlog.ClaimRenewalStopped, zap.String("scope", r.scope), zap.Bool("held", r.isHeld()))
 			return
 		}
-		f.recordStoreCall("renewal", err)
+		record(err)
 		switch {
 		case err == nil && alive:
 			renewed = begin
@@ -304,14 +301,11 @@
 	}
 	reports := make(map[string]centreReport)
 	for polls := 0; ctx.Err() == nil; polls++ {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		interval, list := claimPollInterval, kv.ListStale
+		interval, wanted := claimPollInterval, allowStale
 		if polls < initialClaimPolls {
-			interval, list = initialClaimPollInterval, listFresh
+			interval, wanted = initialClaimPollInterval, fresh
 		}
-		items, _, err := list(callCtx, f.store, f.keys.Readers+centrePrefix)
-		cancel()
-		f.recordStoreCall("claims", err)
+		items, _, err := f.list(ctx, "claims", f.keys.Readers+centrePrefix, wanted)
 		now := time.Now()
 		if err == nil {
 			for _, item := range items {
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -115,6 +115,10 @@
 	// claim a vacant role. Both are owned by the goroutine of Run.
 	lastFallback string
 	hasElected   bool
+	// explainedGapEnd is the end of the last gap that other daemons were asked about, unansweredConsultations how often nobody answered
+	// since. Both are owned by the goroutine of Run.
+	explainedGapEnd         time.Time
+	unansweredConsultations int
 	// unresponsiveContacts holds the contact addresses whose failure was logged. It is owned by the goroutine of Run.
 	unresponsiveContacts map[string]bool
 
@@ -124,6 +128,8 @@
 	// storeUnavailableSince is the time of the first failed call since the last successful one, zero while the store is
 	// available.
 	storeUnavailableSince time.Time
+	// storeFailedAt is the time of the last call that failed while this process was running.
+	storeFailedAt time.Time
 	// pendingNotices holds the notices that are sent next.
 	pendingNotices []quarantine.Notice
 	// pendingObservations holds the observations that are sent next, observationsTakenAt when the last ones were sent.
--- a/topology/fleet_test.go
+++ b/topology/fleet_test.go
@@ -28,8 +28,13 @@
 	linkUp linkState = iota
 	linkRefusing
 	linkSilent
+	// linkSlow delays each call by slowCallTime.
+	linkSlow
 )
 
+// slowCallTime is longer than a call should take and shorter than its timeout.
+const slowCallTime = storeTimeout - 100*time.Millisecond
+
 var errRefused = errors.New("refused")
 
 // wait returns the error of a call in this state; a silent link blocks until ctx is done.
@@ -40,15 +45,47 @@
 	case linkSilent:
 		<-ctx.Done()
 		return ctx.Err()
+	case linkSlow:
+		testseed.Sleep(slowCallTime)
+		return nil
 	default:
 		return nil
 	}
 }
 
+// standstill stops a daemon's calls and its responses, as if its process was stopped: they go on after it, and those whose time is up then
+// fail. The zero value stops nothing. It is safe for concurrent use.
+type standstill struct {
+	mu  sync.Mutex
+	end chan struct{}
+}
+
+// begin stops the daemon until the returned function is called.
+func (s *standstill) begin() (resume func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := make(chan struct{})
+	s.end = end
+	return func() { close(end) }
+}
+
+// wait waits while the daemon stands still.
+func (s *standstill) wait() {
+	s.mu.Lock()
+	end := s.end
+	s.mu.Unlock()
+	if end != nil {
+		<-end
+	}
+}
+
 // storeLink is the connection of one daemon to the store. It injects faults and counts calls.
 type storeLink struct {
 	kv.Store
-	link atomic.Int32
+	link  atomic.Int32
+	still *standstill
+	// available is the linkState of the store itself, for all daemons.
+	available *atomic.Int32
 	// calls counts all calls, lists the calls of List.
 	calls, lists atomic.Int64
 	// endedLease is a lease that the store reports as ended; refusesLeases makes it grant no further lease.
@@ -59,9 +96,13 @@
 // call counts a call and returns the injected error.
 func (l *storeLink) call(ctx context.Context) error {
 	l.calls.Add(1)
-	if err := linkState(l.link.Load()).wait(ctx); err != nil {
-		return fmt.Errorf("%w: %w", kv.ErrUnavailable, err)
+	l.still.wait()
+	for _, link := range []*atomic.Int32{l.available, &l.link} {
+		if err := linkState(link.Load()).wait(ctx); err != nil {
+			return fmt.Errorf("%w: %w", kv.ErrUnavailable, err)
+		}
 	}
+	l.still.wait()
 	return nil
 }
 
@@ -134,8 +175,9 @@
 	feed      *Feed
 	storeLink *storeLink
 	store     *crashableStore
-	// network is the linkState of the connections from other daemons.
-	network atomic.Int32
+	// network is the linkState of the connections from other daemons, outgoing that of the connections to them.
+	network, outgoing atomic.Int32
+	still             standstill
 	// crashing holds the notices of requests that crash replicas.
 	crashing guardHandler
 	cancel   context.CancelFunc
@@ -148,13 +190,35 @@
 	// bytesTransferred counts the bytes of the responses between daemons.
 	bytesTransferred atomic.Int64
 	// delay is the round-trip time between daemons.
-	delay   time.Duration
-	mu      sync.Mutex
-	daemons map[string]*daemon
+	delay time.Duration
+	// available is the linkState of the store for all daemons.
+	available atomic.Int32
+	mu        sync.Mutex
+	daemons   map[string]*daemon
+}
+
+// daemonTransport is the connection of one daemon to the others.
+type daemonTransport struct {
+	fleet *fleet
+	from  *daemon
 }
 
 // RoundTrip implements http.RoundTripper. It calls the handler of the daemon that the request is addressed to.
-func (f *fleet) RoundTrip(req *http.Request) (*http.Response, error) {
+func (t daemonTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	t.from.still.wait()
+	if err := linkState(t.from.outgoing.Load()).wait(req.Context()); err != nil {
+		return nil, err
+	}
+	resp, err := t.fleet.roundTrip(req)
+	t.from.still.wait()
+	if ctxErr := req.Context().Err(); err == nil && ctxErr != nil {
+		return nil, ctxErr
+	}
+	return resp, err
+}
+
+// roundTrip calls the handler of the daemon that the request is addressed to.
+func (f *fleet) roundTrip(req *http.Request) (*http.Response, error) {
 	f.mu.Lock()
 	d := f.daemons[req.URL.Host]
 	f.mu.Unlock()
@@ -166,7 +230,18 @@
 	}
 	testseed.Sleep(f.delay / 2)
 	rec := httptest.NewRecorder()
-	d.feed.Handler().ServeHTTP(rec, req)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		d.still.wait()
+		d.feed.Handler().ServeHTTP(rec, req)
+		d.still.wait()
+	}()
+	select {
+	case <-served:
+	case <-req.Context().Done():
+		return nil, req.Context().Err()
+	}
 	testseed.Sleep(f.delay / 2)
 	if err := req.Context().Err(); err != nil {
 		return nil, err
@@ -220,7 +295,8 @@
 
 // startWith is like start, with a CPU share.
 func (f *fleet) startWith(name, centre string, cores float64, contacts ...string) *daemon {
-	d := &daemon{name: name, storeLink: &storeLink{Store: f.store}}
+	d := &daemon{name: name}
+	d.storeLink = &storeLink{Store: f.store, still: &d.still, available: &f.available}
 	return f.startDaemon(d, d.storeLink, centre, cores, contacts)
 }
 
@@ -247,7 +323,7 @@
 	self := Self{Node: name, DataCentre: centre, Address: name, Cores: cores, Distance: func(string) balancer.Distance { return 0 }}
 	d.store = &crashableStore{Store: store}
 	d.feed = NewFeed(d.dir, d.store, jsonDecoder{}, testKeys, self, contacts, zap.NewNop())
-	d.feed.peers.http.Transport = f
+	d.feed.peers.http.Transport = daemonTransport{f, d}
 	d.crashing = newGuardHandler()
 	d.feed.SetNoticeHandler(d.crashing)
 	f.mu.Lock()
--- a/topology/fuzz_test.go
+++ b/topology/fuzz_test.go
@@ -40,7 +40,7 @@
 	f := NewFeed(NewDirectory(), kvtest.NewMemory(nil), jsonDecoder{}, testKeys, self, nil, zap.NewNop())
 	f.setReader(f.roles[0], self.Address, true)
 	list := servers("a", "b")
-	f.dir.SetServers(list, time.Now(), FromStore)
+	f.dir.SetServers(List{Servers: list, ReadAt: time.Now()})
 	return f
 }
 
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -62,8 +62,13 @@
 	// NoticeDigest is the digest of the follower's notices of requests that crash replicas. It travels in headerNoticeDigest, since
 	// daemons of earlier versions reject a pull with a field that they do not know.
 	NoticeDigest uint64 `json:"-"`
+	// AcceptsStale requests a list even if it is stale, as long as it differs from the follower's. It travels in paramAcceptsStale.
+	AcceptsStale bool `json:"-"`
 }
 
+// paramAcceptsStale is the query parameter for pullRequest.AcceptsStale.
+const paramAcceptsStale = "stale"
+
 // pullResponse is the response to a pull. Absent fields are unchanged.
 type pullResponse struct {
 	Config     *routing.Config `json:"config,omitempty"`
@@ -79,6 +84,8 @@
 	// held the pull, rounded down; daemons of earlier versions do not state it.
 	AgeMS  int64  `json:"age_ms"`
 	HeldMS *int64 `json:"held_ms,omitempty"`
+	// StoreFailedMS is the time since a call of the source to the store failed last, in milliseconds, if that is recent.
+	StoreFailedMS *int64 `json:"store_failed_ms,omitempty"`
 	// Era is the era of the store that the list reflects; daemons of earlier versions do not state it. RestoredMS is the time
 	// since the store came back from an older copy, in milliseconds, if that is recent.
 	Era        *int64 `json:"era,omitempty"`
@@ -136,54 +143,96 @@
 
 // pull requests updates from another daemon and applies them.
 func (f *Feed) pull(ctx context.Context, address, scope string, wait time.Duration) error {
+	p := f.newPull(address, scope, wait)
+	if err := p.send(ctx, &f.peers); err != nil {
+		return err
+	}
+	f.applyPull(ctx, p)
+	return nil
+}
+
+// pull is a pull from another daemon, with the state of this daemon when it was sent.
+type pull struct {
+	address    string
+	request    pullRequest
+	wait       time.Duration
+	view       View
+	lastPulled listVersion
+	notices    noticeSet
+	begin      time.Time
+	response   pullResponse
+}
+
+// newPull returns a pull that requests what this daemon lacks.
+func (f *Feed) newPull(address, scope string, wait time.Duration) *pull {
 	view, _ := f.dir.View()
-	lastPulled := f.peers.currentList()
-	notices := f.currentNotices()
-	request := pullRequest{
+	p := &pull{address: address, wait: wait, view: view, lastPulled: f.peers.currentList(), notices: f.currentNotices()}
+	p.request = pullRequest{
 		Node: f.self.Node, Address: f.self.Address, Scope: scope, WaitMS: wait.Milliseconds(), Cores: f.self.Cores,
 		Centres: view.DataCentresHash, Digest: view.Digest, Evacuations: view.Evacuations.Revision,
-		Source: lastPulled.source, Generation: lastPulled.generation, Confirmed: lastPulled.confirmations,
-		NoticeDigest: notices.digest,
+		Source: p.lastPulled.source, Generation: p.lastPulled.generation, Confirmed: p.lastPulled.confirmations,
+		NoticeDigest: p.notices.digest,
 	}
 	if view.Table != nil {
-		request.Version = view.Table.Version()
-	}
-	begin := time.Now()
-	response, err := f.peers.sendPull(ctx, address, request, wait+pullTimeout)
-	if err != nil {
-		return err
+		p.request.Version = view.Table.Version()
 	}
+	return p
+}
+
+// send sends the pull and waits for the response.
+func (p *pull) send(ctx context.Context, client *peerClient) (err error) {
+	p.begin = time.Now()
+	p.response, err = client.sendPull(ctx, p.address, p.request, p.wait+pullTimeout)
+	return err
+}
+
+// applyPull applies the response to a pull.
+func (f *Feed) applyPull(ctx context.Context, p *pull) {
+	response := &p.response
 	if response.Config != nil {
-		f.applyConfig(*response.Config, configSource{address: address, call: "pull", begin: begin})
+		f.applyConfig(*response.Config, configSource{address: p.address, call: "pull", begin: p.begin})
 	}
 	if response.Evacuations != nil {
-		f.applyEvacuations(*response.Evacuations, false, address)
-	}
-	if version := (listVersion{response.Source, response.Generation,
-		response.Confirmed}); response.Generation > 0 && version != lastPulled {
-		servers := response.Servers
-		if !response.Whole {
-			servers = applyDelta(view.Servers, response.Servers, response.Removed)
-		}
-		readAt := response.readAt(begin)
-		if response.Era != nil {
-			f.dir.ObserveEra(*response.Era, response.restoredAt(time.Now()), FromDaemon)
-		}
-		f.dir.AddRemovedServers(response.Left)
-		if !f.applyServers(servers, readAt, address, FromDaemon) {
-			// The directory kept its own list, to which a delta doesn't apply. The next confirmation brings a complete list.
-			version.generation = 0
-		}
-		f.peers.mu.Lock()
-		f.peers.lastPulled = version
-		f.peers.mu.Unlock()
+		f.applyEvacuations(*response.Evacuations, false, p.address)
 	}
+	f.applyPulledList(p)
 	f.dir.SetDataCentres(response.Centres)
 	f.addNotices(response.Notices)
-	if response.NoticeDigest != notices.digest {
-		f.sendNotices(ctx, address, notices.missingFrom(response.Notices))
+	if response.NoticeDigest != p.notices.digest {
+		f.sendNotices(ctx, p.address, p.notices.missingFrom(response.Notices))
 	}
-	return nil
+}
+
+// applyPulledList applies the list in the response to a pull, and what it tells of the store.
+func (f *Feed) applyPulledList(p *pull) {
+	response := &p.response
+	if response.StoreFailedMS != nil {
+		f.dir.RecordStoreFailure(time.Now().Add(-time.Duration(*response.StoreFailedMS) * time.Millisecond))
+	}
+	if response.Generation == 0 {
+		return
+	}
+	readAt := response.readAt(p.begin)
+	f.dir.RecordStoreAnswer(readAt)
+	version := listVersion{response.Source, response.Generation, response.Confirmed}
+	if version == p.lastPulled {
+		return
+	}
+	servers := response.Servers
+	if !response.Whole {
+		servers = applyDelta(p.view.Servers, response.Servers, response.Removed)
+	}
+	if response.Era != nil {
+		f.dir.ObserveEra(*response.Era, response.restoredAt(time.Now()), FromDaemon)
+	}
+	f.dir.AddRemovedServers(response.Left)
+	if !f.applyServers(List{Servers: servers, ReadAt: readAt, Origin: FromDaemon}, p.address) {
+		// The directory kept its own list, to which a delta doesn't apply. The next confirmation brings a complete list.
+		version.generation = 0
+	}
+	f.peers.mu.Lock()
+	f.peers.lastPulled = version
+	f.peers.mu.Unlock()
 }
 
 // readAt returns the earliest time at which the list may have been read from the store, for a pull sent at begin. A list
@@ -231,7 +280,11 @@
 	if err != nil {
 		return response, eris.Wrap(err, "pull")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathPull, bytes.NewReader(body))
+	url := "http://" + address + PathPull
+	if request.AcceptsStale {
+		url += "?" + paramAcceptsStale
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return response, eris.Wrap(err, "pull")
 	}
@@ -268,6 +321,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	request.AcceptsStale = r.URL.Query().Has(paramAcceptsStale)
 	if f.stopped.Load() {
 		http.Error(w, "this daemon is stopping", http.StatusServiceUnavailable)
 		return
@@ -361,7 +415,8 @@
 	if view.Generation == 0 {
 		return response, hasUpdate
 	}
-	if request.Scope == "" && request.Digest != 0 && time.Since(view.ReadAt) >= centreStaleAfter {
+	response.StoreFailedMS = f.storeFailedMS(time.Now())
+	if request.Scope == "" && request.Digest != 0 && !request.AcceptsStale && time.Since(view.ReadAt) >= centreStaleAfter {
 		// The follower already has a list and requests a fresh one, but this one is stale too. When all daemons start at the
 		// same time, it would otherwise receive stale lists with each of its pulls.
 		response.Generation = 0
--- /dev/null
+++ b/topology/serverlist.go
@@ -0,0 +1,259 @@
+package topology
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivemill/chivemill/balancer"
+)
+
+const (
+	// reregistrationGrace is how long missing entries are retained after the end of an outage. According to the platform,
+	// live replicas register again within about 2 s.
+	reregistrationGrace = 2200 * time.Millisecond
+	// restoredGrace is how long after the return of the store from an older copy an entry that is older than a known one is
+	// not used. The replicas write again what the store has lost, and the entries of those that have left expire, within three
+	// of their reports.
+	restoredGrace = 6 * time.Second
+)
+
+// Change counts the entries that an update of the list added, removed, marked as draining, or kept after an outage of
+// the store although they were missing. Undrained counts those that were draining and are listed as ready by the same start
+// of their replica
+// and Outdated the listed entries that were not used because a newer one is known.
+type Change struct{ Added, Removed, Draining, Kept, Undrained, Outdated int }
+
+// Origin is the source of a list.
+type Origin int
+
+// Values of Origin.
+const (
+	// FromStore is a list that this daemon read from the store.
+	FromStore Origin = iota
+	// FromDaemon is a list pulled from another daemon, which already includes the entries kept after an outage.
+	FromDaemon
+)
+
+// List is a complete list of replicas.
+type List struct {
+	Servers []balancer.Server
+	// ReadAt is the earliest time at which the list may have been read from the store.
+	ReadAt time.Time
+	Origin Origin
+}
+
+// RecordStoreAnswer records that the store answered a call of this or another daemon at the given time, and RecordStoreFailure that
+// a call failed. Both tell an outage of the store from a gap in the reads of this daemon.
+func (d *Directory) RecordStoreAnswer(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.history.recordAnswer(at)
+}
+
+// RecordStoreFailure records a failed call, see RecordStoreAnswer.
+func (d *Directory) RecordStoreFailure(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.history.recordFailure(at)
+}
+
+// IsAfterOutage reports whether the entries that a list lacks are kept, if it was read at the given time.
+func (d *Directory) IsAfterOutage(readAt time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return readAt.Before(d.outageEnd().Add(reregistrationGrace))
+}
+
+// UnexplainedGap returns the end of the latest time without an answer of the store that is long enough for entries to lapse, if
+// entries that a list lacks would be kept if it was an outage. The other daemons may know better.
+func (d *Directory) UnexplainedGap(servers []balancer.Server, readAt time.Time) (end time.Time, found bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g, found := d.history.lastGap()
+	if !found || readAt.Sub(g.to) >= reregistrationGrace {
+		return time.Time{}, false
+	}
+	listed := byID(servers)
+	isMissing := func(s balancer.Server) bool { _, ok := listed[s.ID]; return !ok }
+	return g.to, slices.ContainsFunc(d.view.Servers, isMissing)
+}
+
+// byID returns the servers by ID.
+func byID(servers []balancer.Server) map[string]balancer.Server {
+	m := make(map[string]balancer.Server, len(servers))
+	for _, s := range servers {
+		m[s.ID] = s
+	}
+	return m
+}
+
+// SetServers replaces the list of replicas and reports whether it did: a list that is not newer than the current one is
+// rejected. Entries that are missing from a list read right after an outage of the store are kept for 2.2 s after the outage
+// (reregistrationGrace). After the store has come back from an older copy, entries that are older than known ones are not used for 6 s
+// (restoredGrace).
+func (d *Directory) SetServers(list List) (Change, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.view.Generation > 0 && !list.ReadAt.After(d.view.ReadAt) {
+		return Change{}, false
+	}
+	previousReadAt := d.view.ReadAt
+	d.view.ReadAt = list.ReadAt
+	d.view.Confirmations++
+	listed := byID(list.Servers)
+	var change Change
+	if list.Origin == FromStore {
+		if d.view.isRecentlyRestored(list.ReadAt) {
+			change.Outdated = d.replaceOutdated(listed)
+		}
+		change.Kept = d.keepMissing(listed, list.ReadAt)
+	}
+	differs := d.compare(listed, previousReadAt, &change)
+	if !differs && d.view.Generation > 0 {
+		d.confirm()
+		return change, true
+	}
+	d.replaceServers(listed)
+	return change, true
+}
+
+// outageEnd returns the time of the first answer of the store after its last outage or after its return from an older copy, zero if
+// there was none.
+func (d *Directory) outageEnd() time.Time {
+	end := d.history.lastOutageEnd()
+	if d.view.RestoredAt.After(end) {
+		return d.view.RestoredAt
+	}
+	return end
+}
+
+// keepMissing adds the entries to a list from the store that it lacks since they may have lapsed in an outage, and returns their
+// number. d.mu must be held.
+func (d *Directory) keepMissing(listed map[string]balancer.Server, readAt time.Time) (kept int) {
+	if !readAt.Before(d.outageEnd().Add(reregistrationGrace)) {
+		return 0
+	}
+	for _, s := range d.view.Servers {
+		if _, ok := listed[s.ID]; !ok {
+			listed[s.ID] = s
+			kept++
+		}
+	}
+	return kept
+}
+
+// compare compares a list with the current one and counts and records the changes. It reports whether the lists differ. The entries of
+// draining replicas get the time at which they were last ready; previousReadAt is the time of the current list. d.mu must be held.
+func (d *Directory) compare(listed map[string]balancer.Server, previousReadAt time.Time, change *Change) (differs bool) {
+	next := d.view.Generation + 1
+	previousIDs := make(map[string]bool, len(d.view.Servers))
+	for _, previous := range d.view.Servers {
+		previousIDs[previous.ID] = true
+		s, ok := listed[previous.ID]
+		if !ok {
+			change.Removed++
+			delete(d.lastChanges, previous.ID)
+			d.removals = append(d.removals, removal{previous, next})
+			continue
+		}
+		isSameStart := s.StartedAtMs == previous.StartedAtMs
+		switch {
+		case s.State == balancer.Draining && previous.State != balancer.Draining:
+			change.Draining++
+			s.LastReadyAt = previousReadAt
+		case s.State == balancer.Draining && isSameStart:
+			s.LastReadyAt = previous.LastReadyAt
+		case s.State == balancer.Ready && previous.State == balancer.Draining && isSameStart:
+			change.Undrained++
+		}
+		listed[s.ID] = s
+		if !equalEntries(previous, s) {
+			d.lastChanges[s.ID] = next
+			differs = true
+		}
+	}
+	for id := range listed {
+		if !previousIDs[id] {
+			d.lastChanges[id] = next
+			change.Added++
+		}
+	}
+	return differs || change.Added > 0 || change.Removed > 0
+}
+
+// replaceServers publishes a list whose changes were recorded by compare. d.mu must be held.
+func (d *Directory) replaceServers(listed map[string]balancer.Server) {
+	if n := len(d.removals) - maxRemovals; n > 0 {
+		d.deltaBase = d.removals[n-1].generation
+		d.removals = slices.Delete(d.removals, 0, n)
+	}
+	d.view.Servers = slices.SortedFunc(maps.Values(listed), func(a, b balancer.Server) int { return cmp.Compare(a.ID, b.ID) })
+	d.view.Generation++
+	d.view.Digest = digest(d.view.Servers)
+	d.publish()
+}
+
+// replaceOutdated replaces the listed entries that are older than those of the current list, removes those that are not newer
+// than a removed one, and returns their number. The caller holds d.mu.
+func (d *Directory) replaceOutdated(listed map[string]balancer.Server) (outdated int) {
+	current := make(map[string]bool, len(d.view.Servers))
+	for _, known := range d.view.Servers {
+		current[known.ID] = true
+		if s, ok := listed[known.ID]; ok && isOlderEntry(s, known) {
+			listed[known.ID] = known
+			outdated++
+		}
+	}
+	for _, removed := range d.removals {
+		s, ok := listed[removed.ID]
+		if ok && !current[removed.ID] && s.StartedAtMs == removed.StartedAtMs && s.Sequence <= removed.Sequence {
+			delete(listed, removed.ID)
+			outdated++
+		}
+	}
+	return outdated
+}
+
+// isOlderEntry reports whether an entry was written before a known one of the same start of the replica. A replica that is
+// draining does not become ready again without a further report.
+func isOlderEntry(s, known balancer.Server) bool {
+	if s.StartedAtMs != known.StartedAtMs {
+		return s.StartedAtMs < known.StartedAtMs
+	}
+	return s.Sequence < known.Sequence ||
+		s.Sequence == known.Sequence && known.State == balancer.Draining && s.State == balancer.Ready
+}
+
+// digest returns the hash of a sorted list for View.Digest.
+func digest(servers []balancer.Server) uint64 {
+	// Writes to this hash never fail.
+	h := xxhash.New()
+	var numbers []byte
+	for _, s := range servers {
+		for _, field := range []string{s.ID, s.Service, s.Address, s.DataCentre} {
+			_, _ = h.WriteString(field)
+			_, _ = h.Write([]byte{0})
+		}
+		numbers = binary.AppendVarint(numbers[:0], int64(s.State))
+		numbers = binary.AppendVarint(numbers, int64(s.Slots))
+		numbers = binary.AppendVarint(numbers, s.StartedAtMs)
+		_, _ = h.Write(numbers)
+	}
+	return h.Sum64()
+}
+
+// equalEntries compares two entries. It ignores the remaining warm-up time, which changes with each report of a replica,
+// the number of its reports, and the distance, the region and the time of last readiness, which each daemon sets locally.
+func equalEntries(a, b balancer.Server) bool {
+	a.WarmupLeft, b.WarmupLeft = 0, 0
+	a.Sequence, b.Sequence = 0, 0
+	a.Distance, b.Distance = 0, 0
+	a.Region, b.Region = "", ""
+	a.LastReadyAt, b.LastReadyAt = time.Time{}, time.Time{}
+	return a == b
+}
--- a/topology/storereads.go
+++ b/topology/storereads.go
@@ -29,7 +29,7 @@
 	if !f.isStoreUnavailable() {
 		return true
 	}
-	_, _, err := f.readClaim(ctx, r, kv.GetStale)
+	_, _, err := f.readClaim(ctx, r, allowStale)
 	return err == nil
 }
 
@@ -103,15 +103,8 @@
 // readOperatorKeys reads and applies the configuration and the evacuations. It returns the revision of the store that they
 // reflect, or 0 if there is no configuration or it could not be read.
 func (f *Feed) readOperatorKeys(ctx context.Context, wanted freshness) int64 {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	list := listFresh
-	if wanted == allowStale {
-		list = kv.ListStale
-	}
 	begin := time.Now()
-	items, revision, err := list(ctx, f.store, f.keys.Operator)
-	f.recordStoreCall("configuration", err)
+	items, revision, err := f.list(ctx, "configuration", f.keys.Operator, wanted)
 	if err != nil {
 		return 0
 	}
@@ -183,19 +176,24 @@
 	}
 }
 
-// readServers reads and applies the list of replicas. It reports whether the store responded.
-func (f *Feed) readServers(ctx context.Context, wanted freshness) bool {
+// list reads all keys with a prefix from the store. call names the call in the log.
+func (f *Feed) list(ctx context.Context, call, prefix string, wanted freshness) (items []kv.Item, revision int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	list := f.store.List
+	record := f.startStoreCall(call, storeTimeout, wanted)
 	if wanted == allowStale {
-		list = func(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
-			return kv.ListStale(ctx, f.store, prefix)
-		}
+		items, revision, err = kv.ListStale(ctx, f.store, prefix)
+	} else {
+		items, revision, err = f.store.List(ctx, prefix)
 	}
+	record(err)
+	return items, revision, err
+}
+
+// readServers reads and applies the list of replicas. It reports whether the store responded.
+func (f *Feed) readServers(ctx context.Context, wanted freshness) bool {
 	at := time.Now()
-	items, revision, err := list(ctx, f.keys.Servers)
-	f.recordStoreCall("servers", err)
+	items, revision, err := f.list(ctx, "servers", f.keys.Servers, wanted)
 	if err != nil {
 		return false
 	}
@@ -211,11 +209,13 @@
 	if wanted == allowStale {
 		// Every fresh list has to replace one from a stale read.
 		at = at.Add(-staleReadPenalty)
+	} else if !f.explainGap(ctx, servers, at) {
+		return true
 	}
 	f.peers.reset()
 	era, _ := kv.SplitRevision(revision)
 	f.dir.ObserveEra(era, at, FromStore)
-	f.applyServers(servers, at, storeName, FromStore)
+	f.applyServers(List{Servers: servers, ReadAt: at, Origin: FromStore}, storeName)
 	return true
 }
 
@@ -242,9 +242,9 @@
 
 // applyServers sets the distances and regions of the replicas and passes the list to the directory. It reports whether the list was
 // accepted.
-func (f *Feed) applyServers(servers []balancer.Server, readAt time.Time, from string, origin Origin) bool {
-	located := make([]balancer.Server, len(servers))
-	for i, s := range servers {
+func (f *Feed) applyServers(list List, from string) bool {
+	located := make([]balancer.Server, len(list.Servers))
+	for i, s := range list.Servers {
 		s.Distance = f.self.Distance(s.DataCentre)
 		if f.self.Region != nil {
 			s.Region = f.self.Region(s.DataCentre)
@@ -252,14 +252,15 @@
 		located[i] = s
 	}
 	before, _ := f.dir.View()
-	change, applied := f.dir.SetServers(located, readAt, origin)
+	list.Servers = located
+	change, applied := f.dir.SetServers(list)
 	if applied && change != (Change{}) {
 		after, _ := f.dir.View()
 		names := nameChanges(before.Servers, after.Servers, located, f.dir.RemovedServers())
 		f.log.Info(eventlog.ReplicaListChanged, zap.String("from", from), zap.Int("added", change.Added),
 			zap.Int("removed", change.Removed), zap.Int("draining", change.Draining), zap.Int("kept_after_outage", change.Kept),
 			zap.Int("ready_again", change.Undrained), zap.Int("outdated", change.Outdated),
-			zap.Duration("list_age_ms", time.Since(readAt)), zap.Duration("since_previous_ms", readAt.Sub(before.ReadAt)),
+			zap.Duration("list_age_ms", time.Since(list.ReadAt)), zap.Duration("since_previous_ms", list.ReadAt.Sub(before.ReadAt)),
 			zap.Strings("removed_ids", names.removed), zap.Strings("kept_ids", names.kept), zap.Strings("returned_ids", names.returned))
 	}
 	return applied
@@ -303,16 +304,38 @@
 	return names
 }
 
-// recordStoreCall updates the availability of the store after a call and logs when it changes.
-func (f *Feed) recordStoreCall(call string, err error) {
-	if errors.Is(err, context.Canceled) {
-		return
+// maxCallOverrun is how much longer than its timeout a call may last. A call that lasts longer was made by a process that stood still,
+// so its failure says nothing about the store.
+const maxCallOverrun = 300 * time.Millisecond
+
+// startStoreCall returns a function that has to be called with the result of a call to the store. It updates the availability of the
+// store and logs when it changes. A stale read does not show that the store takes writes, so it counts as no answer.
+func (f *Feed) startStoreCall(call string, timeout time.Duration, wanted freshness) (record func(err error)) {
+	begin := time.Now()
+	return func(err error) {
+		now := time.Now()
+		switch {
+		case errors.Is(err, context.Canceled):
+			return
+		case err == nil && wanted == fresh:
+			f.dir.RecordStoreAnswer(now)
+		case err != nil && now.Sub(begin) <= timeout+maxCallOverrun:
+			f.dir.RecordStoreFailure(now)
+			f.mu.Lock()
+			f.storeFailedAt = now
+			f.mu.Unlock()
+		}
+		f.recordAvailability(call, now, err)
 	}
+}
+
+// recordAvailability updates the availability of the store after a call and logs when it changes.
+func (f *Feed) recordAvailability(call string, now time.Time, err error) {
 	f.mu.Lock()
 	unavailableSince := f.storeUnavailableSince
 	switch {
 	case err != nil && unavailableSince.IsZero():
-		f.storeUnavailableSince = time.Now()
+		f.storeUnavailableSince = now
 	case err == nil:
 		f.storeUnavailableSince = time.Time{}
 	}
@@ -321,6 +344,6 @@
 	case err != nil && unavailableSince.IsZero():
 		f.log.Warn(eventlog.StoreLost, zap.String("call", call), zap.Error(err))
 	case err == nil && !unavailableSince.IsZero():
-		f.log.Info(eventlog.StoreRegained, zap.String("call", call), zap.Duration("away", time.Since(unavailableSince)))
+		f.log.Info(eventlog.StoreRegained, zap.String("call", call), zap.Duration("away", now.Sub(unavailableSince)))
 	}
 }
