Entries that are kept after an outage are marked, and what others know goes first (DRAIN)

A daemon that removed a replica on its own read of the store took it back with the list of a reader that kept it: a kept entry looked like one that the store listed, with the age of the new read.

Now a kept entry is marked (Missing), also on the wire, where daemons of earlier versions ignore it and lists without marks have the same digest as before. A daemon keeps what another one keeps, for as long as that is allowed, unless it has removed that start of the replica itself; then it tells the daemon that keeps it (POST /v1/departed), which removes it and so tells its followers. Entries that the store listed at the last read are never removed that way. A removal after a gap that nobody could explain is not told: the entry may have lapsed in an outage.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,6 +55,9 @@
 	// Sequence is the number of reports of the replica since its start when the entry was written. It tells which of two
 	// entries of the same start is older.
 	Sequence int64 `json:"Sequence,omitempty"`
+	// Missing is set for a replica that the platform no longer lists and that is kept for a short time, since its entry may have
+	// lapsed while it could not be renewed.
+	Missing bool `json:",omitempty"`
 }
 
 // Load is the load that a replica reports in its responses.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -127,6 +127,7 @@
 	peers := http.NewServeMux()
 	peers.Handle(topology.PathPull, d.feed.Handler())
 	peers.Handle(topology.PathNotices, d.feed.Handler())
+	peers.Handle(topology.PathDeparted, d.feed.Handler())
 	peers.HandleFunc("GET "+StatusPath, d.serveStatus)
 	peers.Handle("POST "+delegation.PathQuery, d.responses.Track(delegation.Handler(d.gateway)))
 	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/topology/crashes.go
+++ b/topology/crashes.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -95,34 +94,29 @@
 	if len(notices) == 0 {
 		return
 	}
-	status, err := f.peers.postNotices(ctx, address, notices)
-	if err == nil && status != http.StatusOK && status != http.StatusNotFound {
-		err = fmt.Errorf("notices to %s: status %d", address, status)
-	}
-	if err != nil && ctx.Err() == nil {
-		f.log.Info(eventlog.PeerSilent, zap.String("address", address), zap.Error(err))
-	}
+	status, err := f.peers.post(ctx, address, PathNotices, notices)
+	f.logPost(ctx, address, PathNotices, status, err)
 }
 
-// postNotices sends notices and returns the status of the response.
-func (c *peerClient) postNotices(ctx context.Context, address string, notices []quarantine.Notice) (status int, err error) {
+// post sends a message to a daemon and returns the status of the response.
+func (c *peerClient) post(ctx context.Context, address, path string, message any) (status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	body, err := json.Marshal(notices)
+	body, err := json.Marshal(message)
 	if err != nil {
-		return 0, eris.Wrap(err, "notices")
+		return 0, eris.Wrap(err, path)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathNotices, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, eris.Wrap(err, "notices")
+		return 0, eris.Wrap(err, path)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, eris.Wrap(err, "notices")
+		return 0, eris.Wrap(err, path)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxPullResponseBytes))
-	return resp.StatusCode, eris.Wrap(err, "notices")
+	return resp.StatusCode, eris.Wrap(err, path)
 }
 
 // serveNotices adds the notices that another daemon sends.
--- a/topology/directory.go
+++ b/topology/directory.go
@@ -27,7 +27,7 @@
 	// Digest is a hash of Servers that ignores Distance, WarmupLeft, Sequence and LastReadyAt.
 	Digest uint64
 	// ReadAt is the time of the last store read that the list reflects. Confirmations counts these reads, including those
-	// that left the list unchanged.
+	// that left the list unchanged. An entry that is marked as missing is not in the list of that read.
 	ReadAt        time.Time
 	Confirmations uint64
 	// Era is the era of the store if eraKnown is set, RestoredAt the time at which it came back from an older copy, zero if that
@@ -102,16 +102,20 @@
 	lastChanges map[string]uint64
 	removals    []removal
 	deltaBase   uint64
-	// history tells outages of the store.
-	history storeHistory
+	// history tells outages of the store. keptUntil holds until when an entry that the store does not list is retained, by
+	// replica ID.
+	history   storeHistory
+	keptUntil map[string]time.Time
 	// changed is closed when the view changes, confirmed also when a read of the store leaves the list unchanged.
 	changed, confirmed chan struct{}
 }
 
-// removal records the generation in which a replica was removed from the list, with its last entry.
+// removal records the generation in which a replica was removed from the list, with its last entry. isUncertain is set if the entry may
+// have lapsed in an outage of the store that this daemon did not notice.
 type removal struct {
 	balancer.Server
-	generation uint64
+	generation  uint64
+	isUncertain bool
 }
 
 // maxRemovals bounds the recorded removals. A follower that lags behind the oldest one receives the complete list.
@@ -121,6 +125,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		changed: make(chan struct{}), confirmed: make(chan struct{}), lastChanges: make(map[string]uint64),
+		keptUntil: make(map[string]time.Time),
 	}
 }
 
--- a/topology/directory_test.go
+++ b/topology/directory_test.go
@@ -33,8 +33,16 @@
 	return all
 }
 
+// withMark returns the servers marked as missing.
+func withMark(servers []balancer.Server) []balancer.Server {
+	for i := range servers {
+		servers[i].Missing = true
+	}
+	return servers
+}
+
 // TestSetServersKeepsMissingEntriesAfterOutage guards against the loss of live replicas whose leases expired during an
-// outage of the store: their entries are kept for reregistrationGrace after the outage and removed afterwards.
+// outage of the store: their entries are kept for reregistrationGrace after the outage, marked, and removed afterwards.
 func TestSetServersKeepsMissingEntriesAfterOutage(t *testing.T) {
 	d := NewDirectory()
 	at := time.Now()
@@ -46,15 +54,118 @@
 	change, applied := d.SetServers(List{Servers: servers("a"), ReadAt: at})
 	must.True(t, applied)
 	must.Eq(t, Change{Kept: 1}, change)
+	view, _ := d.View()
+	must.Eq(t, append(servers("a"), withMark(servers("b"))...), view.Servers)
 	at = at.Add(reregistrationGrace - time.Millisecond)
 	change, _ = d.SetServers(List{Servers: servers("a"), ReadAt: at})
 	must.Eq(t, 1, change.Kept)
 	change, _ = d.SetServers(List{Servers: servers("a"), ReadAt: at.Add(time.Millisecond)})
 	must.Eq(t, Change{Removed: 1}, change)
-	view, _ := d.View()
+	view, _ = d.View()
 	must.Len(t, 1, view.Servers)
 }
 
+// TestKeptEntryIsListedAgain guards against the mark of a replica that the store lists again after an outage, and against an entry that
+// is kept once more with the time of the earlier outage.
+func TestKeptEntryIsListedAgain(t *testing.T) {
+	d := NewDirectory()
+	at := time.Now()
+	d.SetServers(List{Servers: servers("a", "b"), ReadAt: at})
+	for range 2 {
+		d.RecordStoreAnswer(at)
+		at = at.Add(outageThreshold + time.Second)
+		d.RecordStoreFailure(at.Add(-time.Second))
+		d.RecordStoreAnswer(at)
+		change, _ := d.SetServers(List{Servers: servers("a"), ReadAt: at})
+		must.Eq(t, Change{Kept: 1}, change)
+		at = at.Add(time.Second)
+		d.SetServers(List{Servers: servers("a", "b"), ReadAt: at})
+		view, _ := d.View()
+		must.Eq(t, servers("a", "b"), view.Servers)
+		at = at.Add(reregistrationGrace)
+		d.SetServers(List{Servers: servers("a", "b"), ReadAt: at})
+	}
+	change, _ := d.SetServers(List{Servers: servers("a"), ReadAt: at.Add(time.Second)})
+	must.Eq(t, Change{Removed: 1}, change)
+}
+
+// TestKeptEntryOfAnotherDaemon guards against departed replicas that come back with a list in which another daemon keeps them, and
+// against the opposite: a daemon that does not know that a replica has left has to keep it too, for a limited time.
+func TestKeptEntryOfAnotherDaemon(t *testing.T) {
+	const other = 7
+	for name, c := range map[string]struct {
+		known    []balancer.Server
+		removed  bool
+		listed   balancer.Server
+		isInUse  bool
+		departed int
+	}{
+		"in use":               {servers("a", "b"), false, withMark(servers("b"))[0], true, 0},
+		"unknown":              {servers("a"), false, withMark(servers("b"))[0], true, 0},
+		"removed":              {servers("a", "b"), true, withMark(servers("b"))[0], false, 1},
+		"removed, listed":      {servers("a", "b"), true, servers("b")[0], true, 0},
+		"removed, other start": {servers("a", "b"), true, balancer.Server{ID: "b", StartedAtMs: other, Missing: true}, true, 0},
+	} {
+		d := NewDirectory()
+		at := time.Now()
+		d.SetServers(List{Servers: c.known, ReadAt: at})
+		if c.removed {
+			d.SetServers(List{Servers: servers("a"), ReadAt: at.Add(time.Second)})
+		}
+		list := List{Servers: append(servers("a"), c.listed), ReadAt: at.Add(2 * time.Second), Origin: FromDaemon}
+		change, applied := d.SetServers(list)
+		must.True(t, applied)
+		must.Eq(t, c.departed, change.Departed, must.Sprint(name))
+		must.Len(t, c.departed, d.Departed(list.Servers), must.Sprint(name))
+		view, _ := d.View()
+		_, isInUse := byID(view.Servers)["b"]
+		must.Eq(t, c.isInUse, isInUse, must.Sprint(name))
+		if isInUse && c.listed.Missing {
+			d.SetServers(List{Servers: servers("a"), ReadAt: at.Add(3 * time.Second)})
+			view, _ = d.View()
+			must.Len(t, 2, view.Servers, must.Sprint(name, ": kept on a read of its own"))
+			d.SetServers(List{Servers: servers("a"), ReadAt: at.Add(2*time.Second + reregistrationGrace)})
+			view, _ = d.View()
+			must.Len(t, 1, view.Servers, must.Sprint(name, ": kept for a limited time"))
+		}
+	}
+}
+
+// TestRemoveDeparted checks which replicas a daemon removes because another one knows that they have left: those that it keeps, and
+// neither listed ones nor those that were started again.
+func TestRemoveDeparted(t *testing.T) {
+	d := NewDirectory()
+	at := time.Now()
+	listed := servers("a", "b", "c")
+	listed[1].Missing, listed[2].Missing, listed[2].StartedAtMs = true, true, 7
+	d.SetServers(List{Servers: listed, ReadAt: at, Origin: FromDaemon})
+	view, _ := d.View()
+	generation := view.Generation
+	must.Eq(t, 1, d.RemoveDeparted(servers("a", "b", "c", "z")))
+	view, _ = d.View()
+	must.Eq(t, []balancer.Server{listed[0], listed[2]}, view.Servers)
+	_, _, removed, _ := d.Delta(generation)
+	must.Eq(t, []string{"b"}, removed, must.Sprint("followers learn of it"))
+	must.Eq(t, 0, d.RemoveDeparted(servers("b")))
+}
+
+// TestUncertainRemovalIsNotTold guards live replicas against a daemon that stood still during an outage: it does not know why their entries
+// are missing, so it must not tell the daemons that keep them that they have left.
+func TestUncertainRemovalIsNotTold(t *testing.T) {
+	for name, gap := range map[string]time.Duration{"after a gap": outageThreshold + time.Second, "without a gap": time.Second} {
+		d := NewDirectory()
+		at := time.Now()
+		d.RecordStoreAnswer(at)
+		d.SetServers(List{Servers: servers("a", "b"), ReadAt: at})
+		at = at.Add(gap)
+		d.RecordStoreAnswer(at)
+		change, _ := d.SetServers(List{Servers: servers("a"), ReadAt: at})
+		must.Eq(t, Change{Removed: 1}, change, must.Sprint(name))
+		kept := withMark(servers("b"))
+		must.Eq(t, gap <= outageThreshold, len(d.Departed(kept)) == 1, must.Sprint(name))
+	}
+}
+
 // TestOutdatedEntriesAfterRestore checks which listed entries are used while the store, back from an older copy, may not have been
 // written again: none that is older than the known one of its replica, and none of a start that has left.
 func TestOutdatedEntriesAfterRestore(t *testing.T) {
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -195,7 +195,7 @@
 	if response.Evacuations != nil {
 		f.applyEvacuations(*response.Evacuations, false, p.address)
 	}
-	f.applyPulledList(p)
+	f.applyPulledList(ctx, p)
 	f.dir.SetDataCentres(response.Centres)
 	f.addNotices(response.Notices)
 	if response.NoticeDigest != p.notices.digest {
@@ -204,7 +204,7 @@
 }
 
 // applyPulledList applies the list in the response to a pull, and what it tells of the store.
-func (f *Feed) applyPulledList(p *pull) {
+func (f *Feed) applyPulledList(ctx context.Context, p *pull) {
 	response := &p.response
 	if response.StoreFailedMS != nil {
 		f.dir.RecordStoreFailure(time.Now().Add(-time.Duration(*response.StoreFailedMS) * time.Millisecond))
@@ -233,6 +233,7 @@
 	f.peers.mu.Lock()
 	f.peers.lastPulled = version
 	f.peers.mu.Unlock()
+	f.sendDeparted(ctx, p.address, f.dir.Departed(servers))
 }
 
 // readAt returns the earliest time at which the list may have been read from the store, for a pull sent at begin. A list
@@ -306,11 +307,13 @@
 	return response, eris.Wrap(json.Unmarshal(data, &response), "pull")
 }
 
-// Handler serves the pulls of other daemons at PathPull, and the notices that they send at PathNotices.
+// Handler serves the pulls of other daemons at PathPull, the notices that they send at PathNotices, and the replicas that they know to
+// have left at PathDeparted.
 func (f *Feed) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(PathPull, f.servePull)
 	mux.HandleFunc("POST "+PathNotices, f.serveNotices)
+	mux.HandleFunc("POST "+PathDeparted, f.serveDeparted)
 	return mux
 }
 
--- a/topology/serverlist.go
+++ b/topology/serverlist.go
@@ -24,9 +24,9 @@
 
 // Change counts the entries that an update of the list added, removed, marked as draining, or kept after an outage of
 // the store although they were missing. Undrained counts those that were draining and are listed as ready by the same start
-// of their replica
-// and Outdated the listed entries that were not used because a newer one is known.
-type Change struct{ Added, Removed, Draining, Kept, Undrained, Outdated int }
+// of their replica, Outdated the listed entries that were not used because a newer one is known, and Departed those that
+// another daemon keeps although this daemon knows that they have left.
+type Change struct{ Added, Removed, Draining, Kept, Undrained, Outdated, Departed int }
 
 // Origin is the source of a list.
 type Origin int
@@ -35,7 +35,7 @@
 const (
 	// FromStore is a list that this daemon read from the store.
 	FromStore Origin = iota
-	// FromDaemon is a list pulled from another daemon, which already includes the entries kept after an outage.
+	// FromDaemon is a list pulled from another daemon, in which the entries kept after an outage are marked as missing.
 	FromDaemon
 )
 
@@ -79,7 +79,7 @@
 		return time.Time{}, false
 	}
 	listed := byID(servers)
-	isMissing := func(s balancer.Server) bool { _, ok := listed[s.ID]; return !ok }
+	isMissing := func(s balancer.Server) bool { _, ok := listed[s.ID]; return !ok && !s.Missing }
 	return g.to, slices.ContainsFunc(d.view.Servers, isMissing)
 }
 
@@ -94,8 +94,8 @@
 
 // SetServers replaces the list of replicas and reports whether it did: a list that is not newer than the current one is
 // rejected. Entries that are missing from a list read right after an outage of the store are kept for 2.2 s after the outage
-// (reregistrationGrace). After the store has come back from an older copy, entries that are older than known ones are not used for 6 s
-// (restoredGrace).
+// (reregistrationGrace) and marked; an entry that another daemon keeps is not used if this daemon knows that it has left. After
+// the store has come back from an older copy, entries that are older than known ones are not used for 6 s (restoredGrace).
 func (d *Directory) SetServers(list List) (Change, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -107,13 +107,19 @@
 	d.view.Confirmations++
 	listed := byID(list.Servers)
 	var change Change
-	if list.Origin == FromStore {
+	if list.Origin == FromDaemon {
+		change.Departed = d.dropDeparted(listed)
+		change.Kept = d.adoptKept(listed, list.ReadAt)
+	} else {
 		if d.view.isRecentlyRestored(list.ReadAt) {
 			change.Outdated = d.replaceOutdated(listed)
 		}
 		change.Kept = d.keepMissing(listed, list.ReadAt)
 	}
 	differs := d.compare(listed, previousReadAt, &change)
+	if list.Origin == FromStore && change.Removed > 0 && d.isInUnexplainedGap(list.ReadAt) {
+		d.markUncertain(change.Removed)
+	}
 	if !differs && d.view.Generation > 0 {
 		d.confirm()
 		return change, true
@@ -122,6 +128,20 @@
 	return change, true
 }
 
+// isInUnexplainedGap reports whether a list that was read at the given time follows a gap in which, as far as this daemon knows, nobody
+// called the store. d.mu must be held.
+func (d *Directory) isInUnexplainedGap(readAt time.Time) bool {
+	g, found := d.history.lastGap()
+	return found && readAt.Sub(g.to) < reregistrationGrace && d.history.lastOutageEnd().IsZero()
+}
+
+// markUncertain marks the last n removals: other daemons may know of an outage in which these entries lapsed. d.mu must be held.
+func (d *Directory) markUncertain(n int) {
+	for i := len(d.removals) - n; i < len(d.removals); i++ {
+		d.removals[i].isUncertain = true
+	}
+}
+
 // outageEnd returns the time of the first answer of the store after its last outage or after its return from an older copy, zero if
 // there was none.
 func (d *Directory) outageEnd() time.Time {
@@ -135,18 +155,93 @@
 // keepMissing adds the entries to a list from the store that it lacks since they may have lapsed in an outage, and returns their
 // number. d.mu must be held.
 func (d *Directory) keepMissing(listed map[string]balancer.Server, readAt time.Time) (kept int) {
-	if !readAt.Before(d.outageEnd().Add(reregistrationGrace)) {
-		return 0
-	}
+	graceEnd := d.outageEnd().Add(reregistrationGrace)
 	for _, s := range d.view.Servers {
-		if _, ok := listed[s.ID]; !ok {
-			listed[s.ID] = s
-			kept++
+		if _, ok := listed[s.ID]; ok {
+			delete(d.keptUntil, s.ID)
+			continue
+		}
+		until, isKept := d.keptUntil[s.ID]
+		if !isKept {
+			until = graceEnd
+		}
+		if !readAt.Before(until) {
+			continue
 		}
+		d.keptUntil[s.ID] = until
+		s.Missing = true
+		listed[s.ID] = s
+		kept++
 	}
 	return kept
 }
 
+// adoptKept records until when the entries that another daemon keeps may be kept here, and returns their number. d.mu must be held.
+func (d *Directory) adoptKept(listed map[string]balancer.Server, readAt time.Time) (kept int) {
+	for id, s := range listed {
+		if !s.Missing {
+			delete(d.keptUntil, id)
+			continue
+		}
+		if _, ok := d.keptUntil[id]; !ok {
+			d.keptUntil[id] = readAt.Add(reregistrationGrace)
+		}
+		kept++
+	}
+	return kept
+}
+
+// dropDeparted removes the entries that another daemon keeps and that this daemon has removed, and returns their number. d.mu must be
+// held.
+func (d *Directory) dropDeparted(listed map[string]balancer.Server) (departed int) {
+	for _, s := range d.departed(listed) {
+		delete(listed, s.ID)
+		departed++
+	}
+	return departed
+}
+
+// departed returns the entries of a list that are marked as missing although this daemon has removed the same start of the replica.
+// d.mu must be held.
+func (d *Directory) departed(listed map[string]balancer.Server) (departed []balancer.Server) {
+	if !slices.ContainsFunc(slices.Collect(maps.Values(listed)), func(s balancer.Server) bool { return s.Missing }) {
+		return nil
+	}
+	current := byID(d.view.Servers)
+	for _, removed := range d.removals {
+		s, ok := listed[removed.ID]
+		if _, inUse := current[removed.ID]; ok && s.Missing && !inUse && !removed.isUncertain && s.StartedAtMs == removed.StartedAtMs {
+			departed = append(departed, s)
+		}
+	}
+	return departed
+}
+
+// Departed returns those of another daemon's servers that it keeps although this daemon knows that they have left.
+func (d *Directory) Departed(servers []balancer.Server) []balancer.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.departed(byID(servers))
+}
+
+// RemoveDeparted removes the entries that this daemon keeps as missing and that another daemon knows to have left, and returns their
+// number. Entries that the store listed at the last read stay.
+func (d *Directory) RemoveDeparted(servers []balancer.Server) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := byID(d.view.Servers)
+	for _, departed := range servers {
+		if s, ok := listed[departed.ID]; ok && s.Missing && s.StartedAtMs == departed.StartedAtMs {
+			delete(listed, s.ID)
+		}
+	}
+	var change Change
+	if d.compare(listed, d.view.ReadAt, &change) {
+		d.replaceServers(listed)
+	}
+	return change.Removed
+}
+
 // compare compares a list with the current one and counts and records the changes. It reports whether the lists differ. The entries of
 // draining replicas get the time at which they were last ready; previousReadAt is the time of the current list. d.mu must be held.
 func (d *Directory) compare(listed map[string]balancer.Server, previousReadAt time.Time, change *Change) (differs bool) {
@@ -158,7 +253,8 @@
 		if !ok {
 			change.Removed++
 			delete(d.lastChanges, previous.ID)
-			d.removals = append(d.removals, removal{previous, next})
+			delete(d.keptUntil, previous.ID)
+			d.removals = append(d.removals, removal{Server: previous, generation: next})
 			continue
 		}
 		isSameStart := s.StartedAtMs == previous.StartedAtMs
@@ -242,6 +338,10 @@
 		numbers = binary.AppendVarint(numbers[:0], int64(s.State))
 		numbers = binary.AppendVarint(numbers, int64(s.Slots))
 		numbers = binary.AppendVarint(numbers, s.StartedAtMs)
+		if s.Missing {
+			// Daemons of earlier versions do not know the mark, so lists without it have the same digest as theirs.
+			numbers = binary.AppendVarint(numbers, 1)
+		}
 		_, _ = h.Write(numbers)
 	}
 	return h.Sum64()
