--- a/topology/directory.go
+++ b/topology/directory.go
@@ -26,9 +26,11 @@
 	Generation uint64
 	// Digest is a hash of Servers that ignores Distance, WarmupLeft, Sequence and LastReadyAt.
 	Digest uint64
-	// ReadAt is the time of the last store read that the list reflects. Confirmations counts these reads, including those
-	// that left the list unchanged. An entry that is marked as missing is not in the list of that read.
+	// ReadAt is the time of the last store read that the list reflects, and Revision the store's revision at that read, 0 if
+	// unknown. Confirmations counts these reads, including those that left the list unchanged. An entry that is marked as
+	// missing is not in the list of that read.
 	ReadAt        time.Time
+	Revision      int64
 	Confirmations uint64
 	// Era is the era of the store if eraKnown is set, RestoredAt the time at which it came back from an older copy, zero if that
 	// is not known.
--- a/topology/directory_test.go
+++ b/topology/directory_test.go
@@ -166,6 +166,29 @@
 	}
 }
 
+// TestRevisionsOrderLists guards against an older list that replaces a newer one because its age is unknown: the daemon that serves it
+// was suspended with its clock.
+func TestRevisionsOrderLists(t *testing.T) {
+	at := time.Now()
+	for name, c := range map[string]struct {
+		revision int64
+		after    time.Duration
+		applied  bool
+	}{
+		"older revision":           {9, time.Second, false},
+		"newer revision":           {11, -time.Second, true},
+		"same revision, later":     {10, time.Second, true},
+		"same revision, earlier":   {10, -time.Second, false},
+		"unknown revision":         {0, time.Second, true},
+		"unknown revision, before": {0, -time.Second, false},
+	} {
+		d := NewDirectory()
+		d.SetServers(List{Servers: servers("a"), ReadAt: at, Revision: 10})
+		_, applied := d.SetServers(List{Servers: servers("a", "b"), ReadAt: at.Add(c.after), Revision: c.revision, Origin: FromDaemon})
+		must.Eq(t, c.applied, applied, must.Sprint(name))
+	}
+}
+
 // TestOutdatedEntriesAfterRestore checks which listed entries are used while the store, back from an older copy, may not have been
 // written again: none that is older than the known one of its replica, and none of a start that has left.
 func TestOutdatedEntriesAfterRestore(t *testing.T) {
--- a/topology/disagreement_test.go
+++ b/topology/disagreement_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/internal/testseed"
 )
 
@@ -45,3 +49,27 @@
 		})
 	}
 }
+
+// TestSuspendedReaderReplacesNoList guards against departed replicas that come back with an older list of a reader that was suspended with
+// its clock: the age that it states does not include that time.
+func TestSuspendedReaderReplacesNoList(t *testing.T) {
+	f := newFleet(t)
+	d := &daemon{name: "d0"}
+	f.addDaemon(d, f.store, "c0", 0, nil)
+	older, olderRevision, err := f.store.List(t.Context(), testKeys.Servers)
+	must.NoError(t, err)
+	must.Len(t, 6, older)
+	f.removeServer(t, "r0")
+	must.True(t, d.feed.readServers(t.Context(), fresh))
+	suspended := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"source":"d1/x","generation":1,"confirmed":1,"whole":true,"age_ms":0,"held_ms":0,"revision":%d,
+			"servers":[{"ID":"r0","Service":"s","Address":"10.0.0.1:1"}]}`, olderRevision)
+	}))
+	defer suspended.Close()
+	d.feed.peers.http.Transport = http.DefaultTransport
+	must.NoError(t, d.feed.pull(t.Context(), strings.TrimPrefix(suspended.URL, "http://"), "", 0))
+	must.True(t, d.knowsLeaving("r0"))
+	view, _ := d.dir.View()
+	must.Len(t, 5, view.Servers)
+	must.Eq(t, balancer.Ready, view.Servers[0].State)
+}
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -84,7 +84,9 @@
 	// held the pull, rounded down; daemons of earlier versions do not state it.
 	AgeMS  int64  `json:"age_ms"`
 	HeldMS *int64 `json:"held_ms,omitempty"`
-	// StoreFailedMS is the time since a call of the source to the store failed last, in milliseconds, if that is recent.
+	// Revision is the store's revision at that read, 0 if unknown. StoreFailedMS is the time since a call of the source to the store
+	// failed last, in milliseconds, if that is recent.
+	Revision      int64  `json:"revision,omitempty"`
 	StoreFailedMS *int64 `json:"store_failed_ms,omitempty"`
 	// Era is the era of the store that the list reflects; daemons of earlier versions do not state it. RestoredMS is the time
 	// since the store came back from an older copy, in milliseconds, if that is recent.
@@ -226,7 +228,7 @@
 		f.dir.ObserveEra(*response.Era, response.restoredAt(time.Now()), FromDaemon)
 	}
 	f.dir.AddRemovedServers(response.Left)
-	if !f.applyServers(List{Servers: servers, ReadAt: readAt, Origin: FromDaemon}, p.address) {
+	if !f.applyServers(List{Servers: servers, ReadAt: readAt, Revision: response.Revision, Origin: FromDaemon}, p.address) {
 		// The directory kept its own list, to which a delta doesn't apply. The next confirmation brings a complete list.
 		version.generation = 0
 	}
@@ -425,7 +427,7 @@
 		response.Generation = 0
 		return response, hasUpdate
 	}
-	response.AgeMS = ceilMilliseconds(time.Since(view.ReadAt))
+	response.AgeMS, response.Revision = ceilMilliseconds(time.Since(view.ReadAt)), view.Revision
 	if view.eraKnown {
 		response.Era = &view.Era
 	}
--- a/topology/serverlist.go
+++ b/topology/serverlist.go
@@ -42,9 +42,20 @@
 // List is a complete list of replicas.
 type List struct {
 	Servers []balancer.Server
-	// ReadAt is the earliest time at which the list may have been read from the store.
-	ReadAt time.Time
-	Origin Origin
+	// ReadAt is the earliest time at which the list may have been read from the store. Revision is the store's revision at that
+	// read, 0 if unknown.
+	ReadAt   time.Time
+	Revision int64
+	Origin   Origin
+}
+
+// isNewerThan reports whether the list reflects a later state of the store than a view. Revisions decide, since the age of a list is
+// measured on two VMs, one of which may have stood still. Lists of the same revision are ordered by their time.
+func (l *List) isNewerThan(v *View) bool {
+	if l.Revision != 0 && v.Revision != 0 && l.Revision != v.Revision {
+		return l.Revision > v.Revision
+	}
+	return l.ReadAt.After(v.ReadAt)
 }
 
 // RecordStoreAnswer records that the store answered a call of this or another daemon at the given time, and RecordStoreFailure that
@@ -99,11 +110,11 @@
 func (d *Directory) SetServers(list List) (Change, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.view.Generation > 0 && !list.ReadAt.After(d.view.ReadAt) {
+	if d.view.Generation > 0 && !list.isNewerThan(&d.view) {
 		return Change{}, false
 	}
 	previousReadAt := d.view.ReadAt
-	d.view.ReadAt = list.ReadAt
+	d.view.ReadAt, d.view.Revision = list.ReadAt, list.Revision
 	d.view.Confirmations++
 	listed := byID(list.Servers)
 	var change Change
--- a/topology/storereads.go
+++ b/topology/storereads.go
@@ -215,7 +215,7 @@
 	f.peers.reset()
 	era, _ := kv.SplitRevision(revision)
 	f.dir.ObserveEra(era, at, FromStore)
-	f.applyServers(List{Servers: servers, ReadAt: at, Origin: FromStore}, storeName)
+	f.applyServers(List{Servers: servers, ReadAt: at, Revision: revision, Origin: FromStore}, storeName)
 	return true
 }
 
@@ -260,7 +260,7 @@
 		f.log.Info(eventlog.ReplicaListChanged, zap.String("from", from), zap.Int("added", change.Added),
 			zap.Int("removed", change.Removed), zap.Int("draining", change.Draining), zap.Int("kept_after_outage", change.Kept),
 			zap.Int("ready_again", change.Undrained), zap.Int("outdated", change.Outdated),
-			zap.Int("departed", change.Departed),
+			zap.Int("departed", change.Departed), zap.String("revision", kv.FormatRevision(list.Revision)),
 			zap.Duration("list_age_ms", time.Since(list.ReadAt)), zap.Duration("since_previous_ms", list.ReadAt.Sub(before.ReadAt)),
 			zap.Strings("removed_ids", names.removed), zap.Strings("kept_ids", names.kept), zap.Strings("returned_ids", names.returned))
 	}
