Daemons tell for how long the store has answered (DRAIN)

The reader asked three daemons that had read the store all the while, but each told only its last read. The gap up to that read was still longer than 2.5 s, calls had failed in it, so the entry was kept, and daemons that had not yet noticed its removal kept it too.

The history holds spans of answers that are at most 2.5 s apart; daemons tell their latest span with each pull. A daemon whose own span covers the time before a list does not take over marks of missing entries, but drops these and tells the daemon that keeps them; after a return of the store from an older copy it takes them over.

--- a/topology/consult.go
+++ b/topology/consult.go
@@ -114,3 +114,12 @@
 	}
 	return nil
 }
+
+// storeSpan returns the time for which the store has answered as far as this daemon knows, nil if it never answered.
+func (f *Feed) storeSpan(now time.Time) *storeSpan {
+	from, to, found := f.dir.StoreSpan()
+	if !found {
+		return nil
+	}
+	return &storeSpan{FromMS: now.Sub(from).Milliseconds(), ToMS: ceilMilliseconds(now.Sub(to))}
+}
--- a/topology/directory_test.go
+++ b/topology/directory_test.go
@@ -94,20 +94,25 @@
 func TestKeptEntryOfAnotherDaemon(t *testing.T) {
 	const other = 7
 	for name, c := range map[string]struct {
-		known    []balancer.Server
-		removed  bool
-		listed   balancer.Server
-		isInUse  bool
-		departed int
+		known   []balancer.Server
+		removed bool
+		listed  balancer.Server
+		// spanBegin is the begin of the time in which the store has answered, in seconds before the first list.
+		spanBegin int
+		isInUse   bool
+		departed  int
 	}{
-		"in use":               {servers("a", "b"), false, withMark(servers("b"))[0], true, 0},
-		"unknown":              {servers("a"), false, withMark(servers("b"))[0], true, 0},
-		"removed":              {servers("a", "b"), true, withMark(servers("b"))[0], false, 1},
-		"removed, listed":      {servers("a", "b"), true, servers("b")[0], true, 0},
-		"removed, other start": {servers("a", "b"), true, balancer.Server{ID: "b", StartedAtMs: other, Missing: true}, true, 0},
+		"in use":               {servers("a", "b"), false, withMark(servers("b"))[0], 0, true, 0},
+		"unknown":              {servers("a"), false, withMark(servers("b"))[0], 0, true, 0},
+		"removed":              {servers("a", "b"), true, withMark(servers("b"))[0], 0, false, 1},
+		"removed, listed":      {servers("a", "b"), true, servers("b")[0], 0, true, 0},
+		"removed, other start": {servers("a", "b"), true, balancer.Server{ID: "b", StartedAtMs: other, Missing: true}, 0, true, 0},
+		"no outage":            {servers("a", "b"), false, withMark(servers("b"))[0], 9, false, 1},
+		"no outage, listed":    {servers("a", "b"), false, servers("b")[0], 9, true, 0},
 	} {
 		d := NewDirectory()
 		at := time.Now()
+		d.RecordStoreSpan(at.Add(-time.Duration(c.spanBegin)*time.Second), at.Add(2*time.Second))
 		d.SetServers(List{Servers: c.known, ReadAt: at})
 		if c.removed {
 			d.SetServers(List{Servers: servers("a"), ReadAt: at.Add(time.Second)})
@@ -116,7 +121,7 @@
 		change, applied := d.SetServers(list)
 		must.True(t, applied)
 		must.Eq(t, c.departed, change.Departed, must.Sprint(name))
-		must.Len(t, c.departed, d.Departed(list.Servers), must.Sprint(name))
+		must.Len(t, c.departed, d.Departed(list.Servers), must.Sprint(name, ": told to the daemon that keeps it"))
 		view, _ := d.View()
 		_, isInUse := byID(view.Servers)["b"]
 		must.Eq(t, c.isInUse, isInUse, must.Sprint(name))
--- a/topology/fleet_test.go
+++ b/topology/fleet_test.go
@@ -84,8 +84,8 @@
 	kv.Store
 	link  atomic.Int32
 	still *standstill
-	// available is the linkState of the store itself, for all daemons.
-	available *atomic.Int32
+	// fleet has the state of the store itself, for all daemons.
+	fleet *fleet
 	// calls counts all calls, lists the calls of List.
 	calls, lists atomic.Int64
 	// endedLease is a lease that the store reports as ended; refusesLeases makes it grant no further lease.
@@ -97,7 +97,8 @@
 func (l *storeLink) call(ctx context.Context) error {
 	l.calls.Add(1)
 	l.still.wait()
-	for _, link := range []*atomic.Int32{l.available, &l.link} {
+	testseed.Sleep(time.Duration(l.fleet.storeDelay.Load()))
+	for _, link := range []*atomic.Int32{&l.fleet.available, &l.link} {
 		if err := linkState(link.Load()).wait(ctx); err != nil {
 			return fmt.Errorf("%w: %w", kv.ErrUnavailable, err)
 		}
@@ -191,10 +192,13 @@
 	bytesTransferred atomic.Int64
 	// delay is the round-trip time between daemons.
 	delay time.Duration
-	// available is the linkState of the store for all daemons.
-	available atomic.Int32
-	mu        sync.Mutex
-	daemons   map[string]*daemon
+	// available is the linkState of the store for all daemons, storeDelay the duration of a call to it.
+	available  atomic.Int32
+	storeDelay atomic.Int64
+	// lostEach is the number of messages between daemons of which one is lost, 0 if none is. messages counts them.
+	lostEach, messages atomic.Int64
+	mu                 sync.Mutex
+	daemons            map[string]*daemon
 }
 
 // daemonTransport is the connection of one daemon to the others.
@@ -225,6 +229,9 @@
 	if d == nil {
 		return nil, errRefused
 	}
+	if each := f.lostEach.Load(); each > 0 && f.messages.Add(1)%each == 0 {
+		return nil, linkSilent.wait(req.Context())
+	}
 	if err := linkState(d.network.Load()).wait(req.Context()); err != nil {
 		return nil, err
 	}
@@ -296,7 +303,7 @@
 // startWith is like start, with a CPU share.
 func (f *fleet) startWith(name, centre string, cores float64, contacts ...string) *daemon {
 	d := &daemon{name: name}
-	d.storeLink = &storeLink{Store: f.store, still: &d.still, available: &f.available}
+	d.storeLink = &storeLink{Store: f.store, still: &d.still, fleet: f}
 	return f.startDaemon(d, d.storeLink, centre, cores, contacts)
 }
 
--- a/topology/outage_test.go
+++ b/topology/outage_test.go
@@ -49,11 +49,45 @@
 	var h storeHistory
 	begin := time.Now()
 	h.recordAnswer(begin)
-	for i := range 10 * maxStoreEvents {
+	for i := range 10 * maxStoreFailures {
 		h.recordFailure(begin.Add(time.Duration(i+1) * time.Second))
 	}
-	end := begin.Add(10 * maxStoreEvents * time.Second)
+	end := begin.Add(10 * maxStoreFailures * time.Second)
 	h.recordAnswer(end)
 	must.Eq(t, end, h.lastOutageEnd())
-	must.Len(t, maxStoreEvents, h.failures)
+	must.Len(t, maxStoreFailures, h.failures)
+	for i := range 10 * maxStoreSpans {
+		h.recordAnswer(end.Add(time.Duration(i+1) * 2 * outageThreshold))
+	}
+	must.Len(t, maxStoreSpans, h.spans)
+}
+
+// TestSpansOfOtherDaemons guards against a gap that remains although another daemon read the store all the while: it tells its last read and
+// for how long the store has answered.
+func TestSpansOfOtherDaemons(t *testing.T) {
+	begin := time.Now()
+	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+	for name, c := range map[string]struct {
+		spans [][2]int
+		end   int
+	}{
+		"whole gap":         {[][2]int{{-9000, 3900}}, 0},
+		"begins in the gap": {[][2]int{{2000, 3900}}, 0},
+		"begins late":       {[][2]int{{2600, 3900}}, 2600},
+		"ends early":        {[][2]int{{-9000, 1000}}, 4000},
+		"two":               {[][2]int{{-9000, 700}, {3000, 3100}}, 0},
+	} {
+		var h storeHistory
+		h.recordAnswer(at(0))
+		h.recordFailure(at(1500))
+		h.recordAnswer(at(4000))
+		for _, s := range c.spans {
+			h.recordSpan(span{at(s[0]), at(s[1])})
+		}
+		want := time.Time{}
+		if c.end != 0 {
+			want = at(c.end)
+		}
+		must.Eq(t, want, h.lastOutageEnd(), must.Sprint(name))
+	}
 }
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -88,6 +89,8 @@
 	// failed last, in milliseconds, if that is recent.
 	Revision      int64  `json:"revision,omitempty"`
 	StoreFailedMS *int64 `json:"store_failed_ms,omitempty"`
+	// StoreSpan is the time for which the store has answered calls that were at most outageThreshold apart, as far as the source knows.
+	StoreSpan *storeSpan `json:"store_span,omitempty"`
 	// Era is the era of the store that the list reflects; daemons of earlier versions do not state it. RestoredMS is the time
 	// since the store came back from an older copy, in milliseconds, if that is recent.
 	Era        *int64 `json:"era,omitempty"`
@@ -104,6 +107,12 @@
 	Notices      []quarantine.Notice `json:"notices,omitempty"`
 }
 
+// storeSpan is a time up to the present, by the time since its begin and its end in milliseconds.
+type storeSpan struct {
+	FromMS int64 `json:"from_ms"`
+	ToMS   int64 `json:"to_ms"`
+}
+
 // peerClient pulls from other daemons. It is safe for concurrent use.
 type peerClient struct {
 	http *http.Client
@@ -208,8 +217,13 @@
 // applyPulledList applies the list in the response to a pull, and what it tells of the store.
 func (f *Feed) applyPulledList(ctx context.Context, p *pull) {
 	response := &p.response
-	if response.StoreFailedMS != nil {
-		f.dir.RecordStoreFailure(time.Now().Add(-time.Duration(*response.StoreFailedMS) * time.Millisecond))
+	// The response was under way for an unknown part of the time since the pull, so what it tells is taken to be as early as possible.
+	respondedAt := p.begin.Add(response.held())
+	if ms := response.StoreFailedMS; ms != nil && *ms >= 0 {
+		f.dir.RecordStoreFailure(beforeMS(respondedAt, *ms))
+	}
+	if s := response.StoreSpan; s != nil && s.FromMS >= s.ToMS && s.ToMS >= 0 {
+		f.dir.RecordStoreSpan(beforeMS(respondedAt, s.FromMS), beforeMS(respondedAt, s.ToMS))
 	}
 	if response.Generation == 0 {
 		return
@@ -247,6 +261,19 @@
 	return begin.Add(time.Duration(*r.HeldMS-r.AgeMS) * time.Millisecond)
 }
 
+// beforeMS returns the time a number of milliseconds before another one, at most a day.
+func beforeMS(at time.Time, ms int64) time.Time {
+	return at.Add(-min(time.Duration(min(ms, math.MaxInt32))*time.Millisecond, 24*time.Hour))
+}
+
+// held returns how long the source held the pull, 0 if unknown.
+func (r *pullResponse) held() time.Duration {
+	if r.HeldMS == nil {
+		return 0
+	}
+	return time.Duration(*r.HeldMS) * time.Millisecond
+}
+
 // restoredAt returns when the store came back from an older copy, zero if it did not lately.
 func (r *pullResponse) restoredAt(now time.Time) time.Time {
 	if r.RestoredMS == nil {
@@ -420,7 +447,7 @@
 	if view.Generation == 0 {
 		return response, hasUpdate
 	}
-	response.StoreFailedMS = f.storeFailedMS(time.Now())
+	response.StoreFailedMS, response.StoreSpan = f.storeFailedMS(time.Now()), f.storeSpan(time.Now())
 	if request.Scope == "" && request.Digest != 0 && !request.AcceptsStale && time.Since(view.ReadAt) >= centreStaleAfter {
 		// The follower already has a list and requests a fresh one, but this one is stale too. When all daemons start at the
 		// same time, it would otherwise receive stale lists with each of its pulls.
--- a/topology/serverlist.go
+++ b/topology/serverlist.go
@@ -66,6 +66,22 @@
 	d.history.recordAnswer(at)
 }
 
+// RecordStoreSpan records that the store answered another daemon from one time to another without a longer gap.
+func (d *Directory) RecordStoreSpan(from, to time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.history.recordSpan(span{from, to})
+}
+
+// StoreSpan returns the time for which the store has answered without a longer gap, as far as this daemon knows. found is false if it never
+// answered.
+func (d *Directory) StoreSpan() (from, to time.Time, found bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, found := d.history.lastSpan()
+	return s.from, s.to, found
+}
+
 // RecordStoreFailure records a failed call, see RecordStoreAnswer.
 func (d *Directory) RecordStoreFailure(at time.Time) {
 	d.mu.Lock()
@@ -119,7 +135,7 @@
 	listed := byID(list.Servers)
 	var change Change
 	if list.Origin == FromDaemon {
-		change.Departed = d.dropDeparted(listed)
+		change.Departed = d.dropDeparted(listed, list.ReadAt)
 		change.Kept = d.adoptKept(listed, list.ReadAt)
 	} else {
 		if d.view.isRecentlyRestored(list.ReadAt) {
@@ -202,14 +218,23 @@
 	return kept
 }
 
-// dropDeparted removes the entries that another daemon keeps and that this daemon has removed, and returns their number. d.mu must be
-// held.
-func (d *Directory) dropDeparted(listed map[string]balancer.Server) (departed int) {
+// dropDeparted removes the entries that another daemon keeps although this daemon knows that they have left, and returns their number:
+// it has removed them itself, or the store has answered all the while, so that they did not lapse in an outage. d.mu must be held.
+func (d *Directory) dropDeparted(listed map[string]balancer.Server, readAt time.Time) (dropped int) {
 	for _, s := range d.departed(listed) {
 		delete(listed, s.ID)
-		departed++
+		dropped++
 	}
-	return departed
+	if s, found := d.history.lastSpan(); !found || readAt.Sub(s.from) < outageThreshold+reregistrationGrace || d.view.isRecentlyRestored(readAt) {
+		return dropped
+	}
+	for id, s := range listed {
+		if s.Missing {
+			delete(listed, id)
+			dropped++
+		}
+	}
+	return dropped
 }
 
 // departed returns the entries of a list that are marked as missing although this daemon has removed the same start of the replica.
