--- a/topology/election.go
+++ b/topology/election.go
@@ -106,8 +106,7 @@
 	if err == nil && !found {
 		if r.reader() == "" {
 			sleep(ctx, f.electionDelay(r))
-			f.pullFromContacts(ctx)
-			if f.adoptKnownReader(r) {
+			if r.scope != fleetScope && f.learnReader(ctx, r) {
 				return
 			}
 		}
@@ -120,6 +119,14 @@
 	f.acquire(ctx, r, item.ModRevision)
 }
 
+// learnReader sets the reader of this daemon's data centre to the one that the contact addresses know. It returns false if they know none.
+func (f *Feed) learnReader(ctx context.Context, r *role) bool {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	f.pullFromContacts(ctx)
+	return f.adoptKnownReader(r)
+}
+
 // acceptHolder sets the holder of a role from its claim. It returns false for a claim that this daemon may replace.
 func (f *Feed) acceptHolder(r *role, item kv.Item) bool {
 	c, err := decodeClaim(item)
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -115,6 +115,8 @@
 	// claim a vacant role. Both are owned by the goroutine of Run.
 	lastFallback string
 	hasElected   bool
+	// lastOwnRead is the time of the last read of the list by this daemon as a follower. It is owned by the goroutine of Run.
+	lastOwnRead time.Time
 	// explainedGapEnd is the end of the last gap that other daemons were asked about, unansweredConsultations how often nobody answered
 	// since. Both are owned by the goroutine of Run.
 	explainedGapEnd         time.Time
@@ -155,6 +157,8 @@
 // Run keeps the directory up to date until ctx is done, then releases the claims of this daemon.
 func (f *Feed) Run(ctx context.Context) {
 	f.loadInitialView(ctx)
+	// The first own read is delayed: a starting daemon usually finds a reader or a contact within that time.
+	f.lastOwnRead = time.Now()
 	f.runRole(ctx, 0)
 	f.stopped.Store(true)
 	f.resign(f.roles)
@@ -235,8 +239,6 @@
 // the holder it falls back to the reader of another data centre, then to the store.
 func (f *Feed) follow(ctx context.Context, r *role) {
 	retryPause, ownReadInterval := minRetryPause, minOwnReadInterval
-	// The first own read is delayed as well: a starting daemon usually finds a reader or a contact within that time.
-	lastOwnRead := time.Now()
 	var lastElection time.Time
 	for ctx.Err() == nil && !r.isHeld() {
 		err := errNoReader
@@ -251,8 +253,8 @@
 			continue
 		}
 		f.pullFromOtherReader(ctx, r)
-		if f.listAge() >= r.staleAfter && time.Since(lastOwnRead) >= ownReadInterval {
-			lastOwnRead = time.Now()
+		if f.listAge() >= r.staleAfter && time.Since(f.lastOwnRead) >= ownReadInterval {
+			f.lastOwnRead = time.Now()
 			if f.probeStore(ctx, r) && f.readServers(ctx, fresh) {
 				f.readOperatorKeys(ctx, fresh)
 			}
