--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -44,6 +44,8 @@
 
 	// IsolationChanged reports that this daemon is partitioned from all replicas, or is no longer.
 	IsolationChanged = "isolation from replicas changed"
+	// IsolationPersists names the replicas that an isolated daemon has probed last, once a second.
+	IsolationPersists = "isolated, replicas were probed"
 
 	// Daemons to which this daemon delegates parts of a query.
 	HelperPaused       = "helper paused"
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -31,6 +31,8 @@
 	// of an isolated daemon.
 	reachCheckInterval    = 150 * time.Millisecond
 	isolatedProbeInterval = 300 * time.Millisecond
+	// isolationLogInterval is the time between two log lines of an isolated daemon.
+	isolationLogInterval = time.Second
 )
 
 // isResponse reports whether an attempt with this result received a response, whatever it says.
@@ -60,7 +62,7 @@
 	}
 	// Many requests lose connections at the same moment, and one round of probes is enough for all of them.
 	_, err, _ := g.confirmations.Do("", func() (any, error) {
-		if _, reached := g.probe(context.Background()); reached == 0 {
+		if g.probe(context.Background()).reached == 0 {
 			return nil, errIsolated
 		}
 		return nil, nil
@@ -68,21 +70,27 @@
 	return err == nil || g.reach.HasRespondedSince(since)
 }
 
-// probe opens connections to some replicas and returns how many it tried and how many it could open.
-func (g *Gateway) probe(ctx context.Context) (probed, reached int) {
-	replicas := g.balancer.ProbeCandidates(probedReplicas, time.Now())
+// probeRound is the result of opening connections to some replicas.
+type probeRound struct {
+	probed  []balancer.Server
+	reached int
+}
+
+// probe opens connections to some replicas.
+func (g *Gateway) probe(ctx context.Context) probeRound {
+	round := probeRound{probed: g.balancer.ProbeCandidates(probedReplicas, time.Now())}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	results := make(chan error, len(replicas))
-	for _, replica := range replicas {
+	results := make(chan error, len(round.probed))
+	for _, replica := range round.probed {
 		go func() { results <- g.opts.Links.Probe(ctx, replica) }()
 	}
-	for range replicas {
+	for range round.probed {
 		if err := <-results; err == nil {
-			reached++
+			round.reached++
 		}
 	}
-	return len(replicas), reached
+	return round
 }
 
 // ReportOpen records the result of opening a connection to a replica.
@@ -120,20 +128,34 @@
 	if g.reach.Update(g.balancer.CountSilent(now), now) == reach.Connected {
 		return reachCheckInterval
 	}
-	probed, reached := g.probe(ctx)
+	round := g.probe(ctx)
 	if ctx.Err() != nil {
 		return reachCheckInterval
 	}
-	before, after := g.reach.Decide(probed, reached, time.Now())
+	before, after := g.reach.Decide(len(round.probed), round.reached, time.Now())
 	if (before == reach.Isolated) != (after == reach.Isolated) {
-		g.setIsolated(after == reach.Isolated, probed, reached)
+		g.setIsolated(after == reach.Isolated, round)
 	}
 	if after == reach.Isolated {
+		g.logIsolation(round)
 		return isolatedProbeInterval
 	}
 	return reachCheckInterval
 }
 
+// logIsolation names the replicas that were probed without ending the isolation.
+func (g *Gateway) logIsolation(round probeRound) {
+	if time.Since(g.isolationLoggedAt) < isolationLogInterval {
+		return
+	}
+	g.isolationLoggedAt = time.Now()
+	var replicas, services []string
+	for _, r := range round.probed {
+		replicas, services = append(replicas, r.ID), append(services, r.Service)
+	}
+	g.log.Info(eventlog.IsolationPersists, zap.Strings("replicas", replicas), zap.Strings("services", services), zap.Int("reached", round.reached))
+}
+
 // errIsolated is the cancellation cause of the attempts in flight of a daemon that has found that it reaches no replica.
 var errIsolated = errors.New("this daemon reaches no replica")
 
@@ -182,8 +204,8 @@
 }
 
 // setIsolated logs and applies the start or the end of an isolation.
-func (g *Gateway) setIsolated(isolated bool, probed, reached int) {
-	g.log.Warn(eventlog.IsolationChanged, zap.Bool("isolated", isolated), zap.Int("probed", probed), zap.Int("reached", reached),
+func (g *Gateway) setIsolated(isolated bool, round probeRound) {
+	g.log.Warn(eventlog.IsolationChanged, zap.Bool("isolated", isolated), zap.Int("probed", len(round.probed)), zap.Int("reached", round.reached),
 		zap.Int64("in_flight", g.InFlight()))
 	g.balancer.SetIsolated(isolated)
 	// A connection that was silent during a partition resumes late, if ever.
