Probes for an isolation go to replicas to which requests may go (RECOVER)

Callers of all daemons were refused for ever after all replicas of a service had been down for 4 s, if the store listed three entries of services that no configuration names.

Candidates are now the ready replicas of services to which a route of the configuration in force sends requests, outside evacuated data centres, up to five also if there is one service only (one replica was probed then; its silence made a daemon isolated for 0.3 s). Entries of other services change neither the entering nor the leaving and are never probed.

--- a/balancer/probe.go
+++ b/balancer/probe.go
@@ -2,32 +2,50 @@
 
 import "time"
 
-// ProbeCandidates returns at most n replicas of different services, chosen at random, which are ready and not avoided after a
-// failure, as far as there are any, and otherwise those that failed.
-func (b *Balancer) ProbeCandidates(n int, now time.Time) []Server {
+// ProbeCandidates returns at most n replicas to which requests may go, chosen at random: those of the given services that are ready and not
+// in an evacuated data centre. Replicas that are not avoided after a failure come first, and of these one of each service, then a
+// second one of each, and so on.
+func (b *Balancer) ProbeCandidates(n int, services map[string]bool, now time.Time) []Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var sound, failed []Server
-	for _, replicas := range b.services {
-		// The iteration order of maps is random.
-		start := b.rng.IntN(len(replicas))
-		for i := range replicas {
-			r := replicas[(start+i)%len(replicas)]
-			if r.State != Ready || r.removed {
-				continue
-			}
-			if r.failures == 0 && !now.Before(r.pausedUntil) {
-				sound = append(sound, r.Server)
-				break
-			}
+	var sound, failed [][]Server
+	for service := range services {
+		soundOfService, failedOfService := b.probeCandidatesOf(service, now)
+		sound, failed = append(sound, soundOfService), append(failed, failedOfService)
+	}
+	candidates := append(interleave(sound), interleave(failed)...)
+	return candidates[:min(n, len(candidates))]
+}
+
+// probeCandidatesOf returns the replicas of a service that may be probed, in random order: those that are not avoided after a failure,
+// and the others. The caller holds b.mu.
+func (b *Balancer) probeCandidatesOf(service string, now time.Time) (sound, failed []Server) {
+	replicas := b.services[service]
+	for _, i := range b.rng.Perm(len(replicas)) {
+		r := replicas[i]
+		switch {
+		case r.State != Ready || r.removed || b.evacuated[r.DataCentre]:
+		case r.failures == 0 && !now.Before(r.pausedUntil):
+			sound = append(sound, r.Server)
+		default:
 			failed = append(failed, r.Server)
 		}
-		if len(sound) >= n {
-			break
+	}
+	return sound, failed
+}
+
+// interleave returns the first elements of all lists, then the second ones, and so on.
+func interleave(lists [][]Server) (all []Server) {
+	for i, isDone := 0, false; !isDone; i++ {
+		isDone = true
+		for _, list := range lists {
+			if i < len(list) {
+				all = append(all, list[i])
+				isDone = false
+			}
 		}
 	}
-	all := append(sound, failed...)
-	return all[:min(n, len(all))]
+	return all
 }
 
 const (
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -76,9 +76,14 @@
 	reached int
 }
 
-// probe opens connections to some replicas.
+// probe opens connections to some replicas to which the configuration sends requests. Entries of other services say nothing of this
+// daemon's links.
 func (g *Gateway) probe(ctx context.Context) probeRound {
-	round := probeRound{probed: g.balancer.ProbeCandidates(probedReplicas, time.Now())}
+	view, _ := g.directory.View()
+	if view.Table == nil {
+		return probeRound{}
+	}
+	round := probeRound{probed: g.balancer.ProbeCandidates(probedReplicas, view.Table.RoutedServices(), time.Now())}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	results := make(chan error, len(round.probed))
--- a/routing/config.go
+++ b/routing/config.go
@@ -104,6 +104,8 @@
 type Table struct {
 	config   Config
 	services map[string]Service
+	// routedServices holds the services to which any route sends requests.
+	routedServices map[string]bool
 	// hosts holds the routes of each host in lower case, sorted by descending prefix length.
 	hosts    map[string][]*Route
 	accounts *account.Table
@@ -113,6 +115,7 @@
 func NewTable(config Config) (*Table, error) {
 	t := &Table{
 		config: config, services: make(map[string]Service, len(config.Services)), hosts: make(map[string][]*Route),
+		routedServices: make(map[string]bool),
 	}
 	var err error
 	if t.accounts, err = account.NewTable(config.Accounts); err != nil {
@@ -126,6 +129,9 @@
 		if err := r.validate(); err != nil {
 			return nil, eris.Wrapf(err, "route %q of version %d", r.Name, config.Version)
 		}
+		for _, service := range r.Services() {
+			t.routedServices[service] = true
+		}
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
@@ -166,6 +172,9 @@
 // Accounts returns the client accounts, nil if requests need no key.
 func (t *Table) Accounts() *account.Table { return t.accounts }
 
+// RoutedServices returns the services to which any route sends requests. The caller must not modify the map.
+func (t *Table) RoutedServices() map[string]bool { return t.routedServices }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() int64 { return t.config.Version }
 
