An isolated daemon whose probes reach too few replicas tries requests (RECOVER)

Probes now take turns over services and replicas, so that none is missed by the luck of a draw, and after 2 s of an isolation in which probes have reached a replica a request that no other daemon took is tried instead of refused, one each 300 ms. A response ends the isolation. While no replica can be reached, requests are refused at once as before (TestIsolatedDaemonRefusesAtOnce is unchanged; a first form of this change, which also tried requests then, broke it).

Failed before: TestRequestsAreTriedInIsolation, TestProbesTakeTurns (53 of 63 replicas probed). go test of ./balancer, ./gateway and ./reach passes.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -137,6 +137,8 @@
 	refusalRate       float64
 	refusalUpdatedAt  time.Time
 	warmupUntil       time.Time
+	// probedAt is when the replica was a candidate for a probe last.
+	probedAt time.Time
 
 	failures    int
 	failedAt    time.Time
--- a/balancer/probe.go
+++ b/balancer/probe.go
@@ -1,51 +1,64 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// ProbeCandidates returns at most n replicas to which requests may go, chosen at random: those of the given services that are ready and not
-// in an evacuated data centre. Replicas that are not avoided after a failure come first, and of these one of each service, then a
-// second one of each, and so on.
+// ProbeCandidates returns at most n replicas to which requests may go: those of the given services that are ready and not in an evacuated
+// data centre. Replicas that are not avoided after a failure come first, and of these one of each service, then a second one of each, and
+// so on. Services and their replicas take turns, so that each is probed after a bounded number of calls; the order is random otherwise.
 func (b *Balancer) ProbeCandidates(n int, services map[string]bool, now time.Time) []Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var sound, failed [][]Server
+	var sound, failed [][]*replica
 	for service := range services {
 		soundOfService, failedOfService := b.probeCandidatesOf(service, now)
 		sound, failed = append(sound, soundOfService), append(failed, failedOfService)
 	}
 	candidates := append(interleave(sound), interleave(failed)...)
-	return candidates[:min(n, len(candidates))]
+	var servers []Server
+	for _, r := range candidates[:min(n, len(candidates))] {
+		r.probedAt = now
+		servers = append(servers, r.Server)
+	}
+	return servers
 }
 
-// probeCandidatesOf returns the replicas of a service that may be probed, in random order: those that are not avoided after a failure,
-// and the others. The caller holds b.mu.
-func (b *Balancer) probeCandidatesOf(service string, now time.Time) (sound, failed []Server) {
-	replicas := b.services[service]
-	for _, i := range b.rng.Perm(len(replicas)) {
-		r := replicas[i]
+// probeCandidatesOf returns the replicas of a service that may be probed, those that were probed least recently first: those that are not
+// avoided after a failure, and the others. The caller holds b.mu.
+func (b *Balancer) probeCandidatesOf(service string, now time.Time) (sound, failed []*replica) {
+	replicas := slices.Clone(b.services[service])
+	b.rng.Shuffle(len(replicas), func(i, k int) { replicas[i], replicas[k] = replicas[k], replicas[i] })
+	slices.SortStableFunc(replicas, func(a, c *replica) int { return a.probedAt.Compare(c.probedAt) })
+	for _, r := range replicas {
 		switch {
 		case r.State != Ready || r.removed || b.evacuated[r.DataCentre]:
 		case r.failures == 0 && !now.Before(r.pausedUntil):
-			sound = append(sound, r.Server)
+			sound = append(sound, r)
 		default:
-			failed = append(failed, r.Server)
+			failed = append(failed, r)
 		}
 	}
 	return sound, failed
 }
 
-// interleave returns the first elements of all lists, then the second ones, and so on.
-func interleave(lists [][]Server) (all []Server) {
-	for i, isDone := 0, false; !isDone; i++ {
-		isDone = true
+// interleave returns the first elements of all lists, then the second ones, and so on. The list whose first element was probed least
+// recently comes first.
+func interleave(lists [][]*replica) (all []*replica) {
+	lists = slices.DeleteFunc(lists, func(list []*replica) bool { return len(list) == 0 })
+	slices.SortStableFunc(lists, func(a, c []*replica) int { return a[0].probedAt.Compare(c[0].probedAt) })
+	for i := 0; ; i++ {
+		before := len(all)
 		for _, list := range lists {
 			if i < len(list) {
 				all = append(all, list[i])
-				isDone = false
 			}
 		}
+		if len(all) == before {
+			return all
+		}
 	}
-	return all
 }
 
 const (
--- a/balancer/probe_test.go
+++ b/balancer/probe_test.go
@@ -51,3 +51,29 @@
 		must.Eq(t, min(n, len(sound)), soundDrawn, must.Sprint("sound replicas come first"))
 	})
 }
+
+// TestProbesTakeTurns guards against a daemon that stays isolated by the luck of a draw: each replica to which requests may go is probed after
+// a bounded number of rounds.
+func TestProbesTakeTurns(t *testing.T) {
+	const n, services, replicas = 5, 7, 9
+	now := time.Now()
+	b := New(1)
+	var list []Server
+	routed := make(map[string]bool)
+	for i := range services {
+		service := fmt.Sprint("s", i)
+		routed[service] = true
+		for k := range replicas {
+			list = append(list, Server{ID: fmt.Sprint(service, "-", k), Service: service, Slots: 1})
+		}
+	}
+	b.SetServers(list, now)
+	probed := make(map[string]bool)
+	for range 2 * services * replicas / n {
+		now = now.Add(time.Second)
+		for _, s := range b.ProbeCandidates(n, routed, now) {
+			probed[s.ID] = true
+		}
+	}
+	must.MapLen(t, services*replicas, probed)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,8 +178,10 @@
 	metrics     *instruments
 	reach       *reach.Tracker
 	isolation   isolationWatch
-	// isolationLoggedAt is the time of the last log line of an isolation. It is owned by the goroutine of WatchReach.
+	// isolationLoggedAt is the time of the last log line of an isolation, wasIsolated the state after the last check. Both are owned by the
+	// goroutine of WatchReach.
 	isolationLoggedAt time.Time
+	wasIsolated       bool
 	// confirmations shares the probes of requests that lose connections at the same time.
 	confirmations singleflight.Group
 	// successes counts the requests without errors, of which only a sample is logged.
--- a/gateway/odd_entries_test.go
+++ b/gateway/odd_entries_test.go
@@ -23,6 +23,16 @@
 	return l.fakeLinks.Probe(ctx, replica)
 }
 
+// fewLinks are links to replicas of which probes reach one only.
+type fewLinks struct{ fakeLinks }
+
+func (l *fewLinks) Probe(ctx context.Context, replica balancer.Server) error {
+	if replica.ID != "o-0" {
+		return context.DeadlineExceeded
+	}
+	return l.fakeLinks.Probe(ctx, replica)
+}
+
 // addOddEntries adds replicas of services that no configuration names to the list of a gateway's replicas.
 func addOddEntries(g *Gateway, n int) {
 	view, _ := g.directory.View()
@@ -58,6 +68,40 @@
 	}
 }
 
+// TestRequestsAreTriedInIsolation guards callers against a daemon that refuses every request for ever although replicas respond, since its
+// probes reach too few of them. Requests of each kind are tried, but not before the isolation has lasted for a while, nor while no replica
+// can be reached.
+func TestRequestsAreTriedInIsolation(t *testing.T) {
+	for _, path := range []string{"/q/1", "/r/1", "/o/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			g, f := newGateway(t)
+			links := &fewLinks{}
+			g.opts.Links = links
+			heal := f.partition(&links.fakeLinks)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go g.WatchReach(ctx)
+			go g.Serve(context.Background(), newRequest("/q/first"))
+			testseed.Sleep(time.Second)
+			must.True(t, g.isIsolated())
+			before := len(f.sentTo())
+			ask := func(duration time.Duration) (served int) {
+				for end := time.Now().Add(duration); time.Now().Before(end); testseed.Sleep(20 * time.Millisecond) {
+					if reply := g.Serve(context.Background(), newRequest(path)); reply.Err == nil {
+						served++
+					}
+				}
+				return served
+			}
+			must.Zero(t, ask(3*time.Second), must.Sprint(path))
+			must.Len(t, before, f.sentTo(), must.Sprint(path, ": no replica can be reached"))
+			heal()
+			must.Positive(t, ask(4*time.Second), must.Sprint(path))
+			must.False(t, g.isIsolated(), must.Sprint(path))
+		})
+	}
+}
+
 // TestOddEntriesDoNotCauseIsolation guards callers against a daemon that takes itself for partitioned when a few replicas end, since its
 // probes go to entries of services that no configuration names.
 func TestOddEntriesDoNotCauseIsolation(t *testing.T) {
--- a/gateway/passon.go
+++ b/gateway/passon.go
@@ -16,7 +16,15 @@
 func (r *run) serveOrPassOn(ctx context.Context) (Reply, *run) {
 	isDirect := r.request.DelegatedBy == ""
 	r.passesOn = isDirect && r.gateway.isIsolated()
-	if r.passesOn || r.route.Safety == routing.AtMostOnce {
+	if r.passesOn {
+		reply := r.serve(ctx)
+		if !r.isUnplaced || !r.gateway.reach.Try(time.Now()) {
+			return reply, r
+		}
+		trial := r.again(r.gate)
+		return trial.serve(ctx), trial
+	}
+	if r.route.Safety == routing.AtMostOnce {
 		return r.serve(ctx), r
 	}
 	runCtx, endRun := r.gateway.withIsolation(ctx)
@@ -29,8 +37,8 @@
 	// What was sent before the isolation was noticed has had no response, and the request may be repeated.
 	gate, ctx := dispatch.NewGate(ctx, ctx)
 	defer gate.Release()
-	next := &run{gateway: r.gateway, request: r.request, route: r.route, regions: r.regions, view: r.view, quarantineRun: r.quarantineRun,
-		gate: gate, passesOn: true}
+	next := r.again(gate)
+	next.passesOn = true
 	nextReply := next.serve(ctx)
 	if nextReply.Err != nil && nextReply.Err.Kind.Outcome().Run == api.RunNever && !r.gate.Close() {
 		// That holds for the second run only: replicas may have executed what the first one sent.
@@ -39,12 +47,19 @@
 	return nextReply, next
 }
 
+// again returns another run of the same request.
+func (r *run) again(gate *dispatch.Gate) *run {
+	return &run{gateway: r.gateway, request: r.request, route: r.route, regions: r.regions, view: r.view, quarantineRun: r.quarantineRun,
+		gate: gate}
+}
+
 // isolatedRetryAfter is the Retry-After of a daemon that reaches no replica and found no other daemon to serve a request: the time
 // until it probes the replicas again.
 const isolatedRetryAfter = isolatedProbeInterval
 
 // isolatedReply returns the refusal of a request that neither this daemon nor another one could serve.
 func (r *run) isolatedReply() Reply {
+	r.isUnplaced = true
 	return errorReply(api.NoReplica, isolatedRetryAfter, "this daemon reaches no replica and no other daemon took the request")
 }
 
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -130,18 +130,20 @@
 // checkReach updates the state and returns the time until the next check.
 func (g *Gateway) checkReach(ctx context.Context) time.Duration {
 	now := time.Now()
-	if g.reach.Update(g.balancer.CountSilent(now), now) == reach.Connected {
-		return reachCheckInterval
-	}
-	round := g.probe(ctx)
-	if ctx.Err() != nil {
-		return reachCheckInterval
+	state, round := g.reach.Update(g.balancer.CountSilent(now), now), probeRound{}
+	if state != reach.Connected {
+		round = g.probe(ctx)
+		if ctx.Err() != nil {
+			return reachCheckInterval
+		}
+		_, state = g.reach.Decide(len(round.probed), round.reached, time.Now())
 	}
-	before, after := g.reach.Decide(len(round.probed), round.reached, time.Now())
-	if (before == reach.Isolated) != (after == reach.Isolated) {
-		g.setIsolated(after == reach.Isolated, round)
+	// A response to a request that was tried ends an isolation too, between two checks.
+	if isIsolated := state == reach.Isolated; isIsolated != g.wasIsolated {
+		g.wasIsolated = isIsolated
+		g.setIsolated(isIsolated, round)
 	}
-	if after == reach.Isolated {
+	if state == reach.Isolated {
 		g.logIsolation(round)
 		return isolatedProbeInterval
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -51,6 +51,8 @@
 	route   *routing.Route
 	// passesOn is set if this daemon reaches no replica, so that another daemon has to serve the request.
 	passesOn bool
+	// isUnplaced is set if no other daemon took such a request.
+	isUnplaced bool
 	// regions are those in which the request may be served.
 	regions       residency.Regions
 	view          *topology.View
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -27,6 +27,11 @@
 	suspicionPause = time.Second
 	// minReachedFraction is the fraction of the probed replicas that an isolated daemon has to reach to be no longer isolated.
 	minReachedFraction = 0.5
+	// trialDelay is how long a daemon is isolated before it tries requests, trialInterval the time between two of them. Requests are tried
+	// for trialWindow after probes have reached a replica.
+	trialDelay    = 2 * time.Second
+	trialInterval = 300 * time.Millisecond
+	trialWindow   = 2 * time.Second
 )
 
 // State is what a daemon knows of its links to the replicas.
@@ -55,6 +60,9 @@
 	refused map[string]time.Time
 	// refutedAt is when probes last refuted a suspicion.
 	refutedAt time.Time
+	// isolatedAt is when the isolation began, reachedAt when probes reached a replica last, too few to end it, and triedAt when a request
+	// was tried last. All are zero while the daemon is not isolated.
+	isolatedAt, reachedAt, triedAt time.Time
 }
 
 // NewTracker returns the tracker of a daemon that starts now.
@@ -62,11 +70,35 @@
 	return &Tracker{respondedAt: now, refused: make(map[string]time.Time)}
 }
 
-// Responded records a response of any replica, whatever it says.
+// Responded records a response of any replica, whatever it says. It ends an isolation in which a request was tried.
 func (t *Tracker) Responded(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.respondedAt = now
+	if !t.triedAt.IsZero() {
+		t.connect(now)
+	}
+}
+
+// Try reports whether an isolated daemon may try a request that it would refuse otherwise. Some replicas can be reached then, but too few
+// of those that are probed: after a while one request is tried from time to time, and a response ends the isolation. While no replica can
+// be reached, every request is refused at once.
+func (t *Tracker) Try(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	isReaching := !t.reachedAt.IsZero() && now.Sub(t.reachedAt) < trialWindow
+	if t.state != Isolated || !isReaching || now.Sub(t.isolatedAt) < trialDelay || now.Sub(t.triedAt) < trialInterval {
+		return false
+	}
+	t.triedAt = now
+	return true
+}
+
+// connect ends a suspicion or an isolation. The caller holds the lock.
+func (t *Tracker) connect(now time.Time) {
+	t.state, t.refutedAt = Connected, now
+	t.isolatedAt, t.reachedAt, t.triedAt = time.Time{}, time.Time{}, time.Time{}
+	clear(t.refused)
 }
 
 // HasRespondedSince reports whether a replica responded at or after a time.
@@ -139,10 +171,11 @@
 	switch {
 	case probed == 0:
 	case t.state == Suspected && reached == 0:
-		t.state = Isolated
+		t.state, t.isolatedAt = Isolated, now
 	case t.state == Suspected, float64(reached) >= minReachedFraction*float64(probed):
-		t.state, t.refutedAt = Connected, now
-		clear(t.refused)
+		t.connect(now)
+	case reached > 0:
+		t.reachedAt = now
 	}
 	return before, t.state
 }
