--- a/delegation/message.go
+++ b/delegation/message.go
@@ -46,10 +46,11 @@
 
 // Query is a delegated query: a caller's query, a part of its shards, or a request to one replica.
 type Query struct {
-	ID     string      `json:"id"`
-	Method string      `json:"method"`
-	Host   string      `json:"host"`
-	Target string      `json:"target"`
+	ID     string `json:"id"`
+	Method string `json:"method"`
+	Host   string `json:"host"`
+	Target string `json:"target"`
+	// Path is the routing.PathOf of Target; daemons of earlier versions match their routes against it.
 	Path   string      `json:"path"`
 	Header http.Header `json:"header,omitempty"`
 	Body   []byte      `json:"body,omitempty"`
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -110,9 +110,11 @@
 	case n > limit:
 		return eris.Wrapf(delegation.ErrNotAccepted, "%d queries of other daemons in flight", limit)
 	}
-	route := view.Table.Match(q.Host, q.Path)
-	if route == nil {
-		return eris.Wrapf(delegation.ErrNotAccepted, "no route for host %q and path %q", q.Host, q.Path)
+	path := routing.PathOf(q.Target)
+	route := view.Table.Match(q.Host, path)
+	if route == nil || route != view.Table.Match(q.Host, q.Path) {
+		// A daemon of an earlier version matches the decoded path, and may take the request for that of another route.
+		return eris.Wrapf(delegation.ErrNotAccepted, "no route for host %q and path %q, or another one than that of %q", q.Host, path, q.Path)
 	}
 	if accounts := view.Table.Accounts(); accounts != nil && !route.Public {
 		if _, ok := accounts.Find(q.Account); !ok {
@@ -120,7 +122,7 @@
 		}
 	}
 	request := &Request{
-		ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Path: q.Path, Header: q.Header, Body: q.Body,
+		ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Path: path, Header: q.Header, Body: q.Body,
 		Received: time.Now().Add(-q.Elapsed), CallerTimeout: q.CallerTimeout, DelegatedBy: q.From, DelegationDepth: q.Depth,
 		Account: q.Account,
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,8 +32,8 @@
 type Request struct {
 	// ID identifies this attempt of the caller. A request with an empty ID is refused.
 	ID string
-	// Method, Host, Target and Header are forwarded unchanged. Target is the path with the query string, Path the path
-	// alone.
+	// Method, Host, Target and Header are forwarded unchanged. Target is the path with the query string, Path
+	// the routing.PathOf of it.
 	Method, Host, Target, Path string
 	// Header holds neither the key of a client account nor the name of one.
 	Header http.Header
--- a/routing/config.go
+++ b/routing/config.go
@@ -107,14 +107,20 @@
 	// routedServices holds the services to which any route sends requests.
 	routedServices map[string]bool
 	// hosts holds the routes of each host in lower case, sorted by descending prefix length.
-	hosts    map[string][]*Route
+	hosts    map[string][]matchedRoute
 	accounts *account.Table
 }
 
+// matchedRoute is a route with its prefix in the form that PathOf returns.
+type matchedRoute struct {
+	prefix string
+	*Route
+}
+
 // NewTable validates the configuration and returns its table. The error names the first invalid route or account.
 func NewTable(config Config) (*Table, error) {
 	t := &Table{
-		config: config, services: make(map[string]Service, len(config.Services)), hosts: make(map[string][]*Route),
+		config: config, services: make(map[string]Service, len(config.Services)), hosts: make(map[string][]matchedRoute),
 		routedServices: make(map[string]bool),
 	}
 	var err error
@@ -133,10 +139,10 @@
 			t.routedServices[service] = true
 		}
 		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
+		t.hosts[host] = append(t.hosts[host], matchedRoute{upperCaseEncoding(r.Prefix), r})
 	}
 	for _, routes := range t.hosts {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortStableFunc(routes, func(a, b matchedRoute) int { return len(b.prefix) - len(a.prefix) })
 	}
 	return t, nil
 }
@@ -186,15 +192,15 @@
 	return Service{Name: name}
 }
 
-// Match returns the route of the host with the longest matching path prefix, or nil if there is none. A port in
-// host is ignored. Of routes with the same host and prefix, the first in the configuration is returned.
+// Match returns the route of the host with the longest matching path prefix, or nil if there is none. path is the result of PathOf. A
+// port in host is ignored. Of routes with the same host and prefix, the first in the configuration is returned.
 func (t *Table) Match(host, path string) *Route {
 	if name, _, ok := strings.Cut(host, ":"); ok {
 		host = name
 	}
 	for _, r := range t.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
+		if strings.HasPrefix(path, r.prefix) {
+			return r.Route
 		}
 	}
 	return nil
