--- a/delegation/message.go
+++ b/delegation/message.go
@@ -69,6 +69,8 @@
 	Depth int    `json:"depth"`
 	// Account is the name of the client account whose key the caller sent, empty if there is none. The key itself is never sent.
 	Account string `json:"account,omitempty"`
+	// Raw stands in for the texts and the header on the way, if they are not UTF-8. Only encode and restore set it.
+	Raw *rawText `json:"raw,omitempty"`
 }
 
 // PartialAnswer is the merged answer of some shards. A helper sends the first part at the latest time at which the
@@ -104,6 +106,8 @@
 	Error      api.Kind      `json:"error,omitempty"`
 	Message    string        `json:"message,omitempty"`
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+	// RawHeader stands in for Header on the way, if that is not UTF-8. Only encodable and restore set it.
+	RawHeader []headerField `json:"raw_header,omitempty"`
 }
 
 // ErrNotAccepted means that the helper did not accept the query: nothing was sent to a replica.
@@ -131,6 +135,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		q.restore()
 		if exchange := r.Header.Get(headerExchange); exchange != "" {
 			w.Header().Set(headerExchange, exchange)
 		}
@@ -165,6 +170,7 @@
 	if p.closed {
 		return
 	}
+	part.ReplicaAnswer = part.ReplicaAnswer.encodable()
 	_ = p.encoder.Encode(part)
 	if !part.Last {
 		_ = p.flush()
@@ -240,7 +246,7 @@
 // respond with 100 Continue within acceptTimeout, the query is withdrawn. An error that wraps ErrNotAccepted means that
 // nothing was sent to a replica; after any other error replicas may have executed the query.
 func (c *Client) Delegate(ctx context.Context, address string, q Query, acceptTimeout time.Duration, receive func(PartialAnswer)) error {
-	data, err := json.Marshal(q)
+	data, err := q.encode()
 	if err != nil {
 		return eris.Wrapf(ErrNotAccepted, "encode query: %v", err)
 	}
@@ -302,6 +308,7 @@
 		if err := json.Unmarshal(line, &part); err != nil {
 			return eris.Wrap(err, "answer")
 		}
+		part.ReplicaAnswer.restore()
 		receive(part)
 		if part.Last {
 			timer := time.AfterFunc(drainTimeout, cancel)
