--- a/gateway/isolation_test.go
+++ b/gateway/isolation_test.go
@@ -39,8 +39,13 @@
 // isolate partitions a gateway from its replicas and waits until it knows.
 func isolate(t *testing.T, g *Gateway, f *fakeSender) (heal func()) {
 	links := &fakeLinks{}
+	return isolateWith(t, g, f, links, links)
+}
+
+// isolateWith is like isolate, with links of another type; cut are those that the partition cuts.
+func isolateWith(t *testing.T, g *Gateway, f *fakeSender, links ReplicaLinks, cut *fakeLinks) (heal func()) {
 	g.opts.Links = links
-	heal = f.partition(links)
+	heal = f.partition(cut)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go g.WatchReach(ctx)
--- a/gateway/odd_entries_test.go
+++ b/gateway/odd_entries_test.go
@@ -51,14 +51,7 @@
 			g, f := newGateway(t)
 			addOddEntries(g, odd)
 			links := &oddLinks{}
-			g.opts.Links = links
-			heal := f.partition(&links.fakeLinks)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			go g.WatchReach(ctx)
-			go g.Serve(context.Background(), newRequest("/q/first"))
-			testseed.Sleep(time.Second)
-			must.True(t, g.isIsolated(), must.Sprint(odd, " odd entries"))
+			heal := isolateWith(t, g, f, links, &links.fakeLinks)
 			heal()
 			testseed.Sleep(2 * isolatedProbeInterval)
 			must.False(t, g.isIsolated(), must.Sprint(odd, " odd entries"))
@@ -76,14 +69,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			g, f := newGateway(t)
 			links := &fewLinks{}
-			g.opts.Links = links
-			heal := f.partition(&links.fakeLinks)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			go g.WatchReach(ctx)
-			go g.Serve(context.Background(), newRequest("/q/first"))
-			testseed.Sleep(time.Second)
-			must.True(t, g.isIsolated())
+			heal := isolateWith(t, g, f, links, &links.fakeLinks)
 			before := len(f.sentTo())
 			ask := func(duration time.Duration) (served int) {
 				for end := time.Now().Add(duration); time.Now().Before(end); testseed.Sleep(20 * time.Millisecond) {
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -145,7 +145,8 @@
 		dir: dir, source: self.Node + "/" + strconv.FormatUint(rand.Uint64(),
 			36), store: store, decoder: decoder, keys: keys, self: self, contacts: contacts, log: log,
 		notices: noNotices{},
-		peers:   newPeerClient(), listenPacket: net.ListenPacket, followers: newFollowerSet(), invalidEntries: make(map[string]int64), unresponsiveContacts: make(map[string]bool),
+		peers:   newPeerClient(), listenPacket: net.ListenPacket, followers: newFollowerSet(), invalidEntries: make(map[string]int64),
+		unresponsiveContacts: make(map[string]bool),
 	}
 	f.roles = []*role{
 		{scope: self.DataCentre, key: keys.Readers + centrePrefix + self.DataCentre, staleAfter: centreStaleAfter},
