Soak: replicas leave while readers stand still or are killed (DRAIN)

TestSoakDepartures runs six daemons under load; replicas leave, with a report or without, while a daemon, in two of three draws the fleet's reader, stands still for 1 to 5 s or is killed and started again, beside odd entries and with targets that have encoded slashes and bytes above 7F. It counts at the replicas what daemons in touch send later than 3 s after a departure.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test fuzz race demo platform-demo soak soak-seeds response-faults regression bench-run bench-there hunt lint generate bench capacity confbench
+.PHONY: build test fuzz race demo platform-demo soak soak-seeds soak-departures response-faults regression bench-run bench-there hunt lint generate bench capacity confbench
 
 build:
 	mkdir -p bin
@@ -40,6 +40,11 @@
 soak-seeds:
 	for seed in $$(seq 1 $(N)); do $(MAKE) soak SEED=$$seed FOR=$(FOR) DAEMONS=$(DAEMONS) CALLERS=$(CALLERS) || exit 1; done
 
+# Runs real daemons while replicas leave and daemons, mostly readers of the list, stand still or are killed, and checks that departed replicas
+# get no late requests: make soak-departures SEED=7 FOR=1m.
+soak-departures:
+	SOAK_SEED=$(SEED) SOAK_FOR=$(FOR) go test ./platform -count=1 -timeout 0 -v -run 'TestSoakDepartures$$'
+
 # Runs real daemons against replicas that send extra, failed and broken responses, for the time FOR in each scenario:
 # make response-faults SCENARIO="extra without id,unframed" LOAD=orders FOR=10s. SCENARIO=all runs each.
 SCENARIO ?= several
