A list from a stale read is no answer of the store

Traced: its first list came from a stale read of another daemon, which is dated back by 10 s, and counted as an answer at that time. So there seemed to be a gap before its own first read; the only daemon that it knew stood still and did not answer, and it held the right list back for another read. Now such a list counts as no answer.

Failed before: TestStaleListIsNoAnswer.

--- a/topology/gap_test.go
+++ b/topology/gap_test.go
@@ -232,3 +232,23 @@
 		})
 	}
 }
+
+// TestStaleListIsNoAnswer guards against a starting daemon that holds its first list from the store back: the list that it had pulled came
+// from a stale read, which is dated back, so that there seemed to be a gap since, and nobody answered its question about it.
+func TestStaleListIsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		var both []*daemon
+		for i := range 2 {
+			d := &daemon{name: fmt.Sprint("d", i)}
+			f.addDaemon(d, f.store, "c0", 0, []string{"d0"})
+			both = append(both, d)
+		}
+		must.True(t, both[0].feed.readServers(t.Context(), allowStale))
+		must.NoError(t, both[1].feed.pull(t.Context(), "d0", "", 0))
+		f.removeServer(t, "r0")
+		both[0].network.Store(int32(linkSilent))
+		must.True(t, both[1].feed.readServers(t.Context(), fresh))
+		must.True(t, both[1].knowsLeaving("r0"))
+	})
+}
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -229,7 +229,10 @@
 		return
 	}
 	readAt := response.readAt(p.begin)
-	f.dir.RecordStoreAnswer(readAt)
+	if time.Duration(response.AgeMS)*time.Millisecond < staleReadPenalty {
+		// The time of a list from a stale read is not that of an answer.
+		f.dir.RecordStoreAnswer(readAt)
+	}
 	version := listVersion{response.Source, response.Generation, response.Confirmed}
 	if version == p.lastPulled {
 		return
