Gateway: second attempts in time, and connections that outlast unneeded attempts

Change: for tight targets the second attempt starts early enough for the partial answer; an attempt that is no longer needed may end by itself for 60 ms, unless the shard's replicas are saturated.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -97,6 +97,8 @@
 // newGateway returns a gateway with ten shards of two replicas each, such as "s3-0" and "s3-1" for shard s3, and a
 // service "o" with three replicas.
 func newGateway(t *testing.T) (*Gateway, *fakeSender) {
+	// Attempts that are no longer needed end within attemptLinger.
+	t.Cleanup(func() { time.Sleep(attemptLinger) })
 	dir := topology.NewDirectory()
 	var services []string
 	var list []balancer.Server
@@ -403,4 +405,7 @@
 	must.Eq(t, 35*time.Millisecond, hedgeDelay(150*time.Millisecond, 10*time.Millisecond))
 	must.Eq(t, 85*time.Millisecond, hedgeDelay(400*time.Millisecond, 30*time.Millisecond))
 	must.Eq(t, 50*time.Millisecond, hedgeDelay(150*time.Millisecond, 100*time.Millisecond))
+	// A tight target leaves no time for a second attempt that has to open a connection to another region, unless it starts earlier.
+	must.Eq(t, 24*time.Millisecond, hedgeDelay(120*time.Millisecond, 10*time.Millisecond))
+	must.Eq(t, 34*time.Millisecond, hedgeDelay(120*time.Millisecond, 20*time.Millisecond))
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -29,6 +29,14 @@
 	maxHedgeDelayFraction = 1.0 / 3
 	hedgeDelayFactor      = 2.5
 	hedgeRoundTrip        = 10 * time.Millisecond
+	// hedgeConnectTime is the time that a second attempt may need beside its work: opening a connection to a replica in
+	// another region and the round trip of the request. A second attempt that starts later than that before the partial
+	// answer cannot be part of it.
+	hedgeConnectTime = 55 * time.Millisecond
+	// minHedgeDelayFactor times the expected time of an attempt, plus minHedgeRoundTrip, is the shortest delay. Most attempts
+	// are answered by then, so that few second attempts are spent on replicas that are well.
+	minHedgeDelayFactor = 1.4
+	minHedgeRoundTrip   = 6 * time.Millisecond
 	// partialReserveFraction of the target latency is how long before the target a query ends with the shards that have
 	// answered. It is at least minPartialReserve: opening the caller's connection and sending the answer take two round
 	// trips, and a daemon with a small CPU share ends a query some milliseconds late.
@@ -40,6 +48,9 @@
 	// retryReserveFraction is the fraction of a service's budget that hedges leave to retries, since retries repair an
 	// answer.
 	retryReserveFraction = 0.25
+	// attemptLinger is how long an attempt whose answer is no longer needed may still be answered: about one round trip to another
+	// region and the work of a short query.
+	attemptLinger = 60 * time.Millisecond
 	// minRetryAfterRefusal is the shortest Retry-After when replicas refused or had no free slots: about one service time.
 	minRetryAfterRefusal = 50 * time.Millisecond
 )
@@ -116,9 +127,13 @@
 	r.machine = scatter.NewStateMachine(&r.plan, r, deadline)
 }
 
-// hedgeDelay returns the delay before a second attempt, given the target latency and the expected time of an attempt.
+// hedgeDelay returns the delay before a second attempt, given the target latency and the expected time of an attempt. A second
+// attempt of a query starts early enough to be part of the partial answer, also if it needs a new connection to another region.
 func hedgeDelay(target, expected time.Duration) time.Duration {
-	return min(time.Duration(maxHedgeDelayFraction*float64(target)), hedgeRoundTrip+time.Duration(hedgeDelayFactor*float64(expected)))
+	delay := min(time.Duration(maxHedgeDelayFraction*float64(target)), hedgeRoundTrip+time.Duration(hedgeDelayFactor*float64(expected)))
+	latest := partialAfter(target, 1) - hedgeConnectTime - expected
+	earliest := minHedgeRoundTrip + time.Duration(minHedgeDelayFactor*float64(expected))
+	return min(delay, max(latest, earliest))
 }
 
 // depositBudget credits the budgets with the first sub-requests that this daemon itself sends for the shards.
@@ -358,11 +373,17 @@
 	defer r.quarantineRun.AttemptEnded()
 	deadline, _ := ctx.Deadline()
 	begin, dispatched := time.Now(), false
+	service := r.plan.ShardMap.Shards[a.Shard].ID
 	limits := AnswerLimits{TimeLeft: time.Until(deadline), MaxBodyBytes: maxAnswerBytes}
 	if r.route.IsQuery() {
 		limits.MaxBodyBytes, limits.IsPart = maxPartBytes, true
 	}
-	answer, err := r.gateway.sender.Send(ctx, choice, r.request, limits, func() bool {
+	sendCtx, release := r.attemptContext(ctx, service)
+	defer release()
+	answer, err := r.gateway.sender.Send(sendCtx, choice, r.request, limits, func() bool {
+		if ctx.Err() != nil {
+			return false
+		}
 		switch {
 		case dispatched:
 			return !r.gate.IsClosed()
@@ -376,7 +397,10 @@
 		return nil, &backend.Error{Failure: backend.NotSent, Cause: errCallerLeft}
 	}
 	r.gateway.recordResponse(err)
-	service := r.plan.ShardMap.Shards[a.Shard].ID
+	if err == nil && ctx.Err() != nil {
+		// Only the connection was kept for later requests.
+		return nil, &backend.Error{Failure: backend.TimedOut, Cause: ctx.Err()}
+	}
 	if err == nil && r.route.IsQuery() {
 		err = r.checkPart(service, choice.ID, &answer)
 	}
@@ -404,6 +428,28 @@
 	}, nil
 }
 
+// attemptContext returns the context in which an attempt at a replica of the service is sent. An attempt at a shard of a query whose
+// answer is no longer needed ends attemptLinger later, so that its connection can be reused: cancelling it would close the
+// connection, and the next second attempt at this replica would again be too late because it has to open one. While the replicas
+// are saturated, the attempt ends at once, so that it takes no slot from others.
+func (r *run) attemptContext(ctx context.Context, service string) (context.Context, context.CancelFunc) {
+	if !r.route.IsQuery() {
+		return ctx, func() {}
+	}
+	attemptCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if r.gateway.balancer.Saturated(service, time.Now()) {
+			cancel()
+			return
+		}
+		time.AfterFunc(attemptLinger, cancel)
+	})
+	return attemptCtx, func() {
+		stop()
+		cancel()
+	}
+}
+
 var errCallerLeft = errors.New("the caller left before the request was sent")
 
 var errNotListed = errors.New("the replica is no longer in the replica list")
