Read load reports with four numbers

Cause: Chivemill-Server-Load has a fourth number on some deployments, how long work currently takes on the replica's machine. The header was then ignored entirely, so replicas were chosen without their reported load.

The fourth number is kept with its time. The cost uses the greater of the measured slowness and this number, which loses half of its weight in 100 ms (decided, not measured: it changes many times a second). It is capped like the slowness. Without the number the cost is exactly as before.

Ruled out: the product with the measured slowness, because the same machine has slowed down the measured attempts.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -61,7 +61,12 @@
 }
 
 // Load is the load that a replica reports in its responses.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// WorkPercent is how long work currently takes on the replica's machine, with 100 for as usual, or 0 if the replica does not
+	// state it.
+	WorkPercent float64
+}
 
 const (
 	// Assumed round-trip times per distance. They only rank the replicas; measured slowness corrects them.
@@ -94,6 +99,9 @@
 
 	// loadHalfLife is the half-life of a reported load.
 	loadHalfLife = 150 * time.Millisecond
+	// workPercentHalfLife is the half-life of a reported WorkPercent. It is shorter than that of the load, since the speed of a machine
+	// changes many times a second.
+	workPercentHalfLife = 100 * time.Millisecond
 
 	// A replica counts as unresponsive once an attempt in flight has waited for longer than the round trip plus
 	// unresponsiveFactor times the expected latency, counted from its start or from the replica's last response,
@@ -132,6 +140,8 @@
 
 	load              Load
 	loadAt            time.Time
+	workPercent       float64
+	workPercentAt     time.Time
 	slowness          float64
 	slownessUpdatedAt time.Time
 	refusalRate       float64
@@ -356,7 +366,7 @@
 	}
 	reported := float64(r.load.Running+r.load.Waiting) * decayFactor(now.Sub(r.loadAt), loadHalfLife)
 	busy := max(float64(len(r.inFlight)), reported)
-	work := float64(expectedLatency) * r.slownessAt(now)
+	work := float64(expectedLatency) * r.slownessWithReportAt(now)
 	if now.Before(r.warmupUntil) {
 		work *= warmupCostFactor
 	}
@@ -369,6 +379,13 @@
 	return (float64(r.assumedRTT()) + work*(1+queue)) / (served * served)
 }
 
+// slownessWithReportAt returns the measured slowness or, if it is greater, what the replica's latest report says of its machine, weighted
+// by its age. It is not the product, because the measured attempts have been slowed down by the same machine.
+func (r *replica) slownessWithReportAt(now time.Time) float64 {
+	measured, reported := r.slownessAt(now), min(maxSlowness, r.workPercent/100)
+	return measured + max(0, reported-measured)*decayFactor(now.Sub(r.workPercentAt), workPercentHalfLife)
+}
+
 func (b *Balancer) expectedLatencyFor(kind string) time.Duration {
 	if e := b.expectedLatency[kind]; e > 0 {
 		return time.Duration(e)
@@ -389,5 +406,8 @@
 	defer b.mu.Unlock()
 	if r := b.replicas[id]; r != nil {
 		r.load, r.loadAt = load, now
+		if load.WorkPercent > 0 {
+			r.workPercent, r.workPercentAt = load.WorkPercent, now
+		}
 	}
 }
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -353,3 +353,45 @@
 	must.True(t, ok)
 	must.Eq(t, "b", c.ID)
 }
+
+// TestAvoidsReplicaOnSlowMachine guards against new work for a replica whose machine is slow at the moment, as it has just reported,
+// and against a report that is used for longer than it holds.
+func TestAvoidsReplicaOnSlowMachine(t *testing.T) {
+	servers := []Server{{ID: "a", Service: "s", Slots: 4}, {ID: "b", Service: "s", Slots: 4}}
+	now := time.Unix(1000, 0)
+	newPair := func(percentA, percentB float64) *Balancer {
+		b := New(1)
+		b.SetServers(servers, now)
+		b.SetConnectionShares(func(Server) ConnectionShare { return ConnectionShare{MaxConnections: 8, MaxIdle: 8} })
+		b.ReportLoad("a", Load{Slots: 4, WorkPercent: percentA}, now)
+		b.ReportLoad("b", Load{Slots: 4, WorkPercent: percentB}, now)
+		return b
+	}
+	share := func(b *Balancer, at time.Time) (n int) {
+		for range 100 {
+			c, ok := b.Pick("s", testWork, nil, at)
+			must.True(t, ok)
+			b.Done(c.ID, testWork.Kind, at, Refused, at)
+			b.replicas[c.ID].refusalRate = 0
+			if c.ID == "a" {
+				n++
+			}
+		}
+		return n
+	}
+	must.Eq(t, 0, share(newPair(300, 100), now.Add(20*time.Millisecond)))
+	must.Eq(t, 100, share(newPair(100, 300), now.Add(20*time.Millisecond)))
+	must.Between(t, 20, share(newPair(100, 100), now), 80)
+	must.Between(t, 20, share(newPair(0, 0), now), 80)
+	b := newPair(300, 100)
+	b.ReportLoad("a", Load{Slots: 4}, now.Add(10*time.Millisecond))
+	must.Eq(t, 0, share(b, now.Add(20*time.Millisecond)), must.Sprint("a report without the number says nothing of it"))
+	must.Between(t, 20, share(newPair(300, 100), now.Add(4*time.Second)), 80, must.Sprint("an old report says nothing"))
+	b = newPair(0, 100)
+	b.replicas["a"].slowness = 0.5
+	b.replicas["a"].slownessUpdatedAt = now
+	must.Eq(t, 0.5, b.replicas["a"].slownessWithReportAt(now), must.Sprint("without the number, the measured slowness counts"))
+	b = newPair(1e6, 100)
+	must.Less(t, 50.0, b.replicas["a"].cost(time.Millisecond, now)/b.replicas["b"].cost(time.Millisecond, now),
+		must.Sprint("a replica is never avoided for good"))
+}
