Limit what cold replicas receive from the fleet

Cause: a replica that has just started, or becomes cold again, gets its usual load from all daemons at once. When a data centre returned cold after an evacuation, 25 of 282 callers failed within two seconds.

Change: WarmupS and WarmupPerS of a service are decoded; an invalid value refuses the version whole, with an error that names the service and the field. While a replica is cold, each daemon paces its requests to its part of a rate that stays within WarmupPerS x WarmupOverage + WarmupSlack in any one second. The parts are those of request limits. The pace is the same RateShare: the lower of both limits sets its rate. Permits expire after 250 ms while a replica is cold, and the rate leaves four standard deviations of a Poisson count below the bound, because shares of a large fleet are far below one request a second. A daemon that doesn't know the number of daemons, or has known it for less than 3 s, sends nothing to cold replicas. A replica is cold if its entry states a remaining warm-up time; each rise (same start) begins a new warm-up, which spreads as a change of the list. Chivemill-Warmup-Remaining (milliseconds, decided) is read in responses and sent to the other daemons with the request limits. After the end of an evacuation the replicas count as cold for WarmupS. Retry-After is the time of the next permit or the end of the warm-up, spread over half of the lifetime of a permit. Without WarmupPerS nothing changes: lists, digests, datagrams and choices are the same.

Ruled out: a second pace beside that of request limits (with permits of 250 ms and 1 s that rarely coincide, a large fleet would send nothing); the request limits' lifetime of 1 s (101 requests in a second where 95 are allowed); a rate equal to the bound.

Tests: fleets of 7, 58, 195 and 1,400 daemons with one cold replica that becomes cold twice, a data centre that returns cold, different numbers of daemons, a mass restart, a replica known from its responses, only cold replicas, both limits; lists (topology), decoding and settings.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -58,6 +58,9 @@
 	// Missing is set for a replica that the platform no longer lists and that is kept for a short time, since its entry may have
 	// lapsed while it could not be renewed.
 	Missing bool `json:",omitempty"`
+	// WarmupSequence is the Sequence of the report with which the current warm-up began, at least 1, or 0 if the replica is warm or the
+	// requests to its service are not limited during warm-up. A replica may become cold again without a restart.
+	WarmupSequence int64 `json:",omitempty"`
 }
 
 // Load is the load that a replica reports in its responses.
@@ -193,6 +196,8 @@
 	evacuated map[string]bool
 	// requestFractionOf returns this daemon's part of a replica's request limit.
 	requestFractionOf func(Server) float64
+	// warmupLimitOf returns how this daemon limits its requests to a cold replica.
+	warmupLimitOf func(Server) WarmupLimit
 }
 
 // New returns an empty balancer. The seed determines its random choices.
@@ -200,7 +205,7 @@
 	return &Balancer{
 		rng: rand.New(rand.NewPCG(seed, seed)), shareOf: func(Server) ConnectionShare { return ConnectionShare{MaxConnections: 1} },
 		replicas: make(map[string]*replica), services: make(map[string][]*replica), expectedLatency: make(map[string]float64),
-		requestFractionOf: func(Server) float64 { return 1 },
+		requestFractionOf: func(Server) float64 { return 1 }, warmupLimitOf: func(Server) WarmupLimit { return WarmupLimit{} },
 	}
 }
 
@@ -215,10 +220,14 @@
 	for _, s := range servers {
 		r := old[s.ID]
 		if r == nil || r.Address != s.Address || r.StartedAtMs != s.StartedAtMs || r.Service != s.Service {
-			r = &replica{slowness: 1}
+			r = &replica{Server: s, slowness: 1}
+			r.limit.warmup = b.warmupLimitOf(s)
 			if s.WarmupLeft > 0 {
 				r.warmupUntil = now.Add(s.WarmupLeft)
+				b.setCold(r, s.WarmupLeft, now)
 			}
+		} else {
+			b.updateWarmup(r, r.Server, s, now)
 		}
 		r.Server = s
 		r.share = b.shareOf(s)
@@ -227,15 +236,18 @@
 	}
 }
 
-// SetEvacuated sets the data centres whose replicas get no requests.
-func (b *Balancer) SetEvacuated(dataCentres []string) {
+// SetEvacuated sets the data centres whose replicas get no requests. Those of a data centre whose evacuation ends count as cold if their
+// service has a warm-up limit.
+func (b *Balancer) SetEvacuated(dataCentres []string, now time.Time) {
 	evacuated := make(map[string]bool, len(dataCentres))
 	for _, c := range dataCentres {
 		evacuated[c] = true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	wasEvacuated := b.evacuated
 	b.evacuated = evacuated
+	b.setColdAfterEvacuation(wasEvacuated, now)
 }
 
 // SetConnectionShares sets the function that returns this daemon's connection share for a replica. The share must allow
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -338,7 +338,7 @@
 		{ID: "a", Service: "s", DataCentre: "c0", Slots: 4, Distance: OtherRegion}, {ID: "b", Service: "s", DataCentre: "c1", Slots: 4},
 	}, now)
 	b.SetConnectionShares(func(Server) ConnectionShare { return ConnectionShare{MaxConnections: 8} })
-	b.SetEvacuated([]string{"c1"})
+	b.SetEvacuated([]string{"c1"}, now)
 	for range 5 {
 		c, ok := b.Pick("s", testWork, nil, now)
 		must.True(t, ok)
@@ -346,9 +346,9 @@
 	}
 	_, ok := b.Pick("s", testWork, []string{"a"}, now)
 	must.False(t, ok)
-	b.SetEvacuated([]string{"c0", "c1"})
+	b.SetEvacuated([]string{"c0", "c1"}, now)
 	must.Eq(t, 0, b.CountAvailable([]string{"s"}, residency.Regions{}, now))
-	b.SetEvacuated(nil)
+	b.SetEvacuated(nil, now)
 	c, ok := b.Pick("s", testWork, nil, now)
 	must.True(t, ok)
 	must.Eq(t, "b", c.ID)
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -48,6 +48,7 @@
 
 // isAvailable reports whether the replica may get another attempt now.
 func (b *Balancer) isAvailable(r *replica, now time.Time) bool {
+	b.updatePace(r, now)
 	return b.hasConnection(r, now) && r.limit.allows(now)
 }
 
--- a/balancer/requestlimit.go
+++ b/balancer/requestlimit.go
@@ -67,6 +67,9 @@
 	Ended bool    `json:"e,omitempty"`
 	// Leaving is set if the replica leaves. The update then says nothing of a limit, and daemons of earlier versions ignore it.
 	Leaving bool `json:"l,omitempty"`
+	// WarmupLeftMs is how long the replica will be cold, in milliseconds, 0 if the update says nothing of it. Daemons of earlier
+	// versions ignore an update with nothing else.
+	WarmupLeftMs int64 `json:"c,omitempty"`
 }
 
 // requestLimit is the request limit of a replica.
@@ -75,8 +78,17 @@
 	// it is named again.
 	rate      float64
 	expiresAt time.Time
-	// pace holds this daemon's part of the limit.
+	// pace holds this daemon's part of the limit, or of what the replica may receive while it is cold if that is less.
 	pace limit.RateShare
+	// warmup limits the requests while the replica is cold, until coldUntil.
+	warmup    WarmupLimit
+	coldUntil time.Time
+	// pacesLimit and pacesWarmup tell whether pace was last set for a limit in force and for a cold replica.
+	pacesLimit, pacesWarmup bool
+	// hasUpdate and warmupUpdate are set if the other daemons have to be told of the limit, and that the replica is cold.
+	hasUpdate, warmupUpdate bool
+	// warmupSharedAt is when the other daemons were last told that the replica is cold.
+	warmupSharedAt time.Time
 	// namedAt and endedAt are when a response to this daemon last named the limit and last ended one.
 	namedAt, endedAt time.Time
 	// sharedAt is when the limit was last sent to the other daemons or received from one.
@@ -97,20 +109,28 @@
 }
 
 // allows reports whether this daemon may send a request.
-func (l *requestLimit) allows(now time.Time) bool { return !l.isInForce(now) || l.pace.HasPermit(now) }
+func (l *requestLimit) allows(now time.Time) bool { return !l.isPaced(now) || l.pace.HasPermit(now) }
+
+// isPaced reports whether each request needs a permit.
+func (l *requestLimit) isPaced(now time.Time) bool { return l.isInForce(now) || l.isCold(now) }
 
 // delay returns the time until this daemon may send a request.
 func (l *requestLimit) delay(now time.Time) time.Duration {
-	if !l.isInForce(now) {
+	switch {
+	case !l.isPaced(now):
 		return 0
+	case l.isCold(now):
+		// When the replica is warm, no permit is needed, or those of its request limit are due again.
+		return min(l.pace.Delay(now), l.coldUntil.Sub(now))
+	default:
+		return l.pace.Delay(now)
 	}
-	return l.pace.Delay(now)
 }
 
 // countAttempt counts an attempt that allows has permitted.
 func (l *requestLimit) countAttempt(now time.Time) {
 	l.attempts++
-	if l.isInForce(now) {
+	if l.isPaced(now) {
 		l.pace.Take(now)
 	}
 }
@@ -140,7 +160,7 @@
 	defer b.mu.Unlock()
 	b.requestFractionOf = fractionOf
 	for _, r := range b.replicas {
-		if r.limit.rate > 0 {
+		if r.limit.rate > 0 || r.limit.isCold(now) {
 			b.setPace(r, now)
 		}
 	}
@@ -156,12 +176,27 @@
 	b.setPace(r, now)
 }
 
-// setPace sets this daemon's part of a limit. The caller holds the lock.
+// setPace sets this daemon's part of a limit in force, or of what the replica may receive while it is cold, whichever is less. The
+// caller holds the lock.
 func (b *Balancer) setPace(r *replica, now time.Time) {
-	if fraction := b.requestFractionOf(r.Server); fraction > 0 {
-		r.limit.pace.SetRate(r.limit.rate*fraction, b.rng.Float64(), now)
+	l := &r.limit
+	rate, begin := l.rate*b.requestFractionOf(r.Server), now
+	l.pacesLimit, l.pacesWarmup = l.isInForce(now), l.isCold(now)
+	if l.pacesWarmup {
+		if !l.pacesLimit || l.warmup.Rate < rate {
+			rate = l.warmup.Rate
+		}
+		if l.warmup.From.After(now) {
+			begin, l.pace = l.warmup.From, limit.RateShare{}
+		}
+		l.pace.SetLifetime(limit.ShortPermitLifetime)
+	} else {
+		l.pace.SetLifetime(0)
+	}
+	if rate > 0 {
+		l.pace.SetRate(rate, b.rng.Float64(), begin)
 	} else {
-		r.limit.pace = limit.RateShare{}
+		l.pace = limit.RateShare{}
 	}
 }
 
@@ -189,6 +224,7 @@
 	}
 	isChange := isLimitChange(l.rate, previous)
 	if isChange || now.Sub(l.sharedAt) >= limitShareInterval {
+		l.hasUpdate = true
 		b.queueLimitUpdate(r)
 	}
 	if !isChange && now.Sub(l.reportedAt) < limitShareInterval {
@@ -211,6 +247,16 @@
 	defer b.mu.Unlock()
 	all := b.takeLeavingUpdates(now)
 	for _, r := range b.limitUpdates {
+		if r.limit.warmupUpdate {
+			r.limit.warmupUpdate, r.limit.warmupSharedAt = false, now
+			if left := r.limit.coldUntil.Sub(now); left > 0 {
+				all = append(all, LimitUpdate{Replica: r.ID, StartedAtMs: r.StartedAtMs, WarmupLeftMs: left.Milliseconds()})
+			}
+			if !r.limit.hasUpdate {
+				continue
+			}
+		}
+		r.limit.hasUpdate = false
 		r.limit.sharedAt = now
 		all = append(all, LimitUpdate{Replica: r.ID, StartedAtMs: r.StartedAtMs, Rate: r.limit.rate, Ended: r.limit.rate == 0})
 	}
@@ -230,6 +276,9 @@
 		if r != nil && r.StartedAtMs == u.StartedAtMs && u.Leaving && r.leavingSince.IsZero() {
 			r.leavingSince = now
 		}
+		if r != nil && r.StartedAtMs == u.StartedAtMs && u.WarmupLeftMs > 0 && r.limit.warmup.IsLimited {
+			b.setCold(r, time.Duration(min(u.WarmupLeftMs, maxWarmup.Milliseconds()))*time.Millisecond, now)
+		}
 		if r == nil || r.StartedAtMs != u.StartedAtMs || !u.Ended && !(u.Rate > 0 && !math.IsInf(u.Rate, 0)) {
 			continue
 		}
@@ -252,15 +301,5 @@
 // RequestDelay returns how long this daemon has to wait until a replica of the service in the regions may get a request within
 // its request limit, 0 if one may now. ok is false if no replica accepts work for another reason.
 func (b *Balancer) RequestDelay(service string, regions residency.Regions, now time.Time) (delay time.Duration, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, r := range b.services[service] {
-		if !regions.Allows(r.Region) || !b.hasConnection(r, now) {
-			continue
-		}
-		if d := r.limit.delay(now); !ok || d < delay {
-			delay, ok = d, true
-		}
-	}
-	return delay, ok
+	return b.RetryDelay(service, regions, 0, now)
 }
--- a/balancer/status.go
+++ b/balancer/status.go
@@ -14,11 +14,13 @@
 	Removed  bool
 	// Leaving is set if the replica has stated that it leaves.
 	Leaving bool
+	// Cold is set while the requests to the replica are limited because it warms up.
+	Cold bool
 }
 
 // Conditions returns all possible results of Status.Condition.
 func Conditions() []string {
-	return []string{"ready", "draining", "paused", "refusing", "slow", "gone"}
+	return []string{"ready", "draining", "paused", "refusing", "slow", "cold", "gone"}
 }
 
 // slowThreshold and refusingThreshold are the thresholds of slowness and refusal rate from which a replica is
@@ -41,6 +43,8 @@
 		return "refusing"
 	case s.Slowness >= slowThreshold:
 		return "slow"
+	case s.Cold:
+		return "cold"
 	default:
 		return "ready"
 	}
@@ -55,7 +59,7 @@
 		all = append(all, Status{
 			Server: r.Server, InFlight: len(r.inFlight), Slowness: r.slownessAt(now), Refused: r.refusalRateAt(now),
 			Paused: now.Before(r.pausedUntil), Removed: r.removed,
-			Leaving: !r.leavingSince.IsZero(),
+			Leaving: !r.leavingSince.IsZero(), Cold: r.limit.isCold(now),
 		})
 	}
 	return all
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -105,7 +105,7 @@
 		Publisher: d.feed, ObservationPublisher: d.feed, Links: d.replicas, Node: settings.Node, DelegationClient: delegation.NewClient(settings.MemoryBytes), Seed: xxhash.Sum64String(settings.Node),
 		Self: delegation.Self{Address: settings.PeerAddress, DataCentre: settings.DataCentre, Cores: settings.Cores,
 			Distance: settings.Distance, Region: settings.RegionOf},
-		MemoryBytes: settings.MemoryBytes,
+		MemoryBytes: settings.MemoryBytes, WarmupOverage: settings.WarmupOverage, WarmupSlack: settings.WarmupSlack,
 	}, d.directory, d.balancer, d.replicas, rand.Float64, metricsProvider.Meter(), log.Logger)
 	if err != nil {
 		return nil, err
--- a/edge/replica_reports.go
+++ b/edge/replica_reports.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// ReportWarmup implements platform.ReplicaReports.
+func (r *replicaReports) ReportWarmup(id string, startedAtMs int64, left time.Duration, now time.Time) {
+	if r.Balancer.ReportWarmup(id, startedAtMs, left, now) {
+		r.log.Info(eventlog.ReplicaCold, zap.String("replica", id), zap.Int64("left_ms", left.Milliseconds()))
+	}
+}
+
 // ReportLimit implements platform.ReplicaReports.
 func (r *replicaReports) ReportLimit(id string, report balancer.LimitReport, now time.Time) {
 	if report.Statement == balancer.LimitUnreadable {
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -35,6 +35,7 @@
 	ReplicaRecovered      = "replica recovered"
 	ReplicaGone           = "replica gone"
 	ReplicaLeaving        = "replica leaving"
+	ReplicaCold           = "replica cold"
 	ReplicaHealthReceived = "replica health heard"
 	// ReplicaLimited reports a replica's request limit when it is named, changes or ends, and once a second in between.
 	ReplicaLimited       = "replica request limit"
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -77,15 +77,16 @@
 // are spread over another such time, so that callers do not retry all at once.
 func (r *run) retryAfterRefusal(services []string, requiredCoverage float64, now time.Time) time.Duration {
 	var delays []time.Duration
+	draw := r.gateway.random()
 	for _, service := range services {
-		if delay, ok := r.gateway.balancer.RequestDelay(service, r.regions, now); ok {
+		if delay, ok := r.gateway.balancer.RetryDelay(service, r.regions, draw, now); ok {
 			delays = append(delays, delay)
 		}
 	}
 	slices.Sort(delays)
 	for i, delay := range delays {
 		if scatter.CoverageReached(float64(i+1)/float64(len(services)), requiredCoverage) {
-			return max(minRetryAfterRefusal, time.Duration((1+r.gateway.random())*float64(delay)))
+			return max(minRetryAfterRefusal, delay)
 		}
 	}
 	return minRetryAfterRefusal
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,6 +151,9 @@
 	Self             delegation.Self
 	DelegationClient DelegationClient
 	Seed             uint64
+	// WarmupOverage and WarmupSlack state what a cold replica may receive in any one second from all daemons together: the rate that its
+	// service allows times WarmupOverage, plus WarmupSlack requests.
+	WarmupOverage, WarmupSlack float64
 	// MemoryBytes is the memory limit of the process; 0 for none. A fraction of it limits the answers that wait for their callers.
 	MemoryBytes int64
 }
@@ -256,7 +259,7 @@
 			generation = view.Generation
 			g.balancer.SetServers(view.Servers, now)
 		}
-		g.balancer.SetEvacuated(view.Evacuations.DataCentres)
+		g.balancer.SetEvacuated(view.Evacuations.DataCentres, now)
 		g.helpers.SetView(&view)
 		g.setShares(newShares(view, g.opts.Self))
 		select {
@@ -271,13 +274,19 @@
 	now := time.Now()
 	g.balancer.SetConnectionShares(s.connections)
 	g.balancer.SetRequestShares(s.requestFraction, now)
-	g.quarantines.each(func(guard *quarantine.Guard) { guard.SetFleet(g.opts.Node, s.daemons) })
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.shares = s
 	if g.daemonsKnownSince.IsZero() && s.daemonsKnown {
 		g.daemonsKnownSince = now
 	}
+	permitsFrom := g.daemonsKnownSince.Add(warmupSettleTime)
+	g.mu.Unlock()
+	g.balancer.SetWarmupLimits(func(server balancer.Server) balancer.WarmupLimit {
+		return s.warmupLimit(server, g.opts.WarmupOverage, g.opts.WarmupSlack, permitsFrom)
+	}, now)
+	g.quarantines.each(func(guard *quarantine.Guard) { guard.SetFleet(g.opts.Node, s.daemons) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shares = s
 	for service := range s.limits {
 		g.ensureBudget(service)
 	}
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -2,9 +2,12 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/delegation"
+	"github.com/chivemill/chivemill/limit"
+	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/topology"
 )
 
@@ -26,6 +29,9 @@
 	// localRequestFraction is the fraction of a replica's request limit that belongs to the daemons in its data centre, which
 	// send most of its requests. The rest is for the other daemons, which need it when replicas near them fail.
 	localRequestFraction = 0.8
+	// warmupSettleTime is the time after this daemon first knew the number of daemons before it sends requests to cold replicas. When
+	// many daemons start at once, their number is not complete yet.
+	warmupSettleTime = 3 * time.Second
 	// defaultConnections is a daemon's share when the configuration states no limit.
 	defaultConnections = 8
 )
@@ -35,6 +41,8 @@
 	// limits holds the number of connections that a replica of each service accepts from all daemons, 0 if not
 	// configured.
 	limits map[string]int
+	// warmups holds the services whose cold replicas may only receive a limited rate.
+	warmups map[string]routing.Service
 	// daemons is the number of daemons, assumed unless daemonsKnown is set.
 	daemons      int
 	daemonsKnown bool
@@ -50,7 +58,7 @@
 }
 
 func newShares(view topology.View, self delegation.Self) *shares {
-	s := &shares{limits: make(map[string]int), helperCounts: make(map[string]int), isHelper: make(map[string]bool),
+	s := &shares{limits: make(map[string]int), warmups: make(map[string]routing.Service), helperCounts: make(map[string]int), isHelper: make(map[string]bool),
 		dataCentre: self.DataCentre, centres: view.DataCentres}
 	s.isCentreHelper = isHelperAt(s.centres[s.dataCentre], self.Address)
 	if view.Table != nil {
@@ -61,6 +69,9 @@
 		}
 		for _, service := range view.Table.Config().Services {
 			s.limits[service.Name] = service.Connections
+			if service.WarmupRate > 0 {
+				s.warmups[service.Name] = service
+			}
 		}
 	}
 	s.daemons = view.Daemons()
@@ -147,3 +158,19 @@
 		return (1 - localRequestFraction) / float64(s.daemons-senders)
 	}
 }
+
+// warmupLimit returns how this daemon limits its requests to a replica while that is cold. In any one second, the replica may receive
+// the rate of its service times overage, plus slack requests. The daemons divide a rate that stays within that like a request limit. A
+// daemon that does not know the number of daemons sends nothing: a large fleet that starts at once would exceed any bound.
+func (s *shares) warmupLimit(server balancer.Server, overage, slack float64, from time.Time) balancer.WarmupLimit {
+	service, ok := s.warmups[server.Service]
+	if !ok {
+		return balancer.WarmupLimit{}
+	}
+	w := balancer.WarmupLimit{IsLimited: true, From: from, Time: service.WarmupTime}
+	if s.daemonsKnown {
+		rate := min(service.WarmupRate, limit.RateWithin(service.WarmupRate*overage+slack))
+		w.Rate = rate * s.requestFraction(server)
+	}
+	return w
+}
--- a/limit/rateshare_test.go
+++ b/limit/rateshare_test.go
@@ -62,3 +62,39 @@
 	s.SetRate(1, 0, now)
 	must.Eq(t, 500*time.Millisecond, s.Delay(now), must.Sprint("half of the interval is left at the lower rate too"))
 }
+
+// TestRateWithinBoundsEachSecond guards a cold replica against one second with more requests than its bound, at any fleet size: the shares
+// of a rate from RateWithin stay within it in every second, also when daemons that were idle send all that they may. A permit of the usual
+// lifetime would let through those of two seconds.
+func TestRateWithinBoundsEachSecond(t *testing.T) {
+	for _, daemons := range []int{1, 7, 58, 195, 1400} {
+		for _, bound := range []float64{1, 6.5, 8, 20, 95, 305} {
+			rng := rand.New(rand.NewPCG(uint64(daemons), uint64(bound)))
+			now := time.Unix(1000, 0)
+			shares := make([]RateShare, daemons)
+			for i := range shares {
+				shares[i].SetLifetime(ShortPermitLifetime)
+				shares[i].SetRate(RateWithin(bound)/float64(daemons), rng.Float64(), now)
+			}
+			var sent []time.Time
+			for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+				if now.UnixMilli()%2000 < 700 {
+					continue
+				}
+				for i := range shares {
+					for shares[i].HasPermit(now) {
+						shares[i].Take(now)
+						sent = append(sent, now)
+					}
+				}
+			}
+			most := timewindow.MaxWithin(sent, time.Time{}, time.Second)
+			must.LessEq(t, int(bound), most, must.Sprintf("%d daemons, %v a second", daemons, bound))
+			if bound > 10 {
+				must.GreaterEq(t, int(0.3*bound), most, must.Sprintf("%d daemons, %v a second", daemons, bound))
+			}
+		}
+	}
+	must.Eq(t, 0, RateWithin(0))
+	must.Eq(t, 0, RateWithin(-1))
+}
--- a/routing/config.go
+++ b/routing/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -80,6 +81,17 @@
 	Name string
 	// Connections is the number of connections that one replica accepts from all callers together, or 0 if unknown.
 	Connections int
+	// WarmupTime is how long a replica takes to warm up after its start. While it is cold, all daemons together send it at most about
+	// WarmupRate requests a second; 0 for no limit.
+	WarmupTime time.Duration `json:",omitempty"`
+	WarmupRate float64       `json:",omitempty"`
+}
+
+func (s Service) validate() error {
+	if s.WarmupTime < 0 || !(s.WarmupRate >= 0) || math.IsInf(s.WarmupRate, 0) {
+		return fmt.Errorf("warm-up time %v and rate %v must be finite and not negative", s.WarmupTime, s.WarmupRate)
+	}
+	return nil
 }
 
 // Limits holds the limits for requests and connections of callers.
@@ -117,7 +129,7 @@
 	*Route
 }
 
-// NewTable validates the configuration and returns its table. The error names the first invalid route or account.
+// NewTable validates the configuration and returns its table. The error names the first invalid route, account or service.
 func NewTable(config Config) (*Table, error) {
 	t := &Table{
 		config: config, services: make(map[string]Service, len(config.Services)), hosts: make(map[string][]matchedRoute),
@@ -128,6 +140,9 @@
 		return nil, eris.Wrapf(err, "version %d", config.Version)
 	}
 	for _, s := range config.Services {
+		if err := s.validate(); err != nil {
+			return nil, eris.Wrapf(err, "service %q of version %d", s.Name, config.Version)
+		}
 		t.services[s.Name] = s
 	}
 	for i := range config.Routes {
--- a/routing/config_test.go
+++ b/routing/config_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -54,6 +55,15 @@
 	}
 }
 
+// TestInvalidWarmupIsRejected guards against a version whose limits for cold replicas make no sense.
+func TestInvalidWarmupIsRejected(t *testing.T) {
+	for _, s := range []Service{{WarmupRate: -1}, {WarmupRate: math.Inf(1)}, {WarmupRate: math.NaN()}, {WarmupTime: -1}} {
+		s.Name = "s"
+		_, err := NewTable(Config{Services: []Service{s}})
+		must.ErrorContains(t, err, `service "s"`)
+	}
+}
+
 // TestSelectServiceFollowsWeights checks that the services of a traffic split are selected in proportion to their
 // weights.
 func TestSelectServiceFollowsWeights(t *testing.T) {
--- a/topology/keptentries.go
+++ b/topology/keptentries.go
@@ -191,7 +191,7 @@
 		}
 	}
 	var change Change
-	if d.compare(listed, d.view.ReadAt, &change) {
+	if d.compare(listed, d.view.ReadAt, FromDaemon, &change) {
 		d.replaceServers(listed)
 	}
 	return change.Removed
--- a/topology/serverlist.go
+++ b/topology/serverlist.go
@@ -91,11 +91,12 @@
 		}
 		change.Kept = d.keepMissing(listed, list.ReadAt)
 	}
-	differs := d.compare(listed, previousReadAt, &change)
+	differs := d.compare(listed, previousReadAt, list.Origin, &change)
 	if list.Origin == FromStore && change.Removed > 0 && d.isInUnexplainedGap(list.ReadAt) {
 		d.markUncertain(change.Removed)
 	}
 	if !differs && d.view.Generation > 0 {
+		d.updateWarmups(listed)
 		d.confirm()
 		return change, true
 	}
@@ -104,8 +105,9 @@
 }
 
 // compare compares a list with the current one and counts and records the changes. It reports whether the lists differ. The entries of
-// draining replicas get the time at which they were last ready; previousReadAt is the time of the current list. d.mu must be held.
-func (d *Directory) compare(listed map[string]balancer.Server, previousReadAt time.Time, change *Change) (differs bool) {
+// draining replicas get the time at which they were last ready; previousReadAt is the time of the current list. The entries of
+// a list from the store get their WarmupSequence; those of another daemon have it. d.mu must be held.
+func (d *Directory) compare(listed map[string]balancer.Server, previousReadAt time.Time, origin Origin, change *Change) (differs bool) {
 	next := d.view.Generation + 1
 	previousIDs := make(map[string]bool, len(d.view.Servers))
 	for _, previous := range d.view.Servers {
@@ -128,14 +130,21 @@
 		case s.State == balancer.Ready && previous.State == balancer.Draining && isSameStart:
 			change.Undrained++
 		}
+		if origin == FromStore {
+			s.WarmupSequence = d.warmupSequence(previous, s)
+		}
 		listed[s.ID] = s
 		if !equalEntries(previous, s) {
 			d.lastChanges[s.ID] = next
 			differs = true
 		}
 	}
-	for id := range listed {
+	for id, s := range listed {
 		if !previousIDs[id] {
+			if origin == FromStore {
+				s.WarmupSequence = d.warmupSequence(balancer.Server{}, s)
+				listed[id] = s
+			}
 			d.lastChanges[id] = next
 			change.Added++
 		}
@@ -143,6 +152,37 @@
 	return differs || change.Added > 0 || change.Removed > 0
 }
 
+// warmupSequence returns the WarmupSequence of an entry of the store, of which previous is the known entry. A warm-up begins with the
+// first report of a cold replica and with each one that states a longer remaining time than the one before. It is 0 for services that
+// don't limit the requests of cold replicas: their lists are the same as those of daemons that don't know the field. d.mu must be held.
+func (d *Directory) warmupSequence(previous, s balancer.Server) int64 {
+	switch {
+	case s.WarmupLeft <= 0 || d.view.Table == nil || d.view.Table.Service(s.Service).WarmupRate <= 0:
+		return 0
+	case s.StartedAtMs != previous.StartedAtMs || previous.WarmupSequence == 0 || s.WarmupLeft > previous.WarmupLeft:
+		return max(1, s.Sequence)
+	default:
+		return previous.WarmupSequence
+	}
+}
+
+// updateWarmups updates the remaining warm-up times of cold replicas in a list that is otherwise unchanged, so that a later rise is
+// noticed and a daemon that starts gets current ones. The view is shared, so that it gets another slice. d.mu must be held.
+func (d *Directory) updateWarmups(listed map[string]balancer.Server) {
+	var updated []balancer.Server
+	for i, known := range d.view.Servers {
+		if left := listed[known.ID].WarmupLeft; known.WarmupSequence != 0 && left != known.WarmupLeft {
+			if updated == nil {
+				updated = slices.Clone(d.view.Servers)
+			}
+			updated[i].WarmupLeft = left
+		}
+	}
+	if updated != nil {
+		d.view.Servers = updated
+	}
+}
+
 // replaceServers publishes a list whose changes were recorded by compare. d.mu must be held.
 func (d *Directory) replaceServers(listed map[string]balancer.Server) {
 	if n := len(d.removals) - maxRemovals; n > 0 {
@@ -203,6 +243,11 @@
 			// Daemons of earlier versions do not know the mark, so lists without it have the same digest as theirs.
 			numbers = binary.AppendVarint(numbers, 1)
 		}
+		if s.WarmupSequence != 0 {
+			// For the same reason, only lists with cold replicas of services with a warm-up limit differ. The sign tells it from the
+			// mark above.
+			numbers = binary.AppendVarint(numbers, -s.WarmupSequence)
+		}
 		_, _ = h.Write(numbers)
 	}
 	return h.Sum64()
