Bodies and headers of callers share a memory budget while they are received

Cause: each body was read with io.ReadAll, whose buffer grows beyond what has arrived, without a bound on the sum and without a deadline. Bodies that stop one byte short held their buffers for as long as the caller stayed.

Change: internal/reception has Budget, which charges what is reserved (the announced length, the segments of a chunked body, its framing) against an eighth of the process's memory until the request has been answered, and evicts incomplete requests, those that have held most memory for longest first, addresses before single connections. Small and large requests have separate shares. Receiver reads bodies into exact buffers or segments, with 15 s from the end of the header. internal/connlimit charges headers above 4 KiB three times. A refusal is 503 or, after the deadline, 408 (new error kind body_timeout), with Retry-After: the gateway has not been called. Framing of chunks beyond 4 KiB of a body is decoded at 1 MiB a second for all bodies together (golang.org/x/time/rate), with 2 MiB at once. Metrics chivemill_reception_held_bytes and chivemill_reception_limited; event "reception limited", at most once a second.

Ruled out: http.Server.ReadTimeout (header and body together, fixed at the start, no status); counting only what has arrived; waiting for memory in place of a refusal; reading the rest of a refused chunked body (costs as much processor time as receiving it).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -65,6 +65,8 @@
 	replicas     *platform.ReplicaClient
 	shutdown     *drain.Shutdown
 	callers      *http.Server
+	// callerReception limits what the callers' listener receives.
+	callerReception *listenerReception
 	// responses counts the answers to callers and other daemons that have not been written out. stopsWaiting is set when a planned stop
 	// does not wait for them any longer.
 	responses    drain.Responses
@@ -115,7 +117,10 @@
 	d.shutdown = drain.NewShutdown(drain.Options{
 		BalancerLag: time.Duration(acceptFraction * float64(settings.StopGrace)), LeaveTimeout: leaveTimeout,
 	}, d.stopHooks())
-	callerHandler := d.responses.Track(platform.NewCallerHandler(d.gateway, d.isStopping))
+	if err := d.newReceptions(metricsProvider.Meter()); err != nil {
+		return nil, err
+	}
+	callerHandler := d.responses.Track(platform.NewCallerHandler(d.gateway, d.callerReception.bodies, d.isStopping))
 	d.callers = &http.Server{Handler: callerHandler, ReadHeaderTimeout: defaultHeaderTimeout}
 	return d, d.listen(metricsProvider.Handler())
 }
@@ -150,7 +155,7 @@
 			return eris.Wrap(err, "listen")
 		}
 		if s.server == d.callers {
-			listener = connlimit.Install(s.server, listener, d.callerLimits)
+			listener = connlimit.Install(s.server, listener, d.callerLimits, d.callerReception.guard())
 		}
 		d.responses.Watch(s.server)
 		go func() {
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -56,6 +56,9 @@
 	// PanicContained reports a panic that was recovered: it ended one request, attempt or message, but not the process.
 	PanicContained = "panic contained"
 
+	// ReceptionLimited reports, at most once a second, that a request or connection was ended while it was received.
+	ReceptionLimited = "reception limited"
+
 	// Requests.
 	RequestFailed  = "request failed"
 	RequestRefused = "request refused"
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,5 +1,6 @@
-// Package connlimit limits the size and duration of request headers and the idle time on callers' HTTP/1.1 connections.
-// Unlike the fields of http.Server, the limits may change while connections are open.
+// Package connlimit limits the size and duration of request headers and the idle time on HTTP/1.1 connections, and connects their server
+// to the limits of package reception on connections and on the memory of headers. Unlike the fields of http.Server, the limits may change
+// while connections are open.
 package connlimit
 
 import (
@@ -10,6 +11,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/chivemill/chivemill/internal/reception"
 )
 
 // Limits holds the limits of a connection. A zero field means no limit.
@@ -29,17 +32,38 @@
 	readAhead = 4 << 10
 	// rejectTimeout limits the time to write the response to a header that is too large.
 	rejectTimeout = time.Second
+	// unavailableTimeout is the same for unavailableResponse, for which another connection waits.
+	unavailableTimeout = 10 * time.Millisecond
+	// freeHeaderBytes is the part of a header that is in the buffer of its connection, which Connections accounts for.
+	freeHeaderBytes = 4 << 10
+	// headerCopies is how many bytes net/http takes for a byte of a header: a line is collected in a buffer that doubles, and copied.
+	headerCopies = 3
 )
 
+// Guard holds the limits on all connections of a server together. A nil field means no limit.
+type Guard struct {
+	Connections *reception.Connections
+	// Headers limits the memory of headers, from their reception until the request has been answered.
+	Headers *reception.Budget
+	// Observe is called for each connection that one of these limits closes.
+	Observe reception.Observer
+}
+
 // headerTooLargeResponse is the response to a header that is too large.
 const headerTooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-var errHeaderTooLarge = errors.New("the request header is too large")
+// unavailableResponse is the response on a connection without a complete header that is closed for lack of memory or descriptors.
+const unavailableResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+
+var (
+	errHeaderTooLarge = errors.New("the request header is too large")
+	errNoMemory       = errors.New("no memory for the request header")
+)
 
 // Install returns a listener whose connections enforce the limits. It wraps the handler of the server and replaces its
 // ConnContext and ConnState. It must be called before the server starts. limits is called for each read, from several
 // goroutines, and must be fast.
-func Install(server *http.Server, listener net.Listener, limits func() Limits) net.Listener {
+func Install(server *http.Server, listener net.Listener, limits func() Limits, guard Guard) net.Listener {
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
@@ -52,10 +76,21 @@
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if limited, ok := r.Context().Value(connKey{}).(*conn); ok {
 			limited.setPhase(phaseServing)
+			if !limited.completeHeader() {
+				panic(http.ErrAbortHandler) // the connection has been closed to free its memory
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
-	return &limitedListener{listener, limits}
+	return &limitedListener{listener, limits, guard}
+}
+
+// Of returns the connection of a request, for a reception.Receiver.
+func Of(r *http.Request) reception.Conn {
+	if limited, ok := r.Context().Value(connKey{}).(*conn); ok {
+		return limited
+	}
+	return reception.UnknownConn{}
 }
 
 type connKey struct{}
@@ -63,15 +98,38 @@
 type limitedListener struct {
 	net.Listener
 	limits func() Limits
+	guard  Guard
 }
 
 // Accept implements net.Listener.
 func (l *limitedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		now := time.Now()
+		c := &conn{Conn: accepted, limits: l.limits, guard: l.guard, phase: phaseNew, phaseStart: now}
+		if l.guard.Connections == nil || l.add(c, now) {
+			return c, nil
+		}
+	}
+}
+
+// add adds a connection to the table of open ones, and reports whether there was room. Otherwise it closes the connection.
+func (l *limitedListener) add(c *conn, now time.Time) bool {
+	address := c.address()
+	added, closed := l.guard.Connections.Add(address, now, func() { _ = c.Conn.Close() })
+	if closed != nil {
+		l.guard.Observe(reception.ConnectionClosed, closed.Address())
+	}
+	if added == nil {
+		l.guard.Observe(reception.ConnectionRefused, address)
+		c.reject()
+		return false
 	}
-	return &conn{Conn: c, limits: l.limits, phase: phaseNew, phaseStart: time.Now()}, nil
+	c.entry = added
+	return true
 }
 
 type phase int
@@ -89,12 +147,18 @@
 type conn struct {
 	net.Conn
 	limits func() Limits
+	guard  Guard
+	// entry is the connection in the table of open ones, nil if there is none.
+	entry *reception.Connection
 
 	mu         sync.Mutex
 	phase      phase
 	phaseStart time.Time
-	// headerBytes is the number of bytes received of the current header.
-	headerBytes int64
+	// headerBytes is the number of bytes received of the current header, bodyBytes that of the body with its framing.
+	headerBytes, bodyBytes int64
+	// header is the memory of the current header, nil if it needs none. reservedHeaderBytes is the part of the header that it is for.
+	header              *reception.Reservation
+	reservedHeaderBytes int64
 	// serverDeadline is the read deadline set by the server.
 	serverDeadline time.Time
 }
@@ -102,7 +166,63 @@
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.phaseStart, c.headerBytes = p, time.Now(), 0
+	c.phase, c.phaseStart, c.headerBytes, c.bodyBytes = p, time.Now(), 0, 0
+	if p == phaseIdle {
+		c.releaseHeader()
+		c.wait()
+	}
+}
+
+// wait marks that the connection waits for a request or its next part.
+func (c *conn) wait() {
+	if c.entry != nil {
+		c.entry.Wait(c.phaseStart)
+	}
+}
+
+// releaseHeader releases the memory of the header. The caller holds the lock.
+func (c *conn) releaseHeader() {
+	if c.header != nil {
+		c.header.Release()
+	}
+	c.header, c.reservedHeaderBytes = nil, 0
+}
+
+// completeHeader reports false if the connection has been closed to free the memory of its header.
+func (c *conn) completeHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.header == nil || c.header.Complete()
+}
+
+func (c *conn) address() string { return reception.AddressOf(c.RemoteAddr().String()) }
+
+// ReceivedBytes implements reception.Conn.
+func (c *conn) ReceivedBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bodyBytes
+}
+
+// Run implements reception.Conn.
+func (c *conn) Run() bool { return c.entry == nil || c.entry.Run() }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if c.entry != nil {
+		c.entry.Remove()
+	}
+	c.mu.Lock()
+	c.releaseHeader()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// reject closes a connection on which no request has been received. It does not wait for the caller.
+func (c *conn) reject() {
+	_ = c.SetWriteDeadline(time.Now().Add(unavailableTimeout))
+	_, _ = c.Conn.Write([]byte(unavailableResponse))
+	_ = c.Conn.Close()
 }
 
 // SetReadDeadline implements net.Conn. It takes effect immediately, because the server uses it to cancel a pending read.
@@ -172,28 +292,62 @@
 	return !end.IsZero() && !now.Before(end)
 }
 
-// countReceived adds n received bytes to the header. It rejects a header above the limit itself, because the limit of
+// countReceived adds n received bytes to the header or the body. It rejects a header above the limit itself, because the limit of
 // net/http is fixed when the server starts.
 func (c *conn) countReceived(n int) error {
 	c.mu.Lock()
 	if c.phase == phaseNew || c.phase == phaseIdle {
 		c.phase, c.phaseStart = phaseHeader, time.Now()
+		c.wait()
 	}
-	maxBytes := c.limits().MaxHeaderBytes
-	isTooLarge := false
-	if c.phase == phaseHeader {
-		c.headerBytes += int64(n)
-		isTooLarge = maxBytes > 0 && c.headerBytes > maxBytes+readAhead
+	if c.phase != phaseHeader {
+		c.bodyBytes += int64(n)
+		c.mu.Unlock()
+		return nil
 	}
+	maxBytes := c.limits().MaxHeaderBytes
+	c.headerBytes += int64(n)
+	isTooLarge := maxBytes > 0 && c.headerBytes > maxBytes+readAhead
+	reservation, missing := c.headerReservation()
 	c.mu.Unlock()
-	if !isTooLarge {
+	if isTooLarge {
+		err := c.SetWriteDeadline(time.Now().Add(rejectTimeout))
+		if err == nil {
+			_, err = c.Write([]byte(headerTooLargeResponse))
+		}
+		return errors.Join(errHeaderTooLarge, err)
+	}
+	if missing == 0 {
 		return nil
 	}
-	err := c.SetWriteDeadline(time.Now().Add(rejectTimeout))
-	if err == nil {
-		_, err = c.Write([]byte(headerTooLargeResponse))
+	// The lock is not held here: an eviction closes other connections.
+	switch err := reservation.Grow(missing, time.Now()); {
+	case errors.Is(err, reception.ErrEvicted):
+		return errNoMemory
+	case err != nil:
+		c.guard.Observe(reception.HeaderRefused, c.address())
+		c.reject()
+		return errNoMemory
+	}
+	return nil
+}
+
+// headerReservation returns the reservation of the header and by how much it has to grow. The caller holds the lock.
+func (c *conn) headerReservation() (r *reception.Reservation, missing int64) {
+	needed := c.headerBytes - freeHeaderBytes
+	if c.guard.Headers == nil || needed <= c.reservedHeaderBytes {
+		return nil, 0
+	}
+	if c.header == nil {
+		address := c.address()
+		c.header = c.guard.Headers.NewReservation(address, c.phaseStart, func() {
+			c.guard.Observe(reception.HeaderEvicted, address)
+			c.reject()
+		})
 	}
-	return errors.Join(errHeaderTooLarge, err)
+	missing = headerCopies * (needed - c.reservedHeaderBytes)
+	c.reservedHeaderBytes = needed
+	return c.header, missing
 }
 
 // earlier returns the earlier of two times. A zero time means never.
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -26,7 +26,7 @@
 			_, _ = fmt.Fprint(w, len(body))
 		}
 	})}
-	limited := Install(server, listener, func() Limits { return *current.Load() })
+	limited := Install(server, listener, func() Limits { return *current.Load() }, Guard{})
 	go func() { _ = server.Serve(limited) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String(), &current
