Bound on the number of callers' connections

Cause: nothing limited the connections of callers. 600 silent ones took 619 descriptors where the test's settings allow 400; each also takes buffers and stacks of about 24 KiB.

Change: reception.Connections limits them to a sixth of the memory at 24 KiB each and to half of MaxFds less the 200 for files (967 at 136 MB, 1,950 from 284 MB on, at 4,100 descriptors). A new one beyond that closes the one that has been idle or incomplete for longest, weighted with the number of such connections of its address; a connection whose request runs is never closed, and if a request runs on each, the new one gets 503 and is closed. A closed connection's request does not run: Run reports it under the same lock. The settings have MaxDescriptors (MaxFds), 0 if it is not stated: then only the memory counts. Metric chivemill_reception_connections; reasons connection_closed and connection_refused.

Ruled out: a bound for each address, which would meet callers behind one load balancer; refusing new connections first, which lets silent ones stay.

--- a/edge/reception.go
+++ b/edge/reception.go
@@ -21,6 +21,16 @@
 const (
 	// receptionMemoryShare is the share of the memory for the requests of callers.
 	receptionMemoryShare = 1.0 / 8
+	// callerConnectionShare is the share of the memory for callers' connections, and connectionBytes what one takes: the buffers of net/http (2 x 4 KiB), the stacks of its goroutine and of the one that watches for the caller's end, and the
+	// connection itself.
+	callerConnectionShare = 1.0 / 6
+	connectionBytes       = 24 << 10
+	// fileDescriptors is the number of descriptors that the platform sets aside for files. Of the rest, callers' connections may use
+	// callerDescriptorShare.
+	fileDescriptors       = 200
+	callerDescriptorShare = 1.0 / 2
+	// minConnections is the least number of connections, for settings with very few descriptors.
+	minConnections = 16
 	// callerCopies is how often a caller's body is in memory: it is passed on as it is.
 	callerCopies = 1
 	// receptionLogInterval is the least time between two lines of eventlog.ReceptionLimited.
@@ -29,11 +39,12 @@
 
 // listenerReception holds the limits on what the listeners of a port receive together. It is safe for concurrent use.
 type listenerReception struct {
-	port    string
-	budget  *reception.Budget
-	bodies  *reception.Receiver
-	log     *zap.Logger
-	limited metric.Int64Counter
+	port        string
+	connections *reception.Connections
+	budget      *reception.Budget
+	bodies      *reception.Receiver
+	log         *zap.Logger
+	limited     metric.Int64Counter
 	// limitedCount counts what the limits ended, lastLogged is the time of the last log line in Unix nanoseconds.
 	limitedCount, lastLogged atomic.Int64
 }
@@ -47,7 +58,8 @@
 	}
 	l := &listenerReception{
 		port: "callers", log: d.log.Logger, limited: limited,
-		budget: reception.NewBudget(int64(receptionMemoryShare * float64(d.settings.MemoryBytes))),
+		connections: reception.NewConnections(maxConnections(d.settings.MemoryBytes, d.settings.MaxDescriptors)),
+		budget:      reception.NewBudget(int64(receptionMemoryShare * float64(d.settings.MemoryBytes))),
 	}
 	l.bodies = reception.NewReceiver(l.budget, callerCopies, connlimit.Of, l.observe)
 	d.callerReception = l
@@ -64,11 +76,23 @@
 	return eris.Wrap(errors.Join(
 		gauge("chivemill_reception_held_bytes", "Bytes reserved for requests from their reception until they are answered, by port.",
 			func(l *listenerReception) int64 { return l.budget.Held() }),
+		gauge("chivemill_reception_connections", "Open connections by port: callers or internal.",
+			func(l *listenerReception) int64 { return int64(l.connections.Open()) }),
 	), "metrics")
 }
 
+// maxConnections returns the limit on callers' connections for a process with a memory limit in bytes and a limit of descriptors, 0 for
+// none.
+func maxConnections(memoryBytes int64, maxDescriptors int) int {
+	callers := int(callerConnectionShare * float64(memoryBytes) / connectionBytes)
+	if maxDescriptors > 0 {
+		callers = min(callers, int(callerDescriptorShare*float64(max(0, maxDescriptors-fileDescriptors))))
+	}
+	return max(minConnections, callers)
+}
+
 func (l *listenerReception) guard() connlimit.Guard {
-	return connlimit.Guard{Headers: l.budget, Observe: l.observe}
+	return connlimit.Guard{Connections: l.connections, Headers: l.budget, Observe: l.observe}
 }
 
 // observe counts and logs a request or connection that a limit ended.
@@ -80,5 +104,5 @@
 		return
 	}
 	l.log.Warn(eventlog.ReceptionLimited, zap.String("port", l.port), zap.String("reason", string(reason)), zap.String("address", address),
-		zap.Int64("limited", total), zap.Int64("held_bytes", l.budget.Held()))
+		zap.Int64("limited", total), zap.Int64("held_bytes", l.budget.Held()), zap.Int("connections", l.connections.Open()))
 }
