Bounds on bodies between daemons and on connections at the internal ports

Cause: a daemon read each message of another one, up to 32 MB, with io.ReadAll and without a bound on the sum; 24 incomplete ones of 8 MB took 402 MB on a VM of 136 MB. Connections at the internal ports had no bound.

Change: the internal ports (peers, readiness, metrics) share a Budget and Connections of their own, so that callers can't displace daemons: an eighth of the memory, each message counted four times (message, decoder's buffer, decoded body), connections an eighth of the memory at 24 KiB and a quarter of MaxFds less 200. Receiver.Handler receives the body before the handler runs; httpjson.Read does not copy it again. A refusal has a client error as its status (429, 413, 408), which daemons of all versions take as "not executed": they send the request themselves. A single message is limited to 32 MB or an eighth of the memory.

Ruled out: the refusal status 503, which delegating daemons take as "may have run"; one set of limits for callers and daemons; a lower maximum for all messages, which operators with larger bodies would meet.

--- a/delegation/message.go
+++ b/delegation/message.go
@@ -29,8 +29,8 @@
 	// headerExchange identifies an exchange between two daemons, so that a late response to an earlier one on the connection
 	// is recognized. Either side may leave it out.
 	headerExchange = "Chivemill-Exchange"
-	// maxMessageBytes bounds the bodies of a request and of a response in bytes.
-	maxMessageBytes = 32 << 20
+	// MaxMessageBytes bounds the bodies of a request and of a response in bytes.
+	MaxMessageBytes = 32 << 20
 	// maxResponseHeaderBytes bounds the header of a response in bytes.
 	maxResponseHeaderBytes = 64 << 10
 	// idleTimeout is how long an idle connection to a helper is kept open.
@@ -131,7 +131,7 @@
 func Handler(server Server) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var q Query
-		if err := httpjson.Read(r.Body, maxMessageBytes, &q); err != nil {
+		if err := httpjson.Read(r.Body, MaxMessageBytes, &q); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -298,9 +298,9 @@
 
 // receiveParts reads the parts up to the last one and calls receive with each. cancel ends the exchange.
 func (c *Client) receiveParts(body io.Reader, receive func(PartialAnswer), cancel context.CancelFunc) error {
-	reader := bufio.NewReader(io.LimitReader(body, maxMessageBytes))
+	reader := bufio.NewReader(io.LimitReader(body, MaxMessageBytes))
 	for {
-		line, err := c.messages.ReadLine(reader, maxMessageBytes)
+		line, err := c.messages.ReadLine(reader, MaxMessageBytes)
 		if err != nil {
 			return eris.Wrap(err, "answer")
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -65,8 +65,8 @@
 	replicas     *platform.ReplicaClient
 	shutdown     *drain.Shutdown
 	callers      *http.Server
-	// callerReception limits what the callers' listener receives.
-	callerReception *listenerReception
+	// callerReception and internalReception limit what the callers' listener and the internal ones receive.
+	callerReception, internalReception *listenerReception
 	// responses counts the answers to callers and other daemons that have not been written out. stopsWaiting is set when a planned stop
 	// does not wait for them any longer.
 	responses    drain.Responses
@@ -141,7 +141,9 @@
 		}
 	})
 	internal := func(h http.Handler) *http.Server {
-		return &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
+		return &http.Server{
+			Handler: d.internalReception.bodies.Handler(d.maxMessageBytes(), h), ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: maxInternalHeaderBytes,
+		}
 	}
 	for _, s := range []struct {
 		server  *http.Server
@@ -156,6 +158,9 @@
 		}
 		if s.server == d.callers {
 			listener = connlimit.Install(s.server, listener, d.callerLimits, d.callerReception.guard())
+		} else {
+			// The server itself limits the headers.
+			listener = connlimit.Install(s.server, listener, func() connlimit.Limits { return connlimit.Limits{} }, d.internalReception.guard())
 		}
 		d.responses.Watch(s.server)
 		go func() {
--- a/edge/reception.go
+++ b/edge/reception.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
 
+	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/internal/connlimit"
 	"github.com/chivemill/chivemill/internal/reception"
@@ -19,20 +20,28 @@
 // The shares of the process's memory and descriptors below leave room for the answers (a quarter of the memory), for the bodies of
 // replicas and helpers (a sixteenth each), and for what the daemon knows of the fleet.
 const (
-	// receptionMemoryShare is the share of the memory for the requests of callers.
+	// receptionMemoryShare is the share of the memory for the requests of callers, and again for those of other daemons.
 	receptionMemoryShare = 1.0 / 8
-	// callerConnectionShare is the share of the memory for callers' connections, and connectionBytes what one takes: the buffers of net/http (2 x 4 KiB), the stacks of its goroutine and of the one that watches for the caller's end, and the
+	// callerConnectionShare and internalConnectionShare are the shares of the memory for connections, and connectionBytes what one takes:
+	// the buffers of net/http (2 x 4 KiB), the stacks of its goroutine and of the one that watches for the caller's end, and the
 	// connection itself.
-	callerConnectionShare = 1.0 / 6
-	connectionBytes       = 24 << 10
+	callerConnectionShare   = 1.0 / 6
+	internalConnectionShare = 1.0 / 8
+	connectionBytes         = 24 << 10
 	// fileDescriptors is the number of descriptors that the platform sets aside for files. Of the rest, callers' connections may use
-	// callerDescriptorShare.
-	fileDescriptors       = 200
-	callerDescriptorShare = 1.0 / 2
+	// callerDescriptorShare and those of daemons, load balancers and metrics internalDescriptorShare; the daemon's own connections need the rest.
+	fileDescriptors         = 200
+	callerDescriptorShare   = 1.0 / 2
+	internalDescriptorShare = 1.0 / 4
 	// minConnections is the least number of connections, for settings with very few descriptors.
 	minConnections = 16
 	// callerCopies is how often a caller's body is in memory: it is passed on as it is.
 	callerCopies = 1
+	// messageCopies is how often a message between daemons is in memory while it is decoded: the message, the decoder's buffer, which
+	// doubles as it grows, and the decoded body.
+	messageCopies = 4
+	// maxMessageMemoryShare limits a single message.
+	maxMessageMemoryShare = 1.0 / 8
 	// receptionLogInterval is the least time between two lines of eventlog.ReceptionLimited.
 	receptionLogInterval = time.Second
 )
@@ -56,17 +65,20 @@
 	if err != nil {
 		return eris.Wrap(err, "metrics")
 	}
-	l := &listenerReception{
-		port: "callers", log: d.log.Logger, limited: limited,
-		connections: reception.NewConnections(maxConnections(d.settings.MemoryBytes, d.settings.MaxDescriptors)),
-		budget:      reception.NewBudget(int64(receptionMemoryShare * float64(d.settings.MemoryBytes))),
+	create := func(port string, maxConnections int, copies int64) *listenerReception {
+		l := &listenerReception{
+			port: port, connections: reception.NewConnections(maxConnections), log: d.log.Logger, limited: limited,
+			budget: reception.NewBudget(int64(receptionMemoryShare * float64(d.settings.MemoryBytes))),
+		}
+		l.bodies = reception.NewReceiver(l.budget, copies, connlimit.Of, l.observe)
+		return l
 	}
-	l.bodies = reception.NewReceiver(l.budget, callerCopies, connlimit.Of, l.observe)
-	d.callerReception = l
+	callers, internal := maxConnections(d.settings.MemoryBytes, d.settings.MaxDescriptors)
+	d.callerReception, d.internalReception = create("callers", callers, callerCopies), create("internal", internal, messageCopies)
 	gauge := func(name, help string, read func(*listenerReception) int64) error {
 		_, err := meter.Int64ObservableGauge(name, metric.WithDescription(help),
 			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-				for _, l := range []*listenerReception{d.callerReception} {
+				for _, l := range []*listenerReception{d.callerReception, d.internalReception} {
 					o.Observe(read(l), metric.WithAttributes(attribute.String("port", l.port)))
 				}
 				return nil
@@ -81,14 +93,22 @@
 	), "metrics")
 }
 
-// maxConnections returns the limit on callers' connections for a process with a memory limit in bytes and a limit of descriptors, 0 for
-// none.
-func maxConnections(memoryBytes int64, maxDescriptors int) int {
-	callers := int(callerConnectionShare * float64(memoryBytes) / connectionBytes)
+// maxConnections returns the limits on callers' connections and on internal ones for a process with a memory limit in bytes and a limit
+// of descriptors, 0 for none.
+func maxConnections(memoryBytes int64, maxDescriptors int) (callers, internal int) {
+	callers = int(callerConnectionShare * float64(memoryBytes) / connectionBytes)
+	internal = int(internalConnectionShare * float64(memoryBytes) / connectionBytes)
 	if maxDescriptors > 0 {
-		callers = min(callers, int(callerDescriptorShare*float64(max(0, maxDescriptors-fileDescriptors))))
+		forConnections := float64(max(0, maxDescriptors-fileDescriptors))
+		callers = min(callers, int(callerDescriptorShare*forConnections))
+		internal = min(internal, int(internalDescriptorShare*forConnections))
 	}
-	return max(minConnections, callers)
+	return max(minConnections, callers), max(minConnections, internal)
+}
+
+// maxMessageBytes returns the maximum size of a message from another daemon.
+func (d *Daemon) maxMessageBytes() int64 {
+	return min(delegation.MaxMessageBytes, int64(maxMessageMemoryShare*float64(d.settings.MemoryBytes)))
 }
 
 func (l *listenerReception) guard() connlimit.Guard {
--- a/edge/reception_test.go
+++ b/edge/reception_test.go
@@ -10,10 +10,12 @@
 // ordinary callers meet them on the smallest VM.
 func TestMaxConnections(t *testing.T) {
 	for _, c := range []struct {
-		memoryMB, descriptors, callers int
+		memoryMB, descriptors, callers, internal int
 	}{
-		{136, 4100, 967}, {284, 4100, 1950}, {536, 4100, 1950}, {256, 0, 1820}, {136, 400, 100}, {136, 100, 16},
+		{136, 4100, 967, 725}, {284, 4100, 1950, 975}, {536, 4100, 1950, 975}, {256, 0, 1820, 1365}, {136, 400, 100, 50}, {136, 100, 16, 16},
 	} {
-		must.Eq(t, c.callers, maxConnections(int64(c.memoryMB)<<20, c.descriptors), must.Sprint(c))
+		callers, internal := maxConnections(int64(c.memoryMB)<<20, c.descriptors)
+		must.Eq(t, c.callers, callers, must.Sprint(c))
+		must.Eq(t, c.internal, internal, must.Sprint(c))
 	}
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -27,7 +27,7 @@
 // Read decodes a body that contains exactly one JSON value. It returns ErrTooLarge for a body longer than limit bytes.
 // Unknown fields are errors.
 func Read(r io.Reader, limit int64, value any) error {
-	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	data, err := readAll(r, limit)
 	if err != nil {
 		return err
 	}
@@ -45,5 +45,13 @@
 	return nil
 }
 
+// readAll returns up to limit+1 bytes of r. A body that is in memory already is not copied.
+func readAll(r io.Reader, limit int64) ([]byte, error) {
+	if buffered, ok := r.(interface{ Bytes() []byte }); ok {
+		return buffered.Bytes(), nil
+	}
+	return io.ReadAll(io.LimitReader(r, limit+1))
+}
+
 // ErrTooLarge means that a body exceeds its limit.
 var ErrTooLarge = errors.New("body too large")
--- a/internal/reception/receiver_test.go
+++ b/internal/reception/receiver_test.go
@@ -256,3 +256,28 @@
 		must.Eq(t, 0, b.Held())
 	}
 }
+
+// TestHandlerRefusals guards delegating daemons: a refusal must be a client error, which they take as "not executed".
+func TestHandlerRefusals(t *testing.T) {
+	b := NewBudget(3 * testLimit / 2)
+	held := mustReserve(t, b, "a", testLimit, time.Now())
+	held.Complete()
+	conn := newCallerConn()
+	rc, _ := receiverFor(b, conn)
+	var got []byte
+	handler := rc.Handler(testLimit, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		got = r.Body.(*BufferedBody).Bytes()
+	}))
+	large := strings.Repeat("b", testLimit)
+	handler.ServeHTTP(conn, newRequest(strings.NewReader(large), testLimit))
+	must.Eq(t, http.StatusTooManyRequests, conn.Code)
+	must.NotEq(t, "", conn.Header().Get("Retry-After"))
+	must.Nil(t, got)
+	held.Release()
+	handler.ServeHTTP(newCallerConn(), newRequest(strings.NewReader(large), testLimit))
+	must.Eq(t, large, string(got))
+	must.Eq(t, 0, b.Held())
+	conn = newCallerConn()
+	handler.ServeHTTP(conn, newRequest(strings.NewReader(large+"b"), testLimit+1))
+	must.Eq(t, http.StatusRequestEntityTooLarge, conn.Code)
+}
