Quotas of client accounts over the fleet, first working state

Cause: RatePerS, Burst and Priority of an account were not decoded; an account at 5 to 7.5 times its usual demand got 549 requests in 5 s where 489 are allowed.

Change: the decoder and account.NewTable validate the three fields and refuse an invalid version as a whole, naming account and field; the settings have QuotaWindowS, QuotaOverage and QuotaSlack. Account.Rank puts the account's priority before its route's. Package quota: a pool at the reader of each data centre with its share of rate and burst, a client in each daemon that asks for permits, and pulls between pools. The gateway acquires one permit for each request of a caller, refuses with 429 (over_quota, run never) otherwise, and returns the permit if no replica executed anything. topology.Feed.CentreReader tells the reader; one that cannot renew its claim stays it while most daemons of its data centre still pull from it, so that an outage of the store does not end all pools.

Tests: go test ./quota ./gateway ./api ./edge ./internal/explain ./account pass; ./topology passed before the last changes of quota; of ./platform the tests of settings and decoder. Not yet run: the process tests of ./platform.

--- a/account/account.go
+++ b/account/account.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"math"
 
 	"github.com/rotisserie/eris"
 
@@ -28,6 +29,23 @@
 	Keys []KeyHash
 	// Regions lists the regions in which requests may be served. An empty list allows all regions.
 	Regions []string `json:",omitempty"`
+	// RatePerS is the number of requests a second that all daemons together may send to replicas for the account, and Burst the
+	// number that may be sent at once beyond it. A rate of 0 means no quota.
+	RatePerS float64 `json:",omitempty"`
+	Burst    float64 `json:",omitempty"`
+	// Priority takes precedence over the priority of a request's route unless it is nil; 0 is the highest.
+	Priority *int `json:",omitempty"`
+}
+
+// HasQuota reports whether the account's requests are limited.
+func (a *Account) HasQuota() bool { return a.RatePerS > 0 }
+
+// Rank returns the priority of a request of the account on a route with the given priority; 0 is the highest.
+func (a *Account) Rank(routePriority int) int {
+	if a == nil || a.Priority == nil {
+		return routePriority
+	}
+	return *a.Priority
 }
 
 // AllowedRegions returns the regions in which requests of the account may be served.
@@ -39,7 +57,8 @@
 	byName map[string]*Account
 }
 
-// NewTable validates the accounts and returns their table, nil if there are none. The error names the first invalid account.
+// NewTable validates the accounts and returns their table, nil if there are none. The error names the first invalid account and its
+// invalid field.
 func NewTable(accounts []Account) (*Table, error) {
 	if len(accounts) == 0 {
 		return nil, nil
@@ -67,6 +86,12 @@
 			return eris.New("allowed regions contain an empty name")
 		}
 	}
+	if err := a.validateQuota(); err != nil {
+		return err
+	}
+	if a.Priority != nil && *a.Priority < 0 {
+		return fmt.Errorf("field Priority: %d is negative", *a.Priority)
+	}
 	for i, key := range a.Keys {
 		other := t.byKey[key]
 		switch {
@@ -81,6 +106,24 @@
 	return nil
 }
 
+func (a *Account) validateQuota() error {
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{{"RatePerS", a.RatePerS}, {"Burst", a.Burst}} {
+		switch {
+		case math.IsNaN(f.value) || math.IsInf(f.value, 0):
+			return fmt.Errorf("field %s: %v is not a finite number", f.name, f.value)
+		case f.value < 0:
+			return fmt.Errorf("field %s: %v is negative", f.name, f.value)
+		}
+	}
+	if a.Burst > 0 && a.RatePerS == 0 {
+		return fmt.Errorf("field Burst: %v without a RatePerS", a.Burst)
+	}
+	return nil
+}
+
 // Authenticate returns the account of a key; ok is false if no account has it. The time does not depend on how much of a key is
 // right, since only hashes are compared.
 func (t *Table) Authenticate(key string) (a *Account, ok bool) {
--- a/account/account_test.go
+++ b/account/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"strings"
 	"testing"
 
@@ -51,6 +52,33 @@
 	}
 }
 
+// TestInvalidQuotas guards against a quota or priority that cannot be applied, also if it comes from another daemon. The error names the
+// account and the field.
+func TestInvalidQuotas(t *testing.T) {
+	for field, accounts := range map[string][]Account{
+		"RatePerS": {{RatePerS: -1}, {RatePerS: math.NaN()}, {RatePerS: math.Inf(1)}},
+		"Burst":    {{RatePerS: 1, Burst: -1}, {RatePerS: 1, Burst: math.Inf(1)}, {Burst: 1}},
+		"Priority": {{Priority: new(-1)}},
+	} {
+		for _, a := range accounts {
+			a.Name = "one"
+			_, err := NewTable([]Account{a})
+			must.ErrorContains(t, err, `account "one"`)
+			must.ErrorContains(t, err, field)
+		}
+	}
+	_, err := NewTable([]Account{{Name: "one", RatePerS: 1}, {Name: "two", RatePerS: 0.5, Burst: 3, Priority: new(0)}, {Name: "three"}})
+	must.NoError(t, err)
+}
+
+// TestRank guards routes and accounts against the wrong priority: the account's counts if it has one, also if it is 0.
+func TestRank(t *testing.T) {
+	must.Eq(t, 2, (&Account{}).Rank(2))
+	must.Eq(t, 0, (&Account{Priority: new(0)}).Rank(2))
+	must.Eq(t, 3, (&Account{Priority: new(3)}).Rank(2))
+	must.Eq(t, 2, (*Account)(nil).Rank(2))
+}
+
 // TestAccountWithoutKeys guards the other changes of a version in which the operator has taken away all keys of an account: the
 // version is valid, and no key is one of the account's.
 func TestAccountWithoutKeys(t *testing.T) {
--- a/api/errors.go
+++ b/api/errors.go
@@ -38,6 +38,7 @@
 	NoReplica         Kind = "no_replica"
 	Stopping          Kind = "stopping"
 	ReplicasFailed    Kind = "replicas_failed"
+	OverQuota         Kind = "over_quota"
 )
 
 // Run states whether a backend server executed the failed request.
@@ -94,6 +95,7 @@
 	NoReplica:         {http.StatusServiceUnavailable, RunNever, RetryLater},
 	Stopping:          {http.StatusServiceUnavailable, RunNever, RetryLater},
 	ReplicasFailed:    {http.StatusBadGateway, RunMaybe, RetryIdempotent},
+	OverQuota:         {http.StatusTooManyRequests, RunNever, RetryLater},
 }
 
 // Kinds returns all error kinds in no particular order.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/chivemill/chivemill/internal/connlimit"
 	"github.com/chivemill/chivemill/metrics"
 	"github.com/chivemill/chivemill/platform"
+	"github.com/chivemill/chivemill/quota"
 	"github.com/chivemill/chivemill/topology"
 )
 
@@ -62,6 +63,7 @@
 	balancer     *balancer.Balancer
 	directory    *topology.Directory
 	feed         *topology.Feed
+	quotas       *quota.Exchange
 	replicas     *platform.ReplicaClient
 	shutdown     *drain.Shutdown
 	callers      *http.Server
@@ -100,12 +102,20 @@
 		return nil, eris.Wrap(err, "metrics")
 	}
 	d.replicas.SetObserver(replicaObserver)
+	d.quotas, err = quota.NewExchange(quota.Options{
+		Bounds: quota.Bounds{Window: settings.QuotaWindow, Overage: settings.QuotaOverage, Slack: settings.QuotaSlack},
+		Node:   settings.Node, DataCentre: settings.DataCentre, Address: settings.QuotaAddress,
+		Distance: func(dataCentre string) int { return int(settings.Distance(dataCentre)) },
+	}, d.directory, d.feed, metricsProvider.Meter(), log.Logger)
+	if err != nil {
+		return nil, err
+	}
 	d.gateway, err = gateway.New(gateway.Options{
 		BudgetRatio: settings.RetryBudgetRatio, BudgetFixed: settings.RetryBudgetFixed, BudgetWindow: settings.RetryBudgetWindow,
 		Publisher: d.feed, ObservationPublisher: d.feed, Links: d.replicas, Node: settings.Node, DelegationClient: delegation.NewClient(settings.MemoryBytes), Seed: xxhash.Sum64String(settings.Node),
 		Self: delegation.Self{Address: settings.PeerAddress, DataCentre: settings.DataCentre, Cores: settings.Cores,
 			Distance: settings.Distance, Region: settings.RegionOf},
-		MemoryBytes: settings.MemoryBytes,
+		MemoryBytes: settings.MemoryBytes, Quotas: gatewayQuotas{d.quotas},
 	}, d.directory, d.balancer, d.replicas, rand.Float64, metricsProvider.Meter(), log.Logger)
 	if err != nil {
 		return nil, err
@@ -224,6 +234,7 @@
 	wg.Go(func() { d.feed.Run(ctx) })
 	wg.Go(func() { d.feed.ShareHealth(ctx, d.balancer) })
 	wg.Go(func() { d.gateway.Run(ctx) })
+	wg.Go(func() { d.quotas.Run(ctx) })
 	wg.Go(func() { d.gateway.WatchReach(ctx) })
 	wg.Go(func() { d.closeUnlistedReplicas(ctx) })
 	d.log.Info(eventlog.Started, zap.String("data_centre", d.settings.DataCentre), zap.String("callers", d.settings.CallerAddress),
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -56,6 +56,12 @@
 	// PanicContained reports a panic that was recovered: it ended one request, attempt or message, but not the process.
 	PanicContained = "panic contained"
 
+	// Client accounts. AccountRefused reports that a daemon begins to refuse requests of an account because of its quota,
+	// AccountWithinQuota that none was refused for some seconds.
+	AccountRefused     = "account refused by its quota"
+	AccountWithinQuota = "account no longer refused by its quota"
+	QuotaSocketLost    = "socket for quotas lost"
+
 	// Requests.
 	RequestFailed  = "request failed"
 	RequestRefused = "request refused"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,6 +153,8 @@
 	Seed             uint64
 	// MemoryBytes is the memory limit of the process; 0 for none. A fraction of it limits the answers that wait for their callers.
 	MemoryBytes int64
+	// Quotas limits the requests of client accounts; nil for no limits.
+	Quotas Quotas
 }
 
 // answerMemoryFraction is the fraction of the process's memory for answers that wait until their callers have received them.
@@ -367,7 +369,7 @@
 }
 
 // serve returns the reply and, once a route has matched and the request was admitted, its run.
-func (g *Gateway) serve(ctx context.Context, request *Request, view topology.View) (Reply, *run) {
+func (g *Gateway) serve(ctx context.Context, request *Request, view topology.View) (reply Reply, last *run) {
 	if !view.IsComplete() {
 		return errorReply(api.NoConfiguration, retryAfterStartup, "this daemon has no configuration yet"), nil
 	}
@@ -386,7 +388,7 @@
 	if request.CallerTimeout > 0 {
 		timeout = min(timeout, max(request.CallerTimeout/2, request.CallerTimeout-answerReserve))
 	}
-	regions, accountErr := authenticate(view.Table, route, request)
+	account, regions, accountErr := authenticate(view.Table, route, request)
 	if accountErr != nil {
 		return Reply{Err: accountErr}, nil
 	}
@@ -401,6 +403,11 @@
 	defer cancel()
 	stop := context.AfterFunc(g.requestsCtx, cancel)
 	defer stop()
+	release, refusal := g.acquirePermit(ctx, request, account)
+	if refusal != nil {
+		return Reply{Err: refusal}, nil
+	}
+	defer func() { release(reply) }()
 	kind := quarantine.Order
 	if route.IsQuery() {
 		kind = quarantine.Search
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -16,6 +16,7 @@
 	api.NoConfiguration:  "the daemon had just started and had no configuration yet",
 	api.Stopping:         "the daemon was stopping",
 	api.Overloaded:       "it was refused before anything was sent: %s",
+	api.OverQuota:        "its client account was over its quota: %s",
 	api.NoReplica:        "it was refused before anything was sent: %s",
 	api.BackendRefused:   "all replicas that it was sent to refused it and none executed it: %s",
 	api.Quarantined:      "earlier requests like it crashed replicas",
--- /dev/null
+++ b/quota/pool.go
@@ -0,0 +1,532 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+const (
+	// pullTimeout is how long a pool waits for other pools: a round trip between regions takes 24 ms.
+	pullTimeout = 40 * time.Millisecond
+	// pullInterval is the shortest time between two pulls for an account while others are in flight, which lets requests that arrive
+	// together share one.
+	pullInterval = 3 * time.Millisecond
+	// After the other pools had too few tokens for an account, a pool does not pull until emptyTokens more are due in all pools, at least
+	// minEmptyPause and at most maxEmptyPause.
+	emptyTokens   = 4
+	minEmptyPause = 10 * time.Millisecond
+	maxEmptyPause = 50 * time.Millisecond
+	// silentPause is how long a pool does not pull from one that did not answer.
+	silentPause = time.Second
+	// aheadLevel is the time for which a pool with more demand than its own refill rate wants tokens in stock; below it, it pulls
+	// tokens before requests wait for them. A giving pool keeps that much for its own demand.
+	aheadLevel    = 60 * time.Millisecond
+	aheadInterval = 20 * time.Millisecond
+	// maxPending is how long an ask waits for tokens of other pools, enough for two rounds of pulls between regions.
+	maxPending = 60 * time.Millisecond
+	// maxRefillWait is how long an ask waits for tokens that are due soon. Without it, demand close to the quota is refused for the time
+	// of a denial although the tokens are only some milliseconds late.
+	maxRefillWait  = 25 * time.Millisecond
+	refillInterval = 5 * time.Millisecond
+	// overAsk is the factor by which a pool asks the others for more than it needs, because what it knows of their levels is old. What
+	// exceeds the need and the capacity is lost after advanceLifetime.
+	overAsk = 1.2
+	// For startTime after it starts, a pool refills with startFraction of its share: other pools may not know of it yet, and have larger
+	// shares.
+	startTime     = 4 * time.Second
+	startFraction = 0.5
+	// maxNeed limits the permits in one ask.
+	maxNeed = 1000
+	// minHold and maxHold bound the time for which a client refuses requests after a denial without asking again. holdPerClient raises it
+	// with the number of clients that were denied lately: each account over its quota causes at most 500 asks a second at a reader.
+	minHold       = 10 * time.Millisecond
+	maxHold       = 250 * time.Millisecond
+	holdPerClient = 2 * time.Millisecond
+	// deniedRetention is how long a client counts as one that refuses requests after its ask was denied.
+	deniedRetention = time.Second
+)
+
+// Pool grants permits from the share of a data centre. It is not safe for concurrent use.
+type Pool struct {
+	bounds Bounds
+	quotas func(account string) (Quota, bool)
+	send   func(host string, m Message)
+	fleet  *Fleet
+	share  float64
+	held   bool
+	// startedAt is when the pool started.
+	startedAt time.Time
+	// buckets holds the state of each account with a quota, active those with pulls in flight.
+	buckets map[string]*bucket
+	active  []*bucket
+	// waiting are those with pending asks, which are served every refillInterval while no pulls are in flight. nextServe is when that is due.
+	waiting   []*bucket
+	nextServe time.Time
+	// pulls holds the pulls that may still be answered, silentUntil the hosts that did not answer.
+	pulls       map[uint64]*pull
+	silentUntil map[string]time.Time
+	seq         uint64
+	counts      *Counts
+}
+
+// bucket is the state of an account in a pool.
+type bucket struct {
+	account string
+	quota   Quota
+	// level is the number of own tokens, refilled up to updated. borrowed are tokens of other pools, used first; when their time
+	// ends, they go to the level as far as its capacity allows.
+	level    float64
+	updated  time.Time
+	borrowed lots
+	// advanced are tokens and permits that were granted in advance and may not be used yet.
+	advanced lots
+	// demand is the rate of requests, including those that the clients refused.
+	demand  rate
+	refused retryQueue
+	// deniedAt holds when asks of clients were denied lately, by host.
+	deniedAt map[string]time.Time
+	pending  []pendingAsk
+	// isWaiting is set while the bucket is in the list of those with pending asks.
+	isWaiting bool
+	// rounds are the rounds of pulls in flight, pulling the sum of what they need.
+	rounds    []*round
+	pulling   float64
+	nextPull  time.Time
+	nextAhead time.Time
+	// centres holds what other pools told of their buckets.
+	centres map[string]*remote
+}
+
+// pendingAsk is an ask that waits for tokens of other pools.
+type pendingAsk struct {
+	host     string
+	ask      Ask
+	at       time.Time
+	notified bool
+}
+
+// round is a set of pulls that were sent together.
+type round struct {
+	at      time.Time
+	need    float64
+	got     float64
+	waiting int
+}
+
+type pull struct {
+	bucket *bucket
+	round  *round
+	centre string
+	host   string
+	limit  float64
+	ended  bool
+}
+
+// remote is what another pool told of its bucket at a time.
+type remote struct {
+	left, demand, refused float64
+	at                    time.Time
+}
+
+// NewPool returns a pool of a daemon that does not hold the reader role. quotas returns the quota of an account in the configuration in
+// force; seq is the number before that of its first pull.
+func NewPool(bounds Bounds, seq uint64, quotas func(account string) (Quota, bool), send func(host string, m Message), counts *Counts) *Pool {
+	return &Pool{bounds: bounds, quotas: quotas, send: send, fleet: &Fleet{}, buckets: make(map[string]*bucket), pulls: make(map[uint64]*pull),
+		silentUntil: make(map[string]time.Time), seq: seq, counts: counts}
+}
+
+// SetFleet sets the data centres, of which the pool's own determines its share.
+func (p *Pool) SetFleet(f *Fleet) { p.fleet, p.share = f, f.share(f.Own) }
+
+// SetHeld sets whether this daemon holds the reader role of its data centre. A pool starts with at most one token for each account, so
+// that the burst is not granted again.
+func (p *Pool) SetHeld(held bool, now time.Time) {
+	if p.held != held {
+		p.held, p.startedAt, p.active, p.waiting = held, now, nil, nil
+		clear(p.buckets)
+		clear(p.pulls)
+	}
+}
+
+// bucketFor returns the refilled bucket of an account, nil if this daemon holds no pool for it.
+func (p *Pool) bucketFor(account string, now time.Time) *bucket {
+	q, ok := p.quotas(account)
+	if !p.held || p.share == 0 || !ok {
+		return nil
+	}
+	b := p.buckets[account]
+	if b == nil {
+		b = &bucket{account: account, level: 1, updated: p.startedAt, centres: make(map[string]*remote), deniedAt: make(map[string]time.Time)}
+		p.buckets[account] = b
+	}
+	b.quota = q
+	if elapsed := now.Sub(b.updated); elapsed > 0 {
+		if started := p.startedAt.Add(startTime); b.updated.Before(started) {
+			elapsed -= time.Duration((1 - startFraction) * float64(min(elapsed, started.Sub(b.updated))))
+		}
+		b.level += q.RatePerS * p.share * elapsed.Seconds()
+		b.updated = now
+	}
+	b.level = min(b.level+b.borrowed.expire(now), p.fleet.capacity(q, p.bounds, p.fleet.Own))
+	b.advanced.expire(now)
+	return b
+}
+
+func (b *bucket) available() float64 { return b.level + b.borrowed.sum() + 1e-9 }
+
+func (b *bucket) take(tokens float64) {
+	taken, _ := b.borrowed.take(tokens)
+	b.level = max(0, b.level-(tokens-taken))
+}
+
+// HandleAsk processes an ask of a client.
+func (p *Pool) HandleAsk(host string, a Ask, now time.Time) {
+	a.Need, a.Extra, a.Refused = min(max(a.Need, 0), maxNeed), min(max(a.Extra, 0), maxNeed), max(a.Refused, 0)
+	b := p.bucketFor(a.Account, now)
+	switch {
+	case b == nil:
+		p.send(host, Message{Grants: []Grant{{Seq: a.Seq, Status: Unavailable}}})
+		return
+	case b.quota.RatePerS == 0:
+		p.send(host, Message{Grants: []Grant{{Seq: a.Seq, Status: Granted, Permits: a.Need}}})
+		return
+	}
+	b.demand.add(float64(a.Need+a.Refused), now)
+	if a.Refused > 0 {
+		b.refused.add(a.Refused, p.supplyOf(b, now).own, now)
+	}
+	b.pending = append(b.pending, pendingAsk{host: host, ask: a, at: now})
+	p.serve(b, now)
+}
+
+// serve answers the pending asks of a bucket in order as far as it has tokens, and pulls tokens for the others or denies them.
+func (p *Pool) serve(b *bucket, now time.Time) {
+	for len(b.pending) > 0 && b.available() >= float64(b.pending[0].ask.Need) {
+		next := b.pending[0]
+		b.pending = b.pending[1:]
+		b.take(float64(next.ask.Need))
+		extra := p.takeExtra(b, next.ask.Extra, now)
+		p.send(next.host, Message{Grants: []Grant{{Seq: next.ask.Seq, Status: Granted, Permits: next.ask.Need + extra}}})
+	}
+	if len(b.pending) == 0 {
+		b.pending = nil
+		p.pullAhead(b, now)
+		return
+	}
+	need := -b.available() - b.pulling
+	for _, w := range b.pending {
+		need += float64(w.ask.Need)
+	}
+	if need > 0 && !now.Before(b.nextPull) {
+		ahead := b.demand.get(now) * lookahead.Seconds()
+		if p.pull(b, need, ahead, now) {
+			b.nextPull = now.Add(pullInterval)
+		}
+	}
+	for len(b.pending) > 0 && !p.mayWait(b, now) {
+		p.deny(b, now)
+	}
+	if len(b.pending) > 0 && !b.isWaiting {
+		b.isWaiting = true
+		p.waiting = append(p.waiting, b)
+	}
+	for i := range b.pending {
+		if w := &b.pending[i]; !w.notified {
+			w.notified = true
+			p.send(w.host, Message{Grants: []Grant{{Seq: w.ask.Seq, Status: Pending}}})
+		}
+	}
+}
+
+// mayWait reports whether the first pending ask may wait for tokens: of pulls in flight, or if they are due soon.
+func (p *Pool) mayWait(b *bucket, now time.Time) bool {
+	age := now.Sub(b.pending[0].at)
+	if len(b.rounds) > 0 {
+		return age < maxPending
+	}
+	missing := float64(b.pending[0].ask.Need) - b.available()
+	return age < maxRefillWait && seconds(missing/p.supplyOf(b, now).own) < maxRefillWait-age
+}
+
+// takeExtra takes whole tokens that a client can use soon, as far as the room for grants in advance and own tokens allow.
+func (p *Pool) takeExtra(b *bucket, wanted int, now time.Time) int {
+	room := p.fleet.advanceRoom(b.quota, p.bounds, p.fleet.Own)/2 - b.advanced.sum()
+	keep := b.demand.get(now) * aheadLevel.Seconds()
+	extra := math.Floor(max(0, min(float64(wanted), room, b.level-keep)))
+	b.level -= extra
+	b.advanced.add(extra, now.Add(advanceLifetime))
+	return int(extra)
+}
+
+// deny answers the first pending ask with the tokens that there are.
+func (p *Pool) deny(b *bucket, now time.Time) {
+	first := b.pending[0]
+	b.pending = b.pending[1:]
+	permits := min(first.ask.Need, int(b.available()))
+	b.take(float64(permits))
+	s := p.supplyOf(b, now)
+	firstToken := seconds(max(0, 1-b.available()) / s.own)
+	retry := firstToken + seconds((b.refused.get(s.own, now)+s.refused)/s.total)
+	b.refused.add(first.ask.Need-permits, s.own, now)
+	// A single token may take longer than the limit: an earlier retry would be in vain.
+	retry = min(retry, max(maxRetryAfter, firstToken))
+	// The client spaces the requests that it refuses by itself so that those of all clients together come back at the refill rate.
+	b.deniedAt[first.host] = now
+	maps.DeleteFunc(b.deniedAt, func(_ string, at time.Time) bool { return now.Sub(at) > deniedRetention })
+	interval := seconds(float64(len(b.deniedAt)) / s.total)
+	shortest := max(minHold, time.Duration(len(b.deniedAt))*holdPerClient)
+	hold := min(max(firstToken, shortest), max(maxHold, shortest))
+	p.send(first.host, Message{Grants: []Grant{{Seq: first.ask.Seq, Status: Denied, Permits: permits, RetryMs: milliseconds(retry),
+		IntervalMs: milliseconds(interval), HoldMs: milliseconds(hold)}}})
+}
+
+// supply estimates how soon refused requests can be served.
+type supply struct {
+	// own is the rate at which the pool gets tokens: by its own refill and that part of the refill of other pools which they don't need
+	// themselves. total adds the refill of other pools that refuse requests too, and refused is the number of these requests.
+	own, total, refused float64
+}
+
+func (p *Pool) supplyOf(b *bucket, now time.Time) supply {
+	s := supply{own: b.quota.RatePerS * p.share}
+	for _, c := range p.fleet.Centres {
+		if !p.canPull(c, now) {
+			continue
+		}
+		refill := b.quota.RatePerS * p.fleet.share(c.Name)
+		if r := b.centres[c.Name]; r != nil {
+			if refused := r.refused - refill*now.Sub(r.at).Seconds(); refused > 0 {
+				s.refused += refused
+				s.total += refill
+				continue
+			}
+		}
+		s.own += max(0, refill-b.remoteDemand(c.Name, now))
+	}
+	s.total += s.own
+	return s
+}
+
+func (b *bucket) remoteDemand(centre string, now time.Time) float64 {
+	r := b.centres[centre]
+	if r == nil {
+		return 0
+	}
+	demand := rate{value: r.demand, at: r.at}
+	return demand.get(now)
+}
+
+// remoteLevel estimates what another pool can give.
+func (p *Pool) remoteLevel(b *bucket, centre string, now time.Time) float64 {
+	share := p.fleet.share(centre)
+	limit := p.fleet.capacity(b.quota, p.bounds, centre)
+	r := b.centres[centre]
+	if r == nil {
+		return limit
+	}
+	refill := max(0, b.quota.RatePerS*share-b.remoteDemand(centre, now))
+	return min(limit, r.left+refill*now.Sub(r.at).Seconds())
+}
+
+// remoteLevels estimates what all other pools together can give.
+func (p *Pool) remoteLevels(b *bucket, now time.Time) float64 {
+	total := 0.0
+	for _, c := range p.fleet.Centres {
+		if p.canPull(c, now) {
+			total += p.remoteLevel(b, c.Name, now)
+		}
+	}
+	return total
+}
+
+// canPull reports whether a data centre has another pool that answers.
+func (p *Pool) canPull(c Centre, now time.Time) bool {
+	return c.Name != p.fleet.Own && c.Reader != "" && !now.Before(p.silentUntil[c.Reader])
+}
+
+// pullAhead pulls tokens before requests have to wait for them, if the demand exceeds the pool's own refill rate.
+func (p *Pool) pullAhead(b *bucket, now time.Time) {
+	demand := b.demand.get(now)
+	if demand <= b.quota.RatePerS*p.share || b.available() >= demand*aheadLevel.Seconds() || len(b.rounds) > 0 || now.Before(b.nextAhead) {
+		return
+	}
+	b.nextAhead = now.Add(aheadInterval)
+	p.pull(b, 0, demand*lookahead.Seconds()-b.available(), now)
+}
+
+// pull asks the other pools for tokens. It returns false if they are unlikely to have enough for one more request.
+func (p *Pool) pull(b *bucket, need, extra float64, now time.Time) bool {
+	type source struct {
+		Centre
+		level float64
+	}
+	var sources []source
+	total := 0.0
+	for _, c := range p.fleet.Centres {
+		if !p.canPull(c, now) {
+			continue
+		}
+		if level := p.remoteLevel(b, c.Name, now); level >= 0.001 {
+			sources = append(sources, source{c, level})
+			total += level
+		}
+	}
+	if len(sources) == 0 || need > 0 && b.available()+total < 1 {
+		return false
+	}
+	r := &round{at: now, need: need}
+	for _, s := range sources {
+		fraction := s.level / total
+		needed, ahead := min(need, overAsk*need*fraction), extra*fraction
+		p.seq++
+		m := Pull{Seq: p.seq, Account: b.account, Need: roundDown(needed + 0.001), Extra: roundDown(ahead)}
+		p.pulls[p.seq] = &pull{bucket: b, round: r, centre: s.Name, host: s.Reader, limit: m.Need + m.Extra}
+		r.waiting++
+		p.send(s.Reader, Message{Pulls: []Pull{m}})
+	}
+	if len(b.rounds) == 0 {
+		p.active = append(p.active, b)
+	}
+	b.rounds = append(b.rounds, r)
+	b.pulling += need
+	return true
+}
+
+// HandlePull processes a pull of another pool. It gives own tokens that the requests here do not need themselves.
+func (p *Pool) HandlePull(host string, m Pull, now time.Time) {
+	give := Give{Seq: m.Seq}
+	if b := p.bucketFor(m.Account, now); b != nil && b.quota.RatePerS > 0 {
+		demand := b.demand.get(now)
+		spare := b.level - demand*aheadLevel.Seconds()
+		for _, w := range b.pending {
+			spare -= float64(w.ask.Need)
+		}
+		needed := max(0, min(spare, m.Need))
+		room := p.fleet.advanceRoom(b.quota, p.bounds, p.fleet.Own) - b.advanced.sum()
+		ahead := max(0, min(spare-needed, m.Extra, room))
+		give.Tokens = roundDown(needed + ahead)
+		b.level -= give.Tokens
+		b.advanced.add(max(0, give.Tokens-needed), now.Add(advanceLifetime))
+		give.Left, give.Demand = roundDown(max(0, spare-give.Tokens)), roundDown(demand)
+		give.Refused = roundDown(b.refused.get(p.supplyOf(b, now).own, now))
+		p.counts.TokensGiven += give.Tokens
+	}
+	p.send(host, Message{Gives: []Give{give}})
+}
+
+// HandleGive processes the answer to a pull. Each pull is answered once: a datagram that arrives twice adds nothing.
+func (p *Pool) HandleGive(g Give, now time.Time) {
+	answered := p.pulls[g.Seq]
+	if answered == nil {
+		return
+	}
+	delete(p.pulls, g.Seq)
+	delete(p.silentUntil, answered.host)
+	b := p.bucketFor(answered.bucket.account, now)
+	if b == nil || b != answered.bucket {
+		return
+	}
+	b.centres[answered.centre] = &remote{left: max(0, g.Left), demand: max(0, g.Demand), refused: max(0, g.Refused), at: now}
+	r := answered.round
+	if tokens := max(0, min(g.Tokens, answered.limit)); now.Before(r.at.Add(advanceLifetime)) {
+		b.borrowed.add(tokens, r.at.Add(advanceLifetime))
+		r.got += tokens
+		p.counts.TokensTaken += tokens
+	}
+	if r.waiting--; r.waiting == 0 {
+		p.endRound(b, r, now)
+	}
+	p.serve(b, now)
+}
+
+// endRound ends a round that all pools have answered or whose time is up.
+func (p *Pool) endRound(b *bucket, r *round, now time.Time) {
+	for i, x := range b.rounds {
+		if x == r {
+			b.rounds = append(b.rounds[:i:i], b.rounds[i+1:]...)
+			b.pulling -= r.need
+			b.nextPull = now
+			if missing := r.need - r.got; missing > 0 && p.remoteLevels(b, now) < missing {
+				pause := time.Duration(emptyTokens / b.quota.RatePerS * float64(time.Second))
+				b.nextPull = now.Add(min(max(pause, minEmptyPause), maxEmptyPause))
+			}
+		}
+	}
+	if len(b.rounds) > 0 {
+		return
+	}
+	b.pulling = 0
+	for i, x := range p.active {
+		if x == b {
+			p.active = append(p.active[:i:i], p.active[i+1:]...)
+			return
+		}
+	}
+}
+
+// Tick ends the rounds whose time is up, and serves the asks that wait for a refill.
+func (p *Pool) Tick(now time.Time) {
+	p.endRounds(now)
+	if now.Before(p.nextServe) {
+		return
+	}
+	p.nextServe = now.Add(refillInterval)
+	waiting := p.waiting
+	p.waiting = nil
+	for _, b := range waiting {
+		b.isWaiting = false
+		if len(b.pending) > 0 && p.bucketFor(b.account, now) != nil {
+			p.serve(b, now)
+		}
+	}
+}
+
+// endRounds ends the rounds whose time is up.
+func (p *Pool) endRounds(now time.Time) {
+	timedOut := false
+	for _, b := range append([]*bucket(nil), p.active...) {
+		for _, r := range append([]*round(nil), b.rounds...) {
+			if now.Sub(r.at) >= pullTimeout {
+				timedOut = true
+				p.endRound(b, r, now)
+			}
+		}
+	}
+	if !timedOut {
+		return
+	}
+	for seq, x := range p.pulls {
+		age := now.Sub(x.round.at)
+		if age >= pullTimeout && !x.ended {
+			x.ended = true
+			p.silentUntil[x.host] = now.Add(silentPause)
+			x.bucket.centres[x.centre] = &remote{at: now}
+		}
+		if age >= advanceLifetime {
+			delete(p.pulls, seq)
+		}
+	}
+}
+
+// next returns when Tick has to be called, zero if nothing is in flight.
+func (p *Pool) next() time.Time {
+	var next time.Time
+	for _, b := range p.active {
+		for _, r := range b.rounds {
+			next = earliest(next, r.at.Add(pullTimeout))
+		}
+	}
+	if len(p.waiting) > 0 {
+		next = earliest(next, p.nextServe)
+	}
+	return next
+}
+
+// earliest returns the earlier of two times, of which zero means none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/topology/election.go
+++ b/topology/election.go
@@ -54,7 +54,9 @@
 	// address is the address of the holder, empty if unknown; held is set if this daemon is the holder.
 	address string
 	held    bool
-	lease   kv.LeaseID
+	// hasLapsed is set if this daemon was the last known holder and lost the role only because it could not renew its claim.
+	hasLapsed bool
+	lease     kv.LeaseID
 	// revision is the store revision of the claim that this daemon wrote last, centre the description in that claim.
 	revision int64
 	centre   DataCentre
@@ -79,10 +81,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := r.address != address || r.held != held
-	r.address, r.held = address, held
+	r.address, r.held, r.hasLapsed = address, held, false
 	return changed
 }
 
+// lose gives up a role whose claim could not be renewed. hasLapsed is set if the store did not answer, so that another daemon may hold
+// the role or none.
+func (r *role) lose(hasLapsed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.address, r.held, r.hasLapsed = "", false, hasLapsed
+}
+
 // claim is the value of a role's key. DataCentre describes the holder's data centre, with the holder as the reader.
 type claim struct {
 	Node string `json:"node"`
@@ -249,12 +259,37 @@
 			renewed = begin
 		case err == nil, time.Since(renewed) > claimTTL:
 			f.log.Info(eventlog.ClaimLost, zap.String("scope", r.scope), zap.Bool("lapsed", err != nil))
-			r.set("", false)
+			r.lose(err != nil)
 			return
 		}
 	}
 }
 
+// CentreReader returns the address of the reader of this data centre, empty if it is unknown, and whether it is this daemon. If the last
+// reader could not renew its claim, as in an outage of the store, it remains the reader while more than half of the data centre's daemons
+// still try to pull from it: others cannot have elected another one then, unless they reach the store and this daemon does not.
+func (f *Feed) CentreReader() (address string, isSelf bool) {
+	r := f.roles[0]
+	r.mu.Lock()
+	address, held, hasLapsed := r.address, r.held, r.hasLapsed
+	r.mu.Unlock()
+	if f.stopped.Load() {
+		return "", false
+	}
+	if held {
+		return f.self.Address, true
+	}
+	view, _ := f.dir.View()
+	centre := view.DataCentres[f.self.DataCentre]
+	if hasLapsed && centre.Reader == f.self.Address && 2*(f.followers.count(time.Now())+1) > centre.Daemons {
+		return f.self.Address, true
+	}
+	if address == "" && centre.Reader != f.self.Address {
+		address = centre.Reader
+	}
+	return address, false
+}
+
 // resign gives up roles and deletes their claims, so that others can claim them without waiting for the leases to expire.
 func (f *Feed) resign(roles []*role) {
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
@@ -373,6 +408,19 @@
 	return hosts
 }
 
+// count returns the number of daemons that pulled within followerTTL.
+func (f *followerSet) count(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, daemon := range f.byNode {
+		if now.Sub(daemon.at) <= followerTTL {
+			n++
+		}
+	}
+	return n
+}
+
 // all returns the daemons that pulled within followerTTL and removes the others.
 func (f *followerSet) all(now time.Time) []Helper {
 	f.mu.Lock()
--- a/topology/peer.go
+++ b/topology/peer.go
@@ -361,13 +361,14 @@
 		http.Error(w, "this daemon is stopping", http.StatusServiceUnavailable)
 		return
 	}
+	if request.Scope == f.self.DataCentre && request.Node != f.self.Node {
+		// A daemon that could not renew its claim records who still takes it for the reader.
+		f.followers.add(request.Node, Helper{request.Address, request.Cores}, time.Now())
+	}
 	if !f.holdsRole(request.Scope) {
 		http.Error(w, "this daemon does not read for "+request.Scope, http.StatusConflict)
 		return
 	}
-	if request.Scope == f.self.DataCentre && request.Node != f.self.Node {
-		f.followers.add(request.Node, Helper{request.Address, request.Cores}, time.Now())
-	}
 	if text := r.Header.Get(headerNoticeDigest); text != "" {
 		digest, err := strconv.ParseUint(text, 16, 64)
 		if err != nil {
