--- a/api/errors.go
+++ b/api/errors.go
@@ -39,6 +39,7 @@
 	Stopping          Kind = "stopping"
 	ReplicasFailed    Kind = "replicas_failed"
 	BodyTimeout       Kind = "body_timeout"
+	OverQuota         Kind = "over_quota"
 )
 
 // Run states whether a backend server executed the failed request.
@@ -96,6 +97,7 @@
 	Stopping:          {http.StatusServiceUnavailable, RunNever, RetryLater},
 	ReplicasFailed:    {http.StatusBadGateway, RunMaybe, RetryIdempotent},
 	BodyTimeout:       {http.StatusRequestTimeout, RunNever, RetryLater},
+	OverQuota:         {http.StatusTooManyRequests, RunNever, RetryLater},
 }
 
 // Kinds returns all error kinds in no particular order.
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -59,6 +59,11 @@
 
 	// ReceptionLimited reports, at most once a second, that a request or connection was ended while it was received.
 	ReceptionLimited = "reception limited"
+	// Client accounts. AccountRefused reports that a daemon begins to refuse requests of an account because of its quota,
+	// AccountWithinQuota that none was refused for some seconds.
+	AccountRefused     = "account refused by its quota"
+	AccountWithinQuota = "account no longer refused by its quota"
+	QuotaSocketLost    = "socket for quotas lost"
 
 	// Requests.
 	RequestFailed  = "request failed"
