Admit lower ranks less while a higher one waits for shared shards

Change: limit.PriorityThrottle replaces the throttle per route. Besides the throttle of each class (route and rank) it refuses queries of lower ranks in proportion to the wait that the replicas' load reports predict for a higher rank at shared shards, down to a floor. The balancer learns the time per request of each replica from its answers. Ranks come from routes until accounts state a priority.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -85,6 +85,11 @@
 	// maxSlowness caps the slowness, so that a replica recovers from it within a few half-lives.
 	maxSlowness = 20
 
+	// turnTimeSampleWeight is the weight of a new sample in the moving average of a replica's time per request. maxTurnLoadAge is
+	// how long after the report of the load an answer is still taken for the one that carried it.
+	turnTimeSampleWeight = 0.25
+	maxTurnLoadAge       = 20 * time.Millisecond
+
 	// refusalSampleWeight is the weight of a new sample in the moving average of refused and failed attempts.
 	refusalSampleWeight = 0.2
 	// refusalHalfLife is the half-life of the refusal rate when there are no new samples.
@@ -136,7 +141,9 @@
 	slownessUpdatedAt time.Time
 	refusalRate       float64
 	refusalUpdatedAt  time.Time
-	warmupUntil       time.Time
+	// turnTime is the moving average of the time that a slot takes for one request of the current mix, in nanoseconds; 0 if unknown.
+	turnTime    float64
+	warmupUntil time.Time
 	// probedAt is when the replica was a candidate for a probe last.
 	probedAt time.Time
 
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -46,6 +46,28 @@
 	return saturated
 }
 
+// ExpectedWaits returns, for each of the services, how long a request is expected to wait for a slot at the available replica in the
+// regions where that is shortest. It skips paused replicas and those whose report is older than maxLoadAge. The wait is 0 if a replica
+// reports that none is waiting, and for a service without any fresh report.
+func (b *Balancer) ExpectedWaits(services []string, regions residency.Regions, now time.Time) []time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	waits := make([]time.Duration, len(services))
+	for i, s := range services {
+		known := false
+		for _, r := range b.services[s] {
+			if !regions.Allows(r.Region) || !b.isAvailable(r, now) || now.Before(r.pausedUntil) || now.Sub(r.loadAt) > maxLoadAge {
+				continue
+			}
+			wait := time.Duration(r.turnTime * float64(r.load.Waiting) / float64(max(1, r.load.Slots)))
+			if !known || wait < waits[i] {
+				waits[i], known = wait, true
+			}
+		}
+	}
+	return waits
+}
+
 // isAvailable reports whether the replica may get another attempt now.
 func (b *Balancer) isAvailable(r *replica, now time.Time) bool {
 	return b.hasConnection(r, now) && r.limit.allows(now)
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -19,37 +19,84 @@
 	// meanOverloadRetryAfter is the mean Retry-After of a refusal for overload. The values are spread between half and
 	// one and a half times the mean, so that callers do not retry all at once.
 	meanOverloadRetryAfter = 300 * time.Millisecond
+	// admissionRoundTrip is the time on the way to a replica and back that the expected wait of a query leaves room for.
+	admissionRoundTrip = 16 * time.Millisecond
+	// minAdmissionRoom is the least wait at replicas that a query is taken to bear, however tight its target is.
+	minAdmissionRoom = 10 * time.Millisecond
 )
 
-// throttle returns the throttle of the route, or nil if this daemon does not make the admission decision for the whole
-// query. Exactly one daemon makes it: the helper that receives all shards or, if there is none, the daemon that the
-// caller asked.
-func (r *run) throttle(now time.Time) *limit.Throttle {
+// decidesAdmission reports whether this daemon makes the admission decision for the whole query. Exactly one daemon makes it: the
+// helper that receives all shards or, if there is none, the daemon that the caller asked.
+func (r *run) decidesAdmission(now time.Time) bool {
 	g := r.gateway
-	switch {
-	case r.request.DelegatedBy == "":
-		if g.opts.DelegationClient != nil && g.helpers.DelegatesWhole(r.route.Shards, r.regions, now) {
-			return nil
+	if r.request.DelegatedBy == "" {
+		return g.opts.DelegationClient == nil || !g.helpers.DelegatesWhole(r.route.Shards, r.regions, now)
+	}
+	return r.request.DelegationDepth == 1 && len(r.request.Shards) == len(r.route.Shards)
+}
+
+// class returns the class of the query for admission.
+func (r *run) class() limit.Class { return limit.Class{Route: r.route.Name, Rank: r.rank()} }
+
+// rank returns the rank of the request: that of its route.
+func (r *run) rank() int { return r.route.Priority }
+
+// runLoad implements limit.Load for the query of a run.
+type runLoad struct {
+	*run
+	now time.Time
+}
+
+// Saturated implements limit.Load.
+func (l runLoad) Saturated() bool { return l.gateway.isSaturated(l.route, l.now) }
+
+// WaitRatio implements limit.Load. A query needs the answers of enough shards only, so the wait is the one at the scarcest shard that it
+// needs.
+func (l runLoad) WaitRatio(routeName string) float64 {
+	routes := l.view.Table.Config().Routes
+	index := slices.IndexFunc(routes, func(r routing.Route) bool { return r.Name == routeName && r.IsQuery() })
+	if index < 0 {
+		return 0
+	}
+	route := &routes[index]
+	shared := make(map[string]bool, len(l.route.Shards))
+	for _, s := range l.route.Shards {
+		shared[s] = true
+	}
+	replicas := l.gateway.balancer
+	waits := replicas.ExpectedWaits(route.Shards, l.regions, l.now)
+	var longestShared time.Duration
+	for i, s := range route.Shards {
+		if shared[s] {
+			longestShared = max(longestShared, waits[i])
 		}
-	case r.request.DelegationDepth != 1 || len(r.request.Shards) != len(r.route.Shards):
-		return nil
 	}
-	throttle, _ := g.throttles.LoadOrStore(r.route.Name, limit.NewThrottle())
-	return throttle.(*limit.Throttle)
+	slices.Sort(waits)
+	needed := 0
+	for !scatter.CoverageReached(float64(needed)/float64(len(waits)), route.RequiredCoverage) {
+		needed++
+	}
+	if needed == 0 {
+		return 0
+	}
+	wait := min(waits[needed-1], longestShared)
+	room := partialAfter(route.TargetLatency, 1) - admissionRoundTrip - replicas.ExpectedLatency(route.Name)
+	return float64(wait) / float64(max(minAdmissionRoom, room))
 }
 
 // recordForThrottle reports the outcome of an admitted query to the throttle. A query that was not answered in time
 // counts only if one of its shards is saturated: reducing load does not help against replicas that fail or refuse for
 // other reasons. A query whose caller disconnected early is not counted.
-func (r *run) recordForThrottle(ctx context.Context, throttle *limit.Throttle, now time.Time) {
+func (r *run) recordForThrottle(ctx context.Context, now time.Time) {
 	elapsed := now.Sub(r.request.Received)
+	throttle := r.gateway.throttle
 	isCovered := scatter.CoverageReached(float64(r.included)/float64(len(r.route.Shards)), r.route.RequiredCoverage)
 	switch {
 	case isCovered && elapsed <= r.route.TargetLatency+throttleLatencyTolerance:
-		throttle.Done(true, now)
+		throttle.Done(r.class(), true, now)
 	case !isCovered && ctx.Err() != nil && elapsed < partialAfter(r.route.TargetLatency, r.request.DelegationDepth):
 	case r.isSaturated(now):
-		throttle.Done(false, now)
+		throttle.Done(r.class(), false, now)
 	}
 }
 
--- a/gateway/delegate_test.go
+++ b/gateway/delegate_test.go
@@ -337,11 +337,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		helper, sender := newGateway(t)
 		helper.random = func() float64 { return 0.1 }
-		throttle := limit.NewThrottle()
 		for range 20 {
-			throttle.Done(false, time.Now())
+			helper.throttle.Done(limit.Class{Route: "query"}, false, time.Now())
 		}
-		helper.throttles.Store("query", throttle)
 		for _, id := range []string{"s1-0", "s1-1"} {
 			helper.balancer.ReportLoad(id, balancer.Load{Running: 4, Waiting: 9, Slots: 4}, time.Now())
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -200,8 +200,8 @@
 	requestsCtx    context.Context
 	cancelRequests context.CancelFunc
 
-	// throttles holds a *limit.Throttle per route name.
-	throttles sync.Map
+	// throttle decides which queries are admitted.
+	throttle *limit.PriorityThrottle
 	// helperSaturatedAt holds, per route name, the time.Time of the last part in which a helper reported a saturated
 	// shard.
 	helperSaturatedAt sync.Map
@@ -218,7 +218,7 @@
 	meter metric.Meter, log *zap.Logger) (*Gateway, error) {
 	g := &Gateway{
 		opts: opts, directory: directory, balancer: b, sender: sender, random: random, log: log, budgets: make(map[string]*budget),
-		shares: newShares(topology.View{}, opts.Self), answers: newAnswerBuffer(opts.MemoryBytes),
+		shares: newShares(topology.View{}, opts.Self), answers: newAnswerBuffer(opts.MemoryBytes), throttle: limit.NewPriorityThrottle(),
 	}
 	g.reach = reach.NewTracker(time.Now())
 	g.helpers = delegation.NewPool(opts.Self, opts.Seed)
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -28,6 +28,7 @@
 type simReplica struct {
 	mu      sync.Mutex
 	slots   chan struct{}
+	queue   int
 	waiting int
 	running int
 	// slowdown multiplies the time of its work; stopped replicas refuse connections.
@@ -35,11 +36,6 @@
 	stopped  bool
 }
 
-const (
-	simSlots = 3
-	simQueue = 18
-)
-
 var errSimStopped = errors.New("connection refused")
 
 // serve executes work of the given duration, or refuses it if the queue is full.
@@ -49,8 +45,8 @@
 		s.mu.Unlock()
 		return load, &backend.Error{Failure: backend.NotSent, Cause: errSimStopped}
 	}
-	if s.waiting >= simQueue {
-		load = balancer.Load{Running: s.running, Waiting: s.waiting, Slots: simSlots}
+	if s.waiting >= s.queue {
+		load = balancer.Load{Running: s.running, Waiting: s.waiting, Slots: cap(s.slots)}
 		s.mu.Unlock()
 		return load, &backend.Error{Failure: backend.Refused, Refusal: backend.Refusal{Reason: backend.RefusedShedding}}
 	}
@@ -72,7 +68,7 @@
 	defer func() {
 		s.mu.Lock()
 		s.running--
-		load = balancer.Load{Running: s.running, Waiting: s.waiting, Slots: simSlots}
+		load = balancer.Load{Running: s.running, Waiting: s.waiting, Slots: cap(s.slots)}
 		s.mu.Unlock()
 		<-s.slots
 	}()
@@ -100,12 +96,15 @@
 
 // simFleet simulates a set of helpers with one set of replicas in virtual time.
 type simFleet struct {
+	simOptions
 	rng      *rand.Rand
 	mu       sync.Mutex
 	replicas map[string]*simReplica
 	list     []balancer.Server
-	shards   []string
+	names    []string
 	gateways []*Gateway
+	// callers counts the attempts by the path of their kind.
+	callers map[string]*simKind
 	// seconds holds the outcomes of the queries by the second of their arrival.
 	seconds map[int]*simSecond
 	begin   time.Time
@@ -120,11 +119,44 @@
 func simID(shard, region int) string { return fmt.Sprintf("s%d-%d", shard, region) }
 
 const (
-	simShards  = 42
 	simRegions = 3
 	simHelpers = 18
 )
 
+// simOptions are the dimensions of a simulated fleet.
+type simOptions struct {
+	shards, slots, queue int
+	// slowdowns are the factors of the replicas' work, by the shard's index.
+	slowdowns []float64
+	// full and short are the routes at /f/ and /s/; shortFraction of the queries are short.
+	full, short   routing.Route
+	shortFraction float64
+}
+
+// simKind counts the queries of one kind by their outcome.
+type simKind struct{ sent, inTime, late, refused, failed int }
+
+func (k *simKind) add(o simKind) {
+	k.sent += o.sent
+	k.inTime += o.inTime
+	k.late += o.late
+	k.refused += o.refused
+	k.failed += o.failed
+}
+
+func (k *simKind) fractionInTime() float64 { return float64(k.inTime) / float64(k.sent) }
+
+// overloadOptions describes a fleet with queries of 400 ms and 150 ms.
+func overloadOptions() simOptions {
+	return simOptions{
+		shards: 42, slots: 3, queue: 18, slowdowns: []float64{0.8, 1, 1.3}, shortFraction: 0.25,
+		full: routing.Route{TargetLatency: 400 * time.Millisecond, Timeout: 1500 * time.Millisecond, MaxRecords: 50,
+			RequiredCoverage: 0.95, Priority: 1},
+		short: routing.Route{TargetLatency: 150 * time.Millisecond, Timeout: 800 * time.Millisecond, MaxRecords: 5,
+			RequiredCoverage: 0.85, Priority: 2},
+	}
+}
+
 // simSender sends on behalf of one helper.
 type simSender struct {
 	fleet  *simFleet
@@ -166,26 +198,29 @@
 	return Answer{Status: http.StatusOK, Body: body, Signature: c.ID}, nil
 }
 
-func newSimFleet(t *testing.T, seed uint64) *simFleet {
+func newSimFleet(t *testing.T, seed uint64, opts simOptions) *simFleet {
 	f := &simFleet{
+		simOptions: opts, callers: map[string]*simKind{"/f/": {}, "/s/": {}},
 		rng: rand.New(rand.NewPCG(seed, seed)), replicas: make(map[string]*simReplica),
 		seconds: make(map[int]*simSecond), begin: time.Now(),
 	}
-	for i := range simShards {
+	for i := range opts.shards {
 		service := fmt.Sprint("s", i)
-		f.shards = append(f.shards, service)
+		f.names = append(f.names, service)
 		for k := range simRegions {
 			id := simID(i, k)
-			f.replicas[id] = &simReplica{slots: make(chan struct{}, simSlots), slowdown: []float64{0.8, 1, 1.3}[i%3]}
-			f.list = append(f.list, balancer.Server{ID: id, Service: service, Address: id, DataCentre: fmt.Sprint("c", k), Slots: simSlots})
+			f.replicas[id] = &simReplica{slots: make(chan struct{}, opts.slots), queue: opts.queue, slowdown: opts.slowdowns[i%len(opts.slowdowns)]}
+			f.list = append(f.list, balancer.Server{ID: id, Service: service, Address: id, DataCentre: fmt.Sprint("c", k), Slots: opts.slots})
 		}
 	}
-	route := routing.Route{Host: "h", MaxAttempts: 2, Safety: routing.Idempotent, Shards: f.shards}
-	full, short := route, route
-	full.Name, full.Prefix, full.TargetLatency, full.Timeout, full.MaxRecords, full.RequiredCoverage, full.Priority = "full", "/f/", 400*time.Millisecond, 1500*time.Millisecond, 50, 0.95, 1
-	short.Name, short.Prefix, short.TargetLatency, short.Timeout, short.MaxRecords, short.RequiredCoverage, short.Priority = "short", "/s/", 150*time.Millisecond, 800*time.Millisecond, 5, 0.85, 2
+	full, short := opts.full, opts.short
+	for _, route := range []*routing.Route{&full, &short} {
+		route.Host, route.MaxAttempts, route.Safety, route.Shards = "h", 2, routing.Idempotent, f.names
+	}
+	full.Name, full.Prefix = "full", "/f/"
+	short.Name, short.Prefix = "short", "/s/"
 	var services []routing.Service
-	for _, s := range f.shards {
+	for _, s := range f.names {
 		services = append(services, routing.Service{Name: s, Connections: 125})
 	}
 	for h := range simHelpers {
@@ -236,13 +271,13 @@
 	}
 }
 
-// generateLoad sends queries at a rate for a duration, three quarters of them full ones, each to a random helper.
+// generateLoad sends queries at a rate for a duration, each to a random helper.
 func (f *simFleet) generateLoad(rate float64, d time.Duration, wg *sync.WaitGroup) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		f.mu.Lock()
 		pause := time.Duration(f.rng.ExpFloat64() / rate * float64(time.Second))
 		path, helper := "/f/1", f.rng.IntN(simHelpers)
-		if f.rng.IntN(4) == 0 {
+		if f.rng.Float64() < f.shortFraction {
 			path = "/s/1"
 		}
 		f.mu.Unlock()
@@ -252,10 +287,11 @@
 }
 
 func (f *simFleet) sendQuery(path string, helper int) {
-	target, wait := 400*time.Millisecond, 1500*time.Millisecond
+	route := &f.full
 	if path[1] == 's' {
-		target, wait = 150*time.Millisecond, 800*time.Millisecond
+		route = &f.short
 	}
+	target, wait := route.TargetLatency, route.Timeout
 	now := time.Now()
 	f.mu.Lock()
 	id := fmt.Sprint(f.rng.Uint64())
@@ -272,6 +308,8 @@
 		f.seconds[second] = counts
 	}
 	counts.sent++
+	kind := f.callers[path[:3]]
+	kind.sent++
 	weight := 2.0
 	if path[1] == 's' {
 		weight = 1
@@ -279,18 +317,22 @@
 	counts.weight += weight
 	switch {
 	case reply.Query != nil:
-		share := float64(simShards-reply.Query.MissingShards) / simShards
+		share := float64(f.shards-reply.Query.MissingShards) / float64(f.shards)
 		if elapsed <= target {
 			counts.inTime++
+			kind.inTime++
 			counts.credit += weight * share * share
 		} else {
 			counts.late++
+			kind.late++
 			counts.credit += 0.1 * weight * share * share
 		}
 	case reply.Err.Kind.Outcome().Run == api.RunNever && elapsed < target/4:
 		counts.refused++
+		kind.refused++
 	default:
 		counts.failed++
+		kind.failed++
 	}
 }
 
@@ -304,7 +346,7 @@
 		firstSecond, endSecond = 5, 9
 		// bottleneckRate is the rate of mixed queries that the shards with one replica of the slowest kind can serve;
 		// minCredit is the credit for that rate without the two shards.
-		bottleneckRate = simSlots / (1.3 * 0.0233)
+		bottleneckRate = 3 / (1.3 * 0.0233)
 		minCredit      = bottleneckRate / burstRate * 40 * 40 / (42 * 42)
 		// maxFailed is the fraction of queries that may fail after replicas worked on them.
 		maxFailed = 0.05
@@ -313,10 +355,10 @@
 	var sum simSecond
 	for seed := range uint64(3) {
 		synctest.Test(t, func(t *testing.T) {
-			f := newSimFleet(t, seed+1)
+			f := newSimFleet(t, seed+1, overloadOptions())
 			var wg sync.WaitGroup
 			f.generateLoad(normalRate, 2*time.Second, &wg)
-			for i := range simShards {
+			for i := range f.shards {
 				switch {
 				case i < 2:
 					f.replicas[simID(i, 0)].stop()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -15,6 +15,7 @@
 	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/hedge"
 	"github.com/chivemill/chivemill/internal/dispatch"
+	"github.com/chivemill/chivemill/limit"
 	"github.com/chivemill/chivemill/residency"
 	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/scatter"
@@ -160,12 +161,15 @@
 				fmt.Sprintf("%d of %d shards have a replica with room", available, len(route.Shards)))
 		}
 	}
-	if throttle := r.throttle(now); throttle != nil && !r.passesOn {
-		saturated := func() bool { return r.gateway.isSaturated(route, now) }
-		if !throttle.Admit(r.gateway.random(), saturated, now) {
+	if !r.passesOn && r.decidesAdmission(now) {
+		switch r.gateway.throttle.Admit(r.class(), r.gateway.random(), runLoad{r, now}, now) {
+		case limit.RefusedLoad:
 			return errorReply(api.Overloaded, r.gateway.overloadRetryAfter(), "too few queries were answered in time lately")
+		case limit.RefusedRank:
+			return errorReply(api.Overloaded, r.gateway.overloadRetryAfter(), "queries of a higher priority wait for the same replicas")
+		default:
 		}
-		defer func() { r.recordForThrottle(ctx, throttle, time.Now()) }()
+		defer func() { r.recordForThrottle(ctx, time.Now()) }()
 	}
 	if r.request.DelegatedBy != "" {
 		services := make([]string, len(r.request.Shards))
