--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -88,6 +88,8 @@
 	// turnTimeSampleWeight is the weight of a new sample in the moving average of a replica's time per request. maxTurnLoadAge is
 	// how long after the report of the load an answer is still taken for the one that carried it.
 	turnTimeSampleWeight = 0.25
+	// meanTurnTimeSampleWeight is the weight of a new sample in the moving average over all replicas.
+	meanTurnTimeSampleWeight = 0.01
 	maxTurnLoadAge       = 20 * time.Millisecond
 
 	// refusalSampleWeight is the weight of a new sample in the moving average of refused and failed attempts.
@@ -176,6 +178,8 @@
 	services      map[string][]*replica
 	// expectedLatency holds the expected latency per kind of request in nanoseconds, without the network round trip.
 	expectedLatency map[string]float64
+	// turnTime is the moving average of the turnTime samples of all replicas.
+	turnTime float64
 	// healthUpdates lists the replicas whose health changed since the last TakeHealthUpdates, in order of change.
 	healthUpdates []*replica
 	// isIsolated is set while this daemon is partitioned from all replicas.
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -46,26 +46,43 @@
 	return saturated
 }
 
-// ExpectedWaits returns, for each of the services, how long a request is expected to wait for a slot at the available replica in the
-// regions where that is shortest. It skips paused replicas and those whose report is older than maxLoadAge. The wait is 0 if a replica
-// reports that none is waiting, and for a service without any fresh report.
-func (b *Balancer) ExpectedWaits(services []string, regions residency.Regions, now time.Time) []time.Duration {
+// ExpectedTime is what a request has to expect at the best replica of a service.
+type ExpectedTime struct {
+	// Wait is the time until a slot is free. Work is the time from then on, and on the way to the replica and back.
+	Wait, Work time.Duration
+}
+
+// ExpectedTimes returns what a request of the class has to expect at each of the services, at the available replica in its regions
+// where the wait is shortest. It skips replicas whose report is older than maxLoadAge, and paused ones unless there is no other: those
+// get attempts then, and a long queue is a common reason for the pause. Both times are 0 for a service without any fresh report.
+func (b *Balancer) ExpectedTimes(services []string, class RequestClass, now time.Time) []ExpectedTime {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	waits := make([]time.Duration, len(services))
+	expected := float64(b.expectedLatencyFor(class.Kind))
+	times := make([]ExpectedTime, len(services))
 	for i, s := range services {
-		known := false
+		var best *replica
+		var bestWait time.Duration
+		bestPaused := true
 		for _, r := range b.services[s] {
-			if !regions.Allows(r.Region) || !b.isAvailable(r, now) || now.Before(r.pausedUntil) || now.Sub(r.loadAt) > maxLoadAge {
+			if !class.Regions.Allows(r.Region) || !b.isAvailable(r, now) || now.Sub(r.loadAt) > maxLoadAge {
 				continue
 			}
-			wait := time.Duration(r.turnTime * float64(r.load.Waiting) / float64(max(1, r.load.Slots)))
-			if !known || wait < waits[i] {
-				waits[i], known = wait, true
+			wait, paused := time.Duration(r.turnTime*float64(r.load.Waiting)/float64(max(1, r.load.Slots))), now.Before(r.pausedUntil)
+			if best == nil || bestPaused && !paused || bestPaused == paused && wait < bestWait {
+				best, bestWait, bestPaused = r, wait, paused
 			}
 		}
+		if best == nil {
+			continue
+		}
+		relative := 1.0
+		if b.turnTime > 0 && best.turnTime > 0 {
+			relative = best.turnTime / b.turnTime
+		}
+		times[i] = ExpectedTime{Wait: bestWait, Work: best.assumedRTT() + time.Duration(expected*relative)}
 	}
-	return waits
+	return times
 }
 
 // isAvailable reports whether the replica may get another attempt now.
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -87,7 +87,7 @@
 	case Answered:
 		serviceTime := max(time.Millisecond, now.Sub(startedAt)-r.assumedRTT())
 		r.addSlownessSample(float64(serviceTime)/float64(expectedLatency), now)
-		r.addTurnTimeSample(serviceTime, now)
+		b.addTurnTimeSample(r, serviceTime, now)
 		r.refusalRate, r.refusalUpdatedAt = r.refusalRateAt(now)*(1-refusalSampleWeight), now
 		r.clearFailures()
 		r.answeredAt = now
@@ -130,16 +130,19 @@
 
 // addTurnTimeSample records an answer that took serviceTime at the replica. The load that came with it tells how many turns of a slot
 // that was: its own and those of the requests before it.
-func (r *replica) addTurnTimeSample(serviceTime time.Duration, now time.Time) {
+func (b *Balancer) addTurnTimeSample(r *replica, serviceTime time.Duration, now time.Time) {
 	if r.load.Slots <= 0 || now.Sub(r.loadAt) > maxTurnLoadAge {
 		return
 	}
 	sample := float64(serviceTime) / (1 + float64(r.load.Waiting)/float64(r.load.Slots))
-	if r.turnTime == 0 {
-		r.turnTime = sample
-		return
+	update := func(average *float64, weight float64) {
+		if *average == 0 {
+			*average = sample
+		}
+		*average += (sample - *average) * weight
 	}
-	r.turnTime += (sample - r.turnTime) * turnTimeSampleWeight
+	update(&r.turnTime, turnTimeSampleWeight)
+	update(&b.turnTime, meanTurnTimeSampleWeight)
 }
 
 // updateLatency updates the expected latency of a kind of request. A sample counts as at most twice the current value,
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/limit"
 	"github.com/chivemill/chivemill/routing"
 	"github.com/chivemill/chivemill/scatter"
@@ -19,8 +20,6 @@
 	// meanOverloadRetryAfter is the mean Retry-After of a refusal for overload. The values are spread between half and
 	// one and a half times the mean, so that callers do not retry all at once.
 	meanOverloadRetryAfter = 300 * time.Millisecond
-	// admissionRoundTrip is the time on the way to a replica and back that the expected wait of a query leaves room for.
-	admissionRoundTrip = 16 * time.Millisecond
 	// minAdmissionRoom is the least wait at replicas that a query is taken to bear, however tight its target is.
 	minAdmissionRoom = 10 * time.Millisecond
 )
@@ -63,25 +62,25 @@
 	for _, s := range l.route.Shards {
 		shared[s] = true
 	}
-	replicas := l.gateway.balancer
-	waits := replicas.ExpectedWaits(route.Shards, l.regions, l.now)
-	var longestShared time.Duration
-	for i, s := range route.Shards {
-		if shared[s] {
-			longestShared = max(longestShared, waits[i])
+	class := balancer.RequestClass{Kind: route.Name, TargetLatency: route.TargetLatency, Regions: l.regions}
+	budget := partialAfter(route.TargetLatency, 1)
+	ratios := make([]float64, len(route.Shards))
+	longestShared := 0.0
+	for i, t := range l.gateway.balancer.ExpectedTimes(route.Shards, class, l.now) {
+		ratios[i] = float64(t.Wait) / float64(max(minAdmissionRoom, budget-t.Work))
+		if shared[route.Shards[i]] {
+			longestShared = max(longestShared, ratios[i])
 		}
 	}
-	slices.Sort(waits)
+	slices.Sort(ratios)
 	needed := 0
-	for !scatter.CoverageReached(float64(needed)/float64(len(waits)), route.RequiredCoverage) {
+	for !scatter.CoverageReached(float64(needed)/float64(len(ratios)), route.RequiredCoverage) {
 		needed++
 	}
 	if needed == 0 {
 		return 0
 	}
-	wait := min(waits[needed-1], longestShared)
-	room := partialAfter(route.TargetLatency, 1) - admissionRoundTrip - replicas.ExpectedLatency(route.Name)
-	return float64(wait) / float64(max(minAdmissionRoom, room))
+	return min(ratios[needed-1], longestShared)
 }
 
 // recordForThrottle reports the outcome of an admitted query to the throttle. A query that was not answered in time
--- a/limit/priority.go
+++ b/limit/priority.go
@@ -21,10 +21,7 @@
 	floorShare = 0.35
 	// minSuccess bounds the increase of the floor of a class whose admitted queries are late or fail.
 	minSuccess = 0.5
-	// yieldDelay is how long lower ranks must have been at their floor before a higher rank is refused for load: about the time in
-	// which the queries that were admitted before leave the queues.
-	yieldDelay = 300 * time.Millisecond
-	// yieldHold is how long lower ranks stay at their floor after a query of a higher rank that would have been refused.
+	// yieldHold is how long lower ranks stay at their floor after a query of a higher rank was refused for load.
 	yieldHold = 500 * time.Millisecond
 )
 
@@ -65,8 +62,8 @@
 	throttle                      *Throttle
 	asked, admitted, done, served float64
 	decayedAt                     time.Time
-	// yieldsFrom and yieldsUntil are the time in which lower ranks stay at their floor in favour of the class.
-	yieldsFrom, yieldsUntil time.Time
+	// yieldsUntil is the end of the time in which lower ranks stay at their floor in favour of the class.
+	yieldsUntil time.Time
 }
 
 // NewPriorityThrottle returns a throttle without any outcomes, which admits all queries.
@@ -108,7 +105,9 @@
 		}
 		draw = (draw - shed) / (1 - shed)
 	}
-	if !s.throttle.Admit(draw, func() bool { return load.Saturated() && t.mayRefuse(c, s, load, now) }, now) {
+	if !s.throttle.Admit(draw, load.Saturated, now) {
+		// From now on, lower ranks stay at their floor: a rank isn't refused while lower ones are admitted beyond theirs.
+		s.yieldsUntil = now.Add(yieldHold)
 		return RefusedLoad
 	}
 	s.admitted++
@@ -153,28 +152,6 @@
 	return min(1, floorShare*served/asked/success)
 }
 
-// mayRefuse reports whether a query may be refused for load: all lower ranks that share its shards have been at their floor for
-// yieldDelay. If they have not, they are from now on.
-func (t *PriorityThrottle) mayRefuse(c Class, s *classState, load Load, now time.Time) bool {
-	sharing := false
-	for other, o := range t.classes {
-		if other.Rank <= c.Rank {
-			continue
-		}
-		if o.decay(now); o.asked >= minPresence && load.WaitRatio(other.Route) > 0 {
-			sharing = true
-		}
-	}
-	if !sharing {
-		return true
-	}
-	if now.After(s.yieldsUntil) {
-		s.yieldsFrom = now
-	}
-	s.yieldsUntil = now.Add(yieldHold)
-	return now.Sub(s.yieldsFrom) >= yieldDelay
-}
-
 // Done records the outcome of an admitted query of the class: whether it was answered in time.
 func (t *PriorityThrottle) Done(c Class, served bool, now time.Time) {
 	t.mu.Lock()
