--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -46,6 +46,45 @@
 	return saturated
 }
 
+// ExpectedTime is what a request has to expect at the best replica of a service.
+type ExpectedTime struct {
+	// Wait is the time until a slot is free. Work is the time from then on, and on the way to the replica and back.
+	Wait, Work time.Duration
+}
+
+// ExpectedTimes returns what a request of the class has to expect at each of the services, at the available replica in its regions
+// where the wait is shortest. It skips replicas whose report is older than maxLoadAge, and paused ones unless there is no other: those
+// get attempts then, and a long queue is a common reason for the pause. Both times are 0 for a service without any fresh report.
+func (b *Balancer) ExpectedTimes(services []string, class RequestClass, now time.Time) []ExpectedTime {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	expected := float64(b.expectedLatencyFor(class.Kind))
+	times := make([]ExpectedTime, len(services))
+	for i, s := range services {
+		var best *replica
+		var bestWait time.Duration
+		bestPaused := true
+		for _, r := range b.services[s] {
+			if !class.Regions.Allows(r.Region) || !b.isAvailable(r, now) || now.Sub(r.loadAt) > maxLoadAge {
+				continue
+			}
+			wait, paused := time.Duration(r.turnTime*float64(r.load.Waiting)/float64(max(1, r.load.Slots))), now.Before(r.pausedUntil)
+			if best == nil || bestPaused && !paused || bestPaused == paused && wait < bestWait {
+				best, bestWait, bestPaused = r, wait, paused
+			}
+		}
+		if best == nil {
+			continue
+		}
+		relative := 1.0
+		if b.turnTime > 0 && best.turnTime > 0 {
+			relative = best.turnTime / b.turnTime
+		}
+		times[i] = ExpectedTime{Wait: bestWait, Work: best.assumedRTT() + time.Duration(expected*relative)}
+	}
+	return times
+}
+
 // isAvailable reports whether the replica may get another attempt now.
 func (b *Balancer) isAvailable(r *replica, now time.Time) bool {
 	b.updatePace(r, now)
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -64,6 +64,8 @@
 	AccountRefused     = "account refused by its quota"
 	AccountWithinQuota = "account no longer refused by its quota"
 	QuotaSocketLost    = "socket for quotas lost"
+	// SheddingChanged reports that queries of a priority begin to be refused in favour of higher ones, or no longer are.
+	SheddingChanged = "shedding by priority changed"
 
 	// Requests.
 	RequestFailed  = "request failed"
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -175,12 +175,11 @@
 				fmt.Sprintf("%d of %d shards have a replica with room", available, len(route.Shards)))
 		}
 	}
-	if throttle := r.throttle(now); throttle != nil && !r.passesOn {
-		saturated := func() bool { return r.gateway.isSaturated(route, now) }
-		if !throttle.Admit(r.gateway.random(), saturated, now) {
-			return errorReply(api.Overloaded, r.gateway.overloadRetryAfter(), "too few queries were answered in time lately")
+	if !r.passesOn && r.decidesAdmission(now) {
+		if refusal, ok := r.admit(now); !ok {
+			return refusal
 		}
-		defer func() { r.recordForThrottle(ctx, throttle, time.Now()) }()
+		defer func() { r.recordForThrottle(ctx, time.Now()) }()
 	}
 	if r.request.DelegatedBy != "" {
 		services := make([]string, len(r.request.Shards))
