Control of the requests that leave the data centre, first state

Cause: Balancer.Pick compares single replicas by an assumed round trip and halves a report every 150 ms of its age. Daemons whose reports are old do not see that the near replicas are crowded, and nothing bounds how many daemons choose the same neighbour at once.

Change: package egress decides per service which share of the requests leaves. It starts once the near replicas have been slower than others for 0.8 s, the link and a price on bytes included, follows the share at which the near replicas are at 0.85 of their slots by a twentieth of the distance every 0.2 s, and divides what leaves among the data centres that save about the same. Retries, hedges, regions, evacuations, draining and request limits are decided before it. Metrics chivemill_egress_requests, _bytes, _held and _share.

Ruled out: a share integrated from the gain alone (swung between 0.1 and 0.8 of the requests within 10 s), a start on queues that differ by a factor of 1.5 (started on even load), and a hard bound on what leaves (callers at 2.5 times the capacity: mean 152 ms against 74 ms).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/chivemill/chivemill/egress"
 	"github.com/chivemill/chivemill/residency"
 )
 
@@ -183,6 +184,8 @@
 	evacuated map[string]bool
 	// requestFractionOf returns this daemon's part of a replica's request limit.
 	requestFractionOf func(Server) float64
+	// egress decides which share of the requests leaves the data centre; nil for none.
+	egress *egress.Controller
 }
 
 // New returns an empty balancer. The seed determines its random choices.
@@ -215,6 +218,7 @@
 		b.replicas[s.ID] = r
 		b.services[s.Service] = append(b.services[s.Service], r)
 	}
+	b.dropEgress()
 }
 
 // SetEvacuated sets the data centres whose replicas get no requests.
@@ -245,6 +249,9 @@
 	Share ConnectionShare
 	// HasRequestLimit is set if the replica names a request limit.
 	HasRequestLimit bool
+	// Egress is why the attempt leaves the data centre. IsHeld is set if it stays there although its cost would be lower elsewhere.
+	Egress EgressReason
+	IsHeld bool
 }
 
 // RequestClass describes a class of requests, such as those of one route.
@@ -291,13 +298,14 @@
 	if best == nil {
 		return Choice{}, false
 	}
+	best, reason, held := b.chooseSide(service, class, best, len(exclude) > 0, now)
 	if best.failures > 0 {
 		// Only this attempt probes the failed replica. The others avoid it until the probe succeeds.
 		best.pausedUntil = now.Add(best.pauseDuration())
 	}
 	best.inFlight = append(best.inFlight, now)
 	best.limit.countAttempt(now)
-	return Choice{Server: best.Server, Share: best.share, HasRequestLimit: best.limit.isInForce(now)}, true
+	return Choice{Server: best.Server, Share: best.share, HasRequestLimit: best.limit.isInForce(now), Egress: reason, IsHeld: held}, true
 }
 
 // Lookup returns a replica by its ID. ok is false if it is not in the current list.
--- a/cmd/chivemill-edge/main.go
+++ b/cmd/chivemill-edge/main.go
@@ -8,16 +8,28 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
 	"github.com/chivemill/chivemill/edge"
+	"github.com/chivemill/chivemill/egress"
 	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/internal/daemon"
 	"github.com/chivemill/chivemill/platform"
 )
 
+// Values of the flag egress.
+const (
+	egressAuto = "auto"
+	egressOff  = "off"
+)
+
+// maxEgressPrice is the highest price in milliseconds per KiB. A request of one KiB never leaves for less than that.
+const maxEgressPrice = 10_000
+
 func main() {
 	daemon.Main(&cli.Command{
 		Name:  "chivemill-edge",
@@ -26,6 +38,20 @@
 			&cli.StringFlag{Name: "settings", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 			&cli.BoolFlag{Name: "print-effective", Usage: "print the settings with defaults and exit"},
+			&cli.StringFlag{Name: "egress", Value: egressAuto, Usage: "`MODE` of the control of the requests that leave the data centre: auto or off",
+				Validator: func(mode string) error {
+					if mode != egressAuto && mode != egressOff {
+						return eris.Errorf("egress mode %q is neither %s nor %s", mode, egressAuto, egressOff)
+					}
+					return nil
+				}},
+			&cli.FloatFlag{Name: "egress-price", Usage: "`MILLISECONDS` that each KiB that leaves the data centre must save",
+				Validator: func(price float64) error {
+					if !(price >= 0 && price <= maxEgressPrice) {
+						return eris.Errorf("egress price %v is not in [0, %v]", price, maxEgressPrice)
+					}
+					return nil
+				}},
 		},
 		Action: run,
 	})
@@ -49,7 +75,7 @@
 	log := eventlog.New(os.Stdout, eventlog.Options{}, zap.String("node", cfg.Node))
 	defer log.Close()
 	defer log.RedirectStandardLog()()
-	edgeDaemon, err := edge.New(file, cfg, log)
+	edgeDaemon, err := edge.New(file, cfg, edge.Options{Egress: egressSettings(cmd)}, log)
 	if err != nil {
 		return err
 	}
@@ -63,3 +89,11 @@
 	}()
 	return edgeDaemon.Run()
 }
+
+// egressSettings returns the settings of the control of the requests that leave the data centre, nil if it is off.
+func egressSettings(cmd *cli.Command) *egress.Settings {
+	if cmd.String("egress") == egressOff {
+		return nil
+	}
+	return &egress.Settings{PricePerKiB: time.Duration(cmd.Float("egress-price") * float64(time.Millisecond))}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/chivemill/chivemill/balancer"
 	"github.com/chivemill/chivemill/delegation"
 	"github.com/chivemill/chivemill/drain"
+	"github.com/chivemill/chivemill/egress"
 	"github.com/chivemill/chivemill/eventlog"
 	"github.com/chivemill/chivemill/gateway"
 	"github.com/chivemill/chivemill/internal/connlimit"
@@ -72,9 +73,15 @@
 	serverErrors chan error
 }
 
+// Options holds what is not in the platform's settings.
+type Options struct {
+	// Egress configures the control of the requests that leave the data centre; nil turns it off.
+	Egress *egress.Settings
+}
+
 // New returns a daemon with the settings that were read from settingsPath. Its listeners are already open.
 // It returns an error if a listener cannot be opened or a metric cannot be registered.
-func New(settingsPath string, settings platform.Settings, log *eventlog.Log) (*Daemon, error) {
+func New(settingsPath string, settings platform.Settings, opts Options, log *eventlog.Log) (*Daemon, error) {
 	metricsProvider, err := metrics.NewProvider()
 	if err != nil {
 		return nil, err
@@ -93,6 +100,9 @@
 	d.feed = topology.NewFeed(d.directory, store, platform.Decoder{}, platform.Keys(), self, settings.Contacts, log.Logger)
 	d.balancer = balancer.New(xxhash.Sum64String(settings.Node))
 	d.balancer.SetDrainingGrace(settings.DrainTime - drainMargin)
+	if opts.Egress != nil {
+		d.balancer.SetEgress(egress.New(*opts.Egress, xxhash.Sum64String(settings.Node)))
+	}
 	reports := &replicaReports{Balancer: d.balancer, log: log.Logger}
 	d.replicas = platform.NewReplicaClient(settings.MemoryBytes, reports)
 	replicaObserver, err := newReplicaObserver(metricsProvider.Meter(), log.Logger)
--- /dev/null
+++ b/egress/main_test.go
@@ -0,0 +1,9 @@
+package egress
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -151,8 +151,12 @@
 	helper, err := run.exchange(ctx, sg.Helper, zap.Int("shards", len(shards)), func(helper delegation.Helper) error {
 		query := run.delegatedQuery(helper)
 		query.Shards = shards
+		run.recordHelperRequest(helper, egressDelegated)
 		err := gateway.opts.DelegationClient.Delegate(exchangeCtx, helper.Address, query, acceptTimeout(run.route.TargetLatency),
-			func(p delegation.PartialAnswer) { sg.addPart(p) })
+			func(p delegation.PartialAnswer) {
+				run.recordHelperAnswer(helper, egressDelegated, len(p.Records))
+				sg.addPart(p)
+			})
 		if err == nil && sg.isHandedBack() {
 			return errHandedBack
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -54,6 +54,9 @@
 	withheld metric.Int64Counter
 	// delegated counts the groups of shards that were delegated to helpers.
 	delegated metric.Int64Counter
+	// egress and egressBytes count the requests that left the data centre and the bytes of their bodies and answers, held the
+	// requests that were kept although a replica elsewhere had a lower cost.
+	egress, egressBytes, held metric.Int64Counter
 	// panics counts recovered panics by the place where they occurred.
 	panics metric.Int64Counter
 
@@ -106,6 +109,15 @@
 	m.delegated, err = meter.Int64Counter("chivemill_delegated",
 		metric.WithDescription("Sets of shards passed to helpers by outcome: answered, refused, silent, abandoned or isolated."))
 	collect(err)
+	m.egress, err = meter.Int64Counter("chivemill_egress_requests",
+		metric.WithDescription("Requests that left the data centre, by reason: no_replica, evacuated, extra (hedges and retries), faster, share, delegated or relayed."))
+	collect(err)
+	m.egressBytes, err = meter.Int64Counter("chivemill_egress_bytes", metric.WithUnit("By"),
+		metric.WithDescription("Bytes of the bodies of requests that left the data centre and of their answers, by reason."))
+	collect(err)
+	m.held, err = meter.Int64Counter("chivemill_egress_held",
+		metric.WithDescription("Requests kept in the data centre although a replica elsewhere had a lower cost."))
+	collect(err)
 	m.panics, err = meter.Int64Counter("chivemill_panics",
 		metric.WithDescription("Panics that ended one request, attempt or exchange with a helper and not the process, by where they came up."))
 	collect(err)
@@ -171,6 +183,12 @@
 	gauge("chivemill_delegated_in_flight", "Sets of shards of other daemons' queries in flight.", func(_ time.Time, observe observer) {
 		observe(float64(g.delegatedInFlight.Load()))
 	})
+	gauge("chivemill_egress_share", "Share of the requests that leaves the data centre, by service, while the near replicas are crowded.",
+		func(_ time.Time, observe observer) {
+			for service, share := range g.balancer.EgressShares() {
+				observe(share, attribute.String("service", service))
+			}
+		})
 	gauge("chivemill_replicas", "Replicas by state: ready, draining, paused (broken or silent), refusing, slow or gone.",
 		func(now time.Time, observe observer) {
 			counts := make(map[string]int)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,7 +36,10 @@
 	}
 	var single *delegation.ReplicaAnswer
 	helper, err := r.exchange(ctx, helper, zap.String("service", service), func(helper delegation.Helper) (err error) {
-		single, err = r.askForSingle(ctx, helper, service)
+		r.recordHelperRequest(helper, egressRelayed)
+		if single, err = r.askForSingle(ctx, helper, service); single != nil {
+			r.recordHelperAnswer(helper, egressRelayed, len(single.Body))
+		}
 		return err
 	})
 	if errors.Is(err, delegation.ErrNotAccepted) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -84,6 +84,8 @@
 	// errorAnswer is the last error response of a replica.
 	errorAnswer *Answer
 	answers     []*Answer
+	// egress holds why attempts left the data centre, by replica.
+	egress map[string]balancer.EgressReason
 }
 
 // failedAttempt is an attempt that ended without an answer.
@@ -324,10 +326,11 @@
 		}
 		return scatter.Target{ID: sg.Address, Done: done}, true
 	}
-	choice, ok := replicas.Pick(shard, balancer.RequestClass{Kind: r.route.Name, TargetLatency: r.route.TargetLatency, Regions: r.regions}, exclude, start)
+	choice, ok := replicas.Pick(shard, r.requestClass(), exclude, start)
 	if !ok {
 		return scatter.Target{}, false
 	}
+	r.recordChoice(choice)
 	if choice.HasRequestLimit {
 		r.gateway.metrics.recordLimitedAttempt(len(exclude) > 0)
 	}
@@ -377,6 +380,9 @@
 	}
 	r.gateway.recordResponse(err)
 	service := r.plan.ShardMap.Shards[a.Shard].ID
+	if dispatched {
+		r.recordExchangedBytes(service, choice.ID, answer)
+	}
 	if err == nil && r.route.IsQuery() {
 		err = r.checkPart(service, choice.ID, &answer)
 	}
