--- a/egress/egress.go
+++ b/egress/egress.go
@@ -26,8 +26,9 @@
 	// minReportWeight is the sum of the weights of the reports from which a data centre is known.
 	minReportWeight = 0.1
 
-	// enterGain is the fraction of the near completion time that leaving must save for the share to rise, and minGain the
-	// least time. At a gain below exitGain, the share falls while the near replicas have room, and below -exitGain in any case.
+	// enterGain is the fraction of the near completion time that leaving must save before the control starts, or for the share to
+	// rise while the near replicas have room, and minGain the least time. While they have none, the share rises from a gain of
+	// exitGain and falls at one below -exitGain.
 	enterGain = 0.2
 	minGain   = 3 * time.Millisecond
 	exitGain  = 0.05
@@ -319,7 +320,7 @@
 func sumsOf(replicas []Replica) []*sums {
 	var all []*sums
 	for _, r := range replicas {
-		i := slices.IndexFunc(all, func(c *sums) bool { return c.name == r.DataCentre })
+		i := slices.IndexFunc(all, func(c *sums) bool { return c.name == r.DataCentre && c.isNear == r.IsNear })
 		if i < 0 {
 			i, all = len(all), append(all, &sums{name: r.DataCentre, isNear: r.IsNear})
 		}
@@ -338,14 +339,14 @@
 func (s *service) updateGroups(replicas []Replica) {
 	current := sumsOf(replicas)
 	for _, g := range s.groups {
-		if !slices.ContainsFunc(current, func(c *sums) bool { return c.name == g.name }) {
+		if !slices.ContainsFunc(current, func(c *sums) bool { return c.name == g.name && c.isNear == g.isNear }) {
 			g.replicas, g.isKnown = 0, false
 		}
 	}
 	for _, c := range current {
-		g := s.group(c.name)
+		g := s.group(c.name, c.isNear)
 		wasKnown := g.isKnown
-		g.isNear, g.replicas, g.link = c.isNear, c.replicas, c.link/time.Duration(c.replicas)
+		g.replicas, g.link = c.replicas, c.link/time.Duration(c.replicas)
 		if g.isKnown = c.weight >= minReportWeight; !g.isKnown {
 			continue
 		}
@@ -362,13 +363,13 @@
 	}
 }
 
-func (s *service) group(name string) *group {
+func (s *service) group(name string, isNear bool) *group {
 	for _, g := range s.groups {
-		if g.name == name {
+		if g.name == name && g.isNear == isNear {
 			return g
 		}
 	}
-	g := &group{name: name}
+	g := &group{name: name, isNear: isNear}
 	s.groups = append(s.groups, g)
 	return g
 }
