chivemillctl config check: problems and differences of operator documents

Cause: an operator learns of a document that the daemons reject, or of entries without an effect, only after it is in the store.

Change: chivemillctl config check FILE [NEXT-FILE] decodes and validates with platform.Decoder and routing.NewTable, and finds entries that can never match and limits that contradict each other. With two files it prints what differs after decoding, and rejects a next version whose number is not higher. Exit codes 0, 1 and 8; text or JSON; keys are never printed. Package internal/configcheck has no I/O; platform.IgnoredConfigFields names fields that the decoder ignores.

Ruled out: fields that the decoder ignores as a problem, since operators' documents have some for other systems; they are notes.

--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -87,6 +87,7 @@
 		Commands: []*cli.Command{
 			{Name: "profile", Usage: "change and show profiles", Commands: a.profileCommands()},
 			{Name: "service", Usage: "change and show the binding of services to profiles", Commands: a.serviceCommands()},
+			{Name: "config", Usage: "check the configuration document of the platform's operator", Commands: a.configCommands()},
 			a.statusCommand(),
 			a.edgeCommand(),
 			a.explainCommand(),
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -21,6 +21,7 @@
 	ExitUnavailable = 5
 	ExitUncertain   = 6
 	ExitTimeout     = 7
+	ExitProblems    = 8
 )
 
 // exitHelp is part of the help text.
@@ -32,7 +33,8 @@
   4  refused: the profile is in use or retired; nothing was changed
   5  the store or an entry daemon cannot be reached; nothing was changed
   6  the store's answer was lost and the outcome is unknown; check before you repeat the command
-  7  timeout: the change is accepted but not yet in force on every daemon`
+  7  timeout: the change is accepted but not yet in force on every daemon
+  8  config check: the daemons accept the configuration, but parts of it have no effect`
 
 // failure is an error with its exit code, a hint for the operator, and details for --output json.
 type failure struct {
