--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -41,8 +41,15 @@
 // class returns the class of the query for admission.
 func (r *run) class() limit.Class { return limit.Class{Route: r.route.Name, Rank: r.rank()} }
 
-// rank returns the rank of the request: that of its route.
-func (r *run) rank() int { return r.route.Priority }
+// rank returns the rank of the request: that of its client account, if the account has one, or else that of its route.
+func (r *run) rank() int {
+	if accounts := r.view.Table.Accounts(); accounts != nil && r.request.Account != "" {
+		if a, ok := accounts.Find(r.request.Account); ok {
+			return a.Rank(r.route.Priority)
+		}
+	}
+	return r.route.Priority
+}
 
 // admit decides whether the query runs now; ok is false if it is refused with the reply.
 func (r *run) admit(now time.Time) (refusal Reply, ok bool) {
