--- a/delegation/foreign_answer_test.go
+++ b/delegation/foreign_answer_test.go
@@ -180,3 +180,24 @@
 		must.NoError(t, err)
 	}
 }
+
+// TestInvalidStatusOfHelper guards orders against a second execution, and callers against a false promise: a response of a daemon with a
+// status that is no final one says that nothing was run only if the query was not sent.
+func TestInvalidStatusOfHelper(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999", "101 Switching Protocols", "204 No Content", "304 Not Modified"} {
+		for _, isEarly := range []bool{false, true} {
+			helper := rawHelper{early: func(int) bool { return isEarly }, respond: func(_ int, r *http.Request) string {
+				body := "{\"shards\":[0],\"last\":true}\n"
+				return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status, headerExchange,
+					r.Header.Get(headerExchange), len(body), body)
+			}}
+			client := NewClient(testMemory)
+			parts := 0
+			err := client.Delegate(t.Context(), helper.start(t), Query{ID: "q", Shards: []int{0}}, testTimeout, func(PartialAnswer) { parts++ })
+			must.Error(t, err)
+			must.Eq(t, isEarly, errors.Is(err, ErrNotAccepted), must.Sprintf("status %s, early %v: %v", status, isEarly, err))
+			must.Eq(t, 0, parts)
+			client.http.CloseIdleConnections()
+		}
+	}
+}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -83,7 +83,8 @@
 // TestInvalidRelayAnswerIsRejected guards callers, and the HTTP server that writes to them, against an answer without a
 // final status.
 func TestInvalidRelayAnswerIsRejected(t *testing.T) {
-	for _, single := range []*delegation.ReplicaAnswer{nil, {}, {Status: -1}, {Status: 101}, {Status: 999}} {
+	for _, single := range []*delegation.ReplicaAnswer{nil, {}, {Status: -1}, {Status: 101}, {Status: 999},
+		{Signature: "s", Body: []byte("b")}, {Status: 99, Signature: "s"}, {Status: 199, Signature: "s"}, {Status: 600, Signature: "s"}} {
 		synctest.Test(t, func(t *testing.T) {
 			g, _, f := newRelayingGateway(t)
 			f.respond = func(_ context.Context, _ delegation.Query, _ time.Duration, receive func(delegation.PartialAnswer)) error {
