Send warm-up statements to other daemons once a second

Cause: each daemon that got a response of a cold replica repeated its statement to all others each second, also if another daemon had just done so. The number of datagrams would have grown with the square of the fleet.

Change: as for request limits, a daemon repeats a statement only if no other has sent one within the last second, or if the warm-up got longer.

--- a/balancer/requestlimit.go
+++ b/balancer/requestlimit.go
@@ -87,7 +87,7 @@
 	pacesLimit, pacesWarmup bool
 	// hasUpdate and warmupUpdate are set if the other daemons have to be told of the limit, and that the replica is cold.
 	hasUpdate, warmupUpdate bool
-	// warmupSharedAt is when the other daemons were last told that the replica is cold.
+	// warmupSharedAt is when the other daemons were last told that the replica is cold, or one of them told this daemon.
 	warmupSharedAt time.Time
 	// namedAt and endedAt are when a response to this daemon last named the limit and last ended one.
 	namedAt, endedAt time.Time
@@ -278,6 +278,7 @@
 		}
 		if r != nil && r.StartedAtMs == u.StartedAtMs && u.WarmupLeftMs > 0 && r.limit.warmup.IsLimited {
 			b.setCold(r, time.Duration(min(u.WarmupLeftMs, maxWarmup.Milliseconds()))*time.Millisecond, now)
+			r.limit.warmupUpdate, r.limit.warmupSharedAt = false, now
 		}
 		if r == nil || r.StartedAtMs != u.StartedAtMs || !u.Ended && !(u.Rate > 0 && !math.IsInf(u.Rate, 0)) {
 			continue
--- a/gateway/cold_replicas_test.go
+++ b/gateway/cold_replicas_test.go
@@ -457,3 +457,35 @@
 	}
 	must.Between(t, 17, n, 23)
 }
+
+// TestColdReplicasWaitForNumberOfDaemons guards cold replicas while the number of daemons is unknown, or has just become known and may be
+// incomplete: this daemon sends nothing to them.
+func TestColdReplicasWaitForNumberOfDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, f := newGateway(t)
+		g.opts.WarmupOverage, g.opts.WarmupSlack, g.daemonsKnownSince = testWarmupOverage, testWarmupSlack, time.Time{}
+		s := &shares{daemons: 1, warmups: map[string]routing.Service{"o": {WarmupRate: 100}}}
+		g.setShares(s)
+		view, _ := g.directory.View()
+		for k := range view.Servers {
+			view.Servers[k].WarmupSequence, view.Servers[k].WarmupLeft = 1, 20*time.Second
+		}
+		g.balancer.SetServers(view.Servers, time.Now())
+		allows := func(want bool) {
+			t.Helper()
+			before := len(f.sentTo())
+			reply := g.Serve(context.Background(), newRequest("/o/1"))
+			must.Eq(t, want, reply.Err == nil)
+			must.Eq(t, want, len(f.sentTo()) > before)
+		}
+		<-time.After(5 * time.Second)
+		allows(false)
+		known := *s
+		known.daemonsKnown = true
+		g.setShares(&known)
+		<-time.After(warmupSettleTime - time.Millisecond)
+		allows(false)
+		<-time.After(100 * time.Millisecond)
+		allows(true)
+	})
+}
