--- a/topology/election.go
+++ b/topology/election.go
@@ -38,6 +38,10 @@
 	centreRetention = 20 * time.Second
 	// followerTTL is how long a follower counts as a daemon after its last pull. It covers a restart.
 	followerTTL = 8 * time.Second
+	// lapsedFollowerAge is the age up to which a pull shows that a daemon still follows a reader that could not renew its claim: a
+	// follower without a store repeats its pull within 2 to 3 s. It is shorter than claimTTL, so that a reader that is cut off from all
+	// others is not taken for one in an outage of the store.
+	lapsedFollowerAge = 3 * time.Second
 	// maxFollowers bounds the size of a followerSet.
 	maxFollowers = 10_000
 )
@@ -281,7 +285,7 @@
 	}
 	view, _ := f.dir.View()
 	centre := view.DataCentres[f.self.DataCentre]
-	if hasLapsed && centre.Reader == f.self.Address && 2*(f.followers.count(time.Now())+1) > centre.Daemons {
+	if hasLapsed && centre.Reader == f.self.Address && 2*(f.followers.countSince(time.Now().Add(-lapsedFollowerAge))+1) > centre.Daemons {
 		return f.self.Address, true
 	}
 	if address == "" && centre.Reader != f.self.Address {
@@ -408,13 +412,13 @@
 	return hosts
 }
 
-// count returns the number of daemons that pulled within followerTTL.
-func (f *followerSet) count(now time.Time) int {
+// countSince returns the number of daemons that pulled at or after a time.
+func (f *followerSet) countSince(begin time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, daemon := range f.byNode {
-		if now.Sub(daemon.at) <= followerTTL {
+		if !daemon.at.Before(begin) {
 			n++
 		}
 	}
--- a/topology/feed.go
+++ b/topology/feed.go
@@ -263,6 +263,12 @@
 				ownReadInterval = min(2*ownReadInterval, maxOwnReadInterval)
 			}
 		}
+		if err != nil && f.isStoreUnavailable() && f.listAge() < r.staleAfter && time.Since(f.lastOwnRead) >= minOwnReadInterval {
+			// The list is fresh, so the store answers the reader of another data centre. Without this call, the store would
+			// count as unavailable as long as that one provides fresh lists, and this data centre would elect no reader.
+			f.lastOwnRead = time.Now()
+			f.probeStore(ctx, r)
+		}
 		if err != nil && !f.isStoreUnavailable() && time.Since(lastElection) >= retryPause {
 			lastElection = time.Now()
 			f.elect(ctx, r)
