--- a/internal/reception/budget_test.go
+++ b/internal/reception/budget_test.go
@@ -107,11 +107,11 @@
 // TestTinyReservationsAlwaysHaveRoom guards ordinary requests against a flood of larger ones that are too young to be evicted.
 func TestTinyReservationsAlwaysHaveRoom(t *testing.T) {
 	b := NewBudget(testBudget)
-	for {
-		if _, err := reserve(b, "a", smallBytes, at(0)); err != nil {
-			break
-		}
+	var full error
+	for i := 0; full == nil && i < testBudget/smallBytes; i++ {
+		_, full = reserve(b, "a", smallBytes, at(0))
 	}
+	must.ErrorIs(t, full, ErrNoMemory)
 	tiny := mustReserve(t, b, "b", tinyBytes, at(0))
 	must.ErrorIs(t, tiny.Grow(1, at(0)), ErrNoMemory)
 	must.True(t, tiny.Complete())
