Quotas: pools start with their full share; a silent pool is left out at once

Cause: after a restart of all VMs, pools refilled with half of their share for 4 s, below what accounts ask for in calm; and requests of a data centre whose reader was slow waited for it twice before they asked another one.

Change: a starting pool refills with an equal part of the configured data centres, which cannot add up to more than the rate; one ask without an answer leaves a pool out for 500 ms.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -115,8 +115,9 @@
 	}
 	d.replicas.SetObserver(replicaObserver)
 	d.quotas, err = quota.NewExchange(quota.Options{
-		Bounds: quota.Bounds{Window: settings.QuotaWindow, Overage: settings.QuotaOverage, Slack: settings.QuotaSlack},
-		Node:   settings.Node, DataCentre: settings.DataCentre, Address: settings.QuotaAddress,
+		DataCentres: len(settings.Regions),
+		Bounds:      quota.Bounds{Window: settings.QuotaWindow, Overage: settings.QuotaOverage, Slack: settings.QuotaSlack},
+		Node:        settings.Node, DataCentre: settings.DataCentre, Address: settings.QuotaAddress,
 		Distance: func(dataCentre string) int { return int(settings.Distance(dataCentre)) },
 	}, d.directory, d.feed, metricsProvider.Meter(), log.Logger)
 	if err != nil {
--- a/quota/client.go
+++ b/quota/client.go
@@ -14,8 +14,9 @@
 	remoteAskTimeout = 35 * time.Millisecond
 	// maxWait is how long a request waits for its permit.
 	maxWait = 80 * time.Millisecond
-	// maxMisses is the number of asks in a row without an answer after which a pool is not asked for suspension.
-	maxMisses  = 2
+	// maxMisses is the number of asks in a row without an answer after which a pool is not asked for suspension. With 2, requests of a
+	// data centre whose reader is slow or lost wait twice before they ask elsewhere, which queries with a tight target cannot bear.
+	maxMisses  = 1
 	suspension = 500 * time.Millisecond
 	// unavailablePause is how long a daemon that holds no pool is not asked: a new reader is elected within seconds.
 	unavailablePause = 100 * time.Millisecond
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -39,6 +39,8 @@
 	// Node is the name of this daemon, DataCentre its data centre. Address is its UDP address for the exchange; all daemons use the same
 	// port.
 	Node, DataCentre, Address string
+	// DataCentres is the number of configured data centres, 0 if unknown.
+	DataCentres int
 	// Distance returns a number that grows with the distance to a data centre.
 	Distance func(dataCentre string) int
 }
@@ -356,7 +358,7 @@
 // fleet returns the data centres of a view in the order in which this daemon asks their readers. Those at the same distance are in an order
 // that differs between daemons.
 func (e *Exchange) fleet(view *topology.View) *Fleet {
-	f := &Fleet{Own: e.opts.DataCentre}
+	f := &Fleet{Own: e.opts.DataCentre, Configured: e.opts.DataCentres}
 	for name, c := range view.DataCentres {
 		f.Centres = append(f.Centres, Centre{Name: name, Reader: hostOf(c.Reader), Daemons: c.Daemons})
 	}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -32,8 +32,8 @@
 	// overAsk is the factor by which a pool asks the others for more than it needs, because what it knows of their levels is old. What
 	// exceeds the need and the capacity is lost after advanceLifetime.
 	overAsk = 1.2
-	// For startTime after it starts, a pool refills with startFraction of its share: other pools may not know of it yet, and have larger
-	// shares.
+	// For startTime after it starts, a pool refills with Fleet.startShare, which is startFraction of its share if the number of data
+	// centres is not known.
 	startTime     = 4 * time.Second
 	startFraction = 0.5
 	// maxNeed limits the permits in one ask.
@@ -162,10 +162,8 @@
 	}
 	b.quota = q
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
-		if started := p.startedAt.Add(startTime); b.updated.Before(started) {
-			elapsed -= time.Duration((1 - startFraction) * float64(min(elapsed, started.Sub(b.updated))))
-		}
-		b.level += q.RatePerS * p.share * elapsed.Seconds()
+		starting := max(0, min(elapsed, p.startedAt.Add(startTime).Sub(b.updated)))
+		b.level += q.RatePerS * (p.fleet.startShare()*starting.Seconds() + p.share*(elapsed-starting).Seconds())
 		b.updated = now
 	}
 	b.level = min(b.level+b.borrowed.expire(now), p.fleet.capacity(q, p.bounds, p.fleet.Own))
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -63,6 +63,8 @@
 	Own string
 	// Centres is ordered by increasing distance from this daemon, its own data centre first.
 	Centres []Centre
+	// Configured is the number of data centres in the settings, 0 if unknown. Centres may lack some of them after a start.
+	Configured int
 }
 
 func (f *Fleet) daemons() int {
@@ -83,6 +85,17 @@
 	return 0
 }
 
+// startShare returns the share with which the own pool refills for startTime after it starts. Its view may lack data centres then, and
+// other pools may not know of it yet. An equal part of the configured data centres is no more than the share in a complete view of
+// equal data centres, so pools that start at the same time do not grant more than the rate together.
+func (f *Fleet) startShare() float64 {
+	share := f.share(f.Own)
+	if f.Configured == 0 {
+		return startFraction * share
+	}
+	return min(share, 1/float64(f.Configured))
+}
+
 // capacity returns the largest number of tokens in a data centre's pool: its share of the burst, and up to one more as the room allows,
 // because a request needs a whole token and fractions are spread over the pools.
 func (f *Fleet) capacity(q Quota, b Bounds, centre string) float64 {
