--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -10,8 +10,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
-	"github.com/chivemill/chivemill/internal/configcheck"
 	"github.com/chivemill/chivemill/platform"
+	"github.com/chivemill/chivemill/platform/configcheck"
 )
 
 const configCheckHelp = `Decodes and validates each FILE as the daemons do, and prints
