Shed lower ranks by the work that they take; no lingering attempts where others wait

Short queries were shed in favour of long ones without helping them, and attempts that were no longer needed took slots of busy replicas.

Change: shedding is scaled by the relative work of the lower rank; an attempt that is no longer needed ends at once if requests wait at its replica.

Tests of limit and gateway's overload tests pass.

--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -85,6 +85,14 @@
 	return times
 }
 
+// HasWaiting reports whether requests waited at the replica by its last report, which must be at most maxLoadAge old.
+func (b *Balancer) HasWaiting(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.replicas[id]
+	return r != nil && r.load.Waiting > 0 && now.Sub(r.loadAt) <= maxLoadAge
+}
+
 // isAvailable reports whether the replica may get another attempt now.
 func (b *Balancer) isAvailable(r *replica, now time.Time) bool {
 	b.updatePace(r, now)
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -117,6 +117,12 @@
 	return min(ratios[needed-1], longestShared)
 }
 
+// WorkRatio implements limit.ClassLoad.
+func (l runLoad) WorkRatio(routeName string) float64 {
+	work, other := l.gateway.balancer.ExpectedLatency(l.route.Name), l.gateway.balancer.ExpectedLatency(routeName)
+	return min(1, float64(work)/float64(other))
+}
+
 // recordForThrottle reports the outcome of an admitted query to the throttle. A query that was not answered in time
 // counts only if one of its shards is saturated: reducing load does not help against replicas that fail or refuse for
 // other reasons. A query whose caller disconnected early is not counted.
--- a/gateway/linger_test.go
+++ b/gateway/linger_test.go
@@ -14,19 +14,19 @@
 
 // TestUnneededAttemptKeepsConnection guards second attempts against connections that are always new. Cancelling an attempt closes its
 // connection; a replica in another region then answers no second attempt in time, since each one opens a connection first. An attempt
-// whose shard has been answered may therefore still end by itself for attemptLinger, unless the replicas are saturated.
+// whose shard has been answered may therefore still end by itself for attemptLinger, unless other requests wait at its replica.
 func TestUnneededAttemptKeepsConnection(t *testing.T) {
 	const answerTime = 20 * time.Millisecond
 	hedgedAfter := hedgeDelay(300*time.Millisecond, 30*time.Millisecond)
 	for name, c := range map[string]struct {
-		slowAnswer  time.Duration
-		isSaturated bool
+		slowAnswer time.Duration
+		othersWait bool
 		// cancelledAfter is when the slow attempt is cancelled, 0 if it is not.
 		cancelledAfter time.Duration
 	}{
-		"answered soon after":    {slowAnswer: hedgedAfter + answerTime + attemptLinger/2},
-		"silent":                 {slowAnswer: time.Second, cancelledAfter: hedgedAfter + answerTime + attemptLinger},
-		"replicas are saturated": {slowAnswer: time.Second, isSaturated: true, cancelledAfter: hedgedAfter + answerTime},
+		"answered soon after": {slowAnswer: hedgedAfter + answerTime + attemptLinger/2},
+		"silent":              {slowAnswer: time.Second, cancelledAfter: hedgedAfter + answerTime + attemptLinger},
+		"others wait":         {slowAnswer: time.Second, othersWait: true, cancelledAfter: hedgedAfter + answerTime},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -42,11 +42,9 @@
 						return Answer{}, &backend.Error{Failure: backend.TimedOut, Cause: ctx.Err()}
 					}
 				}
-				if c.isSaturated {
+				if c.othersWait {
 					time.AfterFunc(hedgedAfter, func() {
-						for _, id := range []string{"s0-0", "s0-1"} {
-							g.balancer.ReportLoad(id, balancer.Load{Running: 4, Waiting: 4, Slots: 4}, time.Now())
-						}
+						g.balancer.ReportLoad("s0-0", balancer.Load{Running: 4, Waiting: 1, Slots: 4}, time.Now())
 					})
 				}
 				reply := g.Serve(context.Background(), newRequest("/q/1"))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -380,7 +380,7 @@
 	if r.route.IsQuery() {
 		limits.MaxBodyBytes, limits.IsPart = maxPartBytes, true
 	}
-	sendCtx, release := r.attemptContext(ctx, service)
+	sendCtx, release := r.attemptContext(ctx, choice.ID)
 	defer release()
 	answer, err := r.gateway.sender.Send(sendCtx, choice, r.request, limits, func() bool {
 		if ctx.Err() != nil {
@@ -433,17 +433,17 @@
 	}, nil
 }
 
-// attemptContext returns the context in which an attempt at a replica of the service is sent. An attempt at a shard of a query whose
+// attemptContext returns the context in which an attempt at a replica is sent. An attempt at a shard of a query whose
 // answer is no longer needed ends attemptLinger later, so that its connection can be reused: cancelling it would close the
-// connection, and the next second attempt at this replica would again be too late because it has to open one. While the replicas
-// are saturated, the attempt ends at once, so that it takes no slot from others.
-func (r *run) attemptContext(ctx context.Context, service string) (context.Context, context.CancelFunc) {
+// connection, and the next second attempt at this replica would again be too late because it has to open one. If other requests
+// wait at the replica, the attempt ends at once, so that it takes no slot from them.
+func (r *run) attemptContext(ctx context.Context, replica string) (context.Context, context.CancelFunc) {
 	if !r.route.IsQuery() {
 		return ctx, func() {}
 	}
 	attemptCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, func() {
-		if r.gateway.balancer.Saturated(service, time.Now()) {
+		if r.gateway.balancer.HasWaiting(replica, time.Now()) {
 			cancel()
 			return
 		}
--- a/limit/priority.go
+++ b/limit/priority.go
@@ -78,6 +78,8 @@
 	// of the wait with which they just reach their target latency. It is 0 if these shards have a replica at which none waits, or if
 	// the queries share no shard.
 	WaitRatio(route string) float64
+	// WorkRatio returns the work of the query as a fraction of that of a query of the route, at most 1.
+	WorkRatio(route string) float64
 }
 
 // Decision is the result of PriorityThrottle.Admit.
@@ -254,7 +256,7 @@
 
 // shedFraction returns the fraction of the queries of the class that are refused in favour of higher ranks.
 func (t *PriorityThrottle) shedFraction(s *classState, load ClassLoad, now time.Time) float64 {
-	ratio, otherBurst := 0.0, false
+	excess, otherBurst := 0.0, false
 	for _, o := range t.order {
 		if o == s {
 			continue
@@ -272,10 +274,11 @@
 		if r > 0 && now.Before(o.yieldsUntil) {
 			r = shedFull
 		}
-		ratio = max(ratio, r)
+		// Shedding queries that take less work than those they wait for frees less room than it refuses.
+		excess = max(excess, min(1, (r-shedFrom)/(shedFull-shedFrom))*load.WorkRatio(o.Route))
 	}
 	shed := 0.0
-	if excess := min(1, (ratio-shedFrom)/(shedFull-shedFrom)); excess > 0 {
+	if excess > 0 {
 		shed = excess * (1 - t.floor(s, now))
 	}
 	if otherBurst {
--- a/limit/priority_test.go
+++ b/limit/priority_test.go
@@ -22,6 +22,8 @@
 func (l fixedLoad) Saturated() bool          { return l.saturated }
 func (l fixedLoad) WaitRatio(string) float64 { return l.ratio }
 
+func (fixedLoad) WorkRatio(string) float64 { return 1 }
+
 // TestPriorityThrottleWithOneRank guards deployments without priorities: with one rank, even load and accounts of equal demand, each
 // decision is that of a Throttle of the route, however long queries have to wait.
 func TestPriorityThrottleWithOneRank(t *testing.T) {
@@ -124,6 +126,9 @@
 // Saturated implements ClassLoad.
 func (m *model) Saturated() bool { return m.reported() > 0.03 }
 
+// WorkRatio implements ClassLoad.
+func (m *model) WorkRatio(string) float64 { return 1 }
+
 // WaitRatio implements ClassLoad.
 func (m *model) WaitRatio(route string) float64 {
 	i := slices.IndexFunc(m.kinds, func(k *modelKind) bool { return k.class.Route == route })
