--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -298,9 +298,10 @@
 }
 
 // Pick selects a replica of the service for a request of the class and counts an attempt in flight. It skips the
-// replicas in exclude and those that are in a region that is not allowed or an evacuated data centre, removed, draining beyond the grace time, without a free connection, or whose
-// request limit leaves this daemon no further request now. It selects a paused or unresponsive replica only if there is no other. ok is false if none is left. Every successful
-// call must be followed by exactly one call of Done.
+// replicas in exclude and those that are in a region that is not allowed or an evacuated data centre, removed, draining beyond
+// the grace time, without a free connection, or whose request limit or warm-up leaves this daemon no further request now. It
+// selects a paused or unresponsive replica only if there is no other. ok is false if none is left. Every successful call must be
+// followed by exactly one call of Done.
 func (b *Balancer) Pick(service string, class RequestClass, exclude []string, now time.Time) (c Choice, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/balancer/egress.go
+++ b/balancer/egress.go
@@ -80,7 +80,9 @@
 // chooseSide applies the share of the requests that leaves the data centre to an attempt for which cost selected best, and returns
 // why the attempt leaves. A retry or hedge, with isExtra set, is not affected. It changes the choice only between replicas that
 // are neither suspect nor draining. isHeld is set if the attempt stays near although best is elsewhere. The caller holds the lock.
-func (b *Balancer) chooseSide(service string, class RequestClass, best *replica, isExtra bool, now time.Time) (chosen *replica, reason EgressReason, isHeld bool) {
+func (b *Balancer) chooseSide(service string, class RequestClass, best *replica, isExtra bool, now time.Time) (
+	chosen *replica, reason EgressReason, isHeld bool,
+) {
 	expectedLatency := b.expectedLatencyFor(class.Kind)
 	isBestFar := best.Distance != SameDataCentre
 	var near *replica
@@ -98,6 +100,7 @@
 		b.egress.Evaluate(key, b.egressReplicas(service, class, expectedLatency, now), now)
 	}
 	if !isBestFar && !b.egress.IsActive(key) {
+		// Equal costs only count the request, as one that does not leave.
 		b.egress.Decide(key, 0, 0)
 		return best, reason, false
 	}
@@ -108,10 +111,11 @@
 	if far == nil {
 		return best, reason, false
 	}
-	switch choice, dataCentre := b.egress.Decide(key, costOf(near, class, expectedLatency, now), costOf(far, class, expectedLatency, now)); choice {
+	nearCost, farCost := costOf(near, class, expectedLatency, now), costOf(far, class, expectedLatency, now)
+	switch choice, dataCentre := b.egress.Decide(key, nearCost, farCost); choice {
 	case egress.Leave:
-		isThere := func(r *replica) bool { return isFar(r) && r.DataCentre == dataCentre }
-		if r := b.cheapest(service, class, expectedLatency, now, isThere); r != nil {
+		isInDataCentre := func(r *replica) bool { return isFar(r) && r.DataCentre == dataCentre }
+		if r := b.cheapest(service, class, expectedLatency, now, isInDataCentre); r != nil {
 			if !isBestFar {
 				reason = EgressShare
 			}
@@ -128,7 +132,7 @@
 
 func isFar(r *replica) bool { return !isNear(r) }
 
-// egressReason returns why an attempt leaves the data centre, whose cheapest replica is near, or nil if none can be used.
+// egressReason returns why an attempt leaves the data centre. near is the cheapest replica in the data centre, nil if none can be used.
 func (b *Balancer) egressReason(service string, near *replica, isExtra bool) EgressReason {
 	switch {
 	case isExtra:
@@ -153,14 +157,17 @@
 	return cost
 }
 
-// canTake reports whether a replica that is neither suspect nor draining may get a request of the class. The caller holds the lock.
+// canTake reports whether a replica may get a request of the class and is neither suspect nor draining. The caller holds the lock.
 func (b *Balancer) canTake(r *replica, class RequestClass, expectedLatency time.Duration, now time.Time) bool {
-	return class.Regions.Allows(r.Region) && b.isAvailable(r, now) && r.State == Ready && r.leavingSince.IsZero() && !r.isSuspect(expectedLatency, now)
+	isReady := r.State == Ready && r.leavingSince.IsZero()
+	return class.Regions.Allows(r.Region) && b.isAvailable(r, now) && isReady && !r.isSuspect(expectedLatency, now)
 }
 
 // cheapest returns the replica with the lowest cost of those that canTake and isOnSide allow, nil if there is none. Ties are
 // broken at random. The caller holds the lock.
-func (b *Balancer) cheapest(service string, class RequestClass, expectedLatency time.Duration, now time.Time, isOnSide func(*replica) bool) *replica {
+func (b *Balancer) cheapest(
+	service string, class RequestClass, expectedLatency time.Duration, now time.Time, isOnSide func(*replica) bool,
+) *replica {
 	var best *replica
 	var bestCost float64
 	list := b.services[service]
@@ -180,7 +187,7 @@
 	return best
 }
 
-// egressReplicas returns what the controller has to know of the replicas that can take a request. The caller holds the lock.
+// egressReplicas returns the state of the replicas that can take a request, for the controller. The caller holds the lock.
 func (b *Balancer) egressReplicas(service string, class RequestClass, expectedLatency time.Duration, now time.Time) []egress.Replica {
 	list := b.services[service]
 	all := make([]egress.Replica, 0, len(list))
--- a/balancer/warmup.go
+++ b/balancer/warmup.go
@@ -14,7 +14,7 @@
 	// Rate is this daemon's part, in requests a second, of what the replica may receive from all daemons while it is cold. With 0, the
 	// replica gets no request from this daemon until it is warm.
 	Rate float64
-	// From is when this daemon's first permit may be due.
+	// From is the earliest time at which this daemon's first permit may be due.
 	From time.Time
 	// Time is how long a replica takes to warm up, 0 if it is not known.
 	Time time.Duration
@@ -54,6 +54,7 @@
 		r.warmupUntil = until
 	}
 	if !l.isCold(now) || wasPaced && l.pacesWarmup {
+		// The replica has no warm-up limit, or its pace is already that of a warm-up.
 		return
 	}
 	if !wasPaced {
@@ -79,8 +80,8 @@
 	}
 }
 
-// setColdAfterEvacuation takes the replicas of data centres whose evacuation has ended for cold: they may have been restarted meanwhile,
-// and the list that says so may reach this daemon later than the end of the evacuation. The caller holds the lock.
+// setColdAfterEvacuation records that the replicas of data centres whose evacuation has ended are cold. They may have been restarted
+// meanwhile, and the list that states it may reach this daemon later than the end of the evacuation. The caller holds the lock.
 func (b *Balancer) setColdAfterEvacuation(wasEvacuated map[string]bool, now time.Time) {
 	for _, r := range b.replicas {
 		if wasEvacuated[r.DataCentre] && !b.evacuated[r.DataCentre] && r.limit.warmup.IsLimited {
@@ -89,8 +90,8 @@
 	}
 }
 
-// ReportWarmup records that a response of the replica states how long it will be cold. isNew is set if this daemon took it for warm.
-// Services without a warm-up limit are not concerned.
+// ReportWarmup records that a response of the replica states how long it will be cold. isNew is set if this daemon considered it warm.
+// Replicas of services without a warm-up limit are ignored.
 func (b *Balancer) ReportWarmup(id string, startedAtMs int64, left time.Duration, now time.Time) (isNew bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -110,7 +111,8 @@
 }
 
 const (
-	// minWarmupExtension is the time by which the end of a warm-up must move for a statement to be sent to the other daemons before limitShareInterval is over.
+	// minWarmupExtension is the time by which the end of a warm-up must move for a statement to be sent to the other daemons before
+	// limitShareInterval is over.
 	minWarmupExtension = 200 * time.Millisecond
 	// maxWarmup limits the warm-up time that another daemon can state.
 	maxWarmup = 10 * time.Minute
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -163,7 +163,8 @@
 	})
 	internal := func(h http.Handler) *http.Server {
 		return &http.Server{
-			Handler: d.internalReception.bodies.Handler(d.maxMessageBytes(), h), ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: maxInternalHeaderBytes,
+			Handler:           d.internalReception.bodies.Handler(d.maxMessageBytes(), h),
+			ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: maxInternalHeaderBytes,
 		}
 	}
 	for _, s := range []struct {
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -14,26 +14,25 @@
 )
 
 const (
-	// evaluationInterval is the time between two evaluations of a service. Reports are up to MaxReportAge old, so about five
-	// steps are taken before the first is observed in full; maxStep allows for that.
+	// evaluationInterval is the shortest time between two evaluations of a service. Reports are up to MaxReportAge old, so about
+	// five steps are taken before the reports show the whole effect of the first; maxStep allows for that.
 	evaluationInterval = 200 * time.Millisecond
 	// MaxReportAge is the age from which a load report carries no information.
 	MaxReportAge = time.Second
-	// sampleWeight is the weight of an evaluation in the moving averages of a data centre, payingWeight the one in the mean
-	// gain before the control starts.
+	// sampleWeight is the weight of an evaluation in the moving averages of a data centre, gainWeight its weight in the mean gain.
 	sampleWeight = 0.3
-	payingWeight = 0.15
+	gainWeight   = 0.15
 	// minReportWeight is the sum of the weights of the reports from which a data centre is known.
 	minReportWeight = 0.1
 
 	// enterGain is the fraction of the near completion time that leaving must save before the control starts, or for the share to
-	// rise while the near replicas have room, and minGain the least time. While they have none, the share rises from a gain of
-	// exitGain and falls at one below -exitGain.
+	// rise while the near replicas have room, and minGain the least time that it must save. While they have no room, the share rises
+	// if the saved fraction is at least exitGain and falls if it is below -exitGain.
 	enterGain = 0.2
 	minGain   = 3 * time.Millisecond
 	exitGain  = 0.05
-	// beginGain is the mean gain from which the control starts, after beginEvaluations above enterGain. On even load at 0.87 of
-	// the capacity, noise in the reports reaches a mean gain of 0.31.
+	// beginGain is the mean gain from which the control starts, after beginEvaluations in a row above enterGain. Noise in the reports
+	// of replicas with even load reaches a mean gain of 0.31.
 	beginGain        = 0.35
 	beginEvaluations = 4
 	// similarGain is the fraction of the near completion time by which a data centre may save less than the best one to be used too.
@@ -41,8 +40,8 @@
 	// targetUtilisation is the near utilisation that the control aims at, and the least with which it starts.
 	targetUtilisation = 0.85
 
-	// followFraction of the distance to the share that should leave is one step. Twice as much made the share swing with
-	// reports of up to MaxReportAge. maxStep bounds a step.
+	// followFraction is the size of a step as a fraction of the distance to the share that should leave. With twice as much, the share
+	// oscillates because of the age of the reports. maxStep bounds a step.
 	followFraction = 0.05
 	maxStep        = 0.04
 	// drainTime is the time in which a queue is to be worked off, with at most maxDrain of the slots.
@@ -52,7 +51,7 @@
 	minShare = 0.01
 	// maxShare leaves some requests at the near replicas, whose reports would otherwise end.
 	maxShare = 0.9
-	// maxCredit is the number of requests by which those that have left may differ from the share.
+	// maxCredit is the number of requests by which those that have left may differ from the share before Decide corrects the choice.
 	maxCredit = 2
 	// maxHoldRatio is the ratio of the near cost to the far one up to which a request may be kept near.
 	maxHoldRatio = 2
@@ -67,23 +66,24 @@
 	PricePerKiB time.Duration
 }
 
-// Replica is what this daemon knows of a replica that the request may use.
+// Replica describes the state of a replica that the request may use, as far as this daemon knows it.
 type Replica struct {
 	DataCentre string
 	// IsNear is set for a replica in this daemon's data centre. Link is the round trip to the others, with any policy cost.
 	IsNear bool
 	Link   time.Duration
-	// Load is the reported number of requests that run or wait, at most ReportAge ago. InFlight is the number of attempts of
-	// this daemon.
+	// Load is the number of requests that run or wait according to the latest report, which is ReportAge old. InFlight is the number of
+	// attempts of this daemon in flight.
 	Load, Slots, InFlight int
 	ReportAge             time.Duration
 	// Slowness is the mean latency of the recent answers as a multiple of the expected one, 1 if nothing is known.
 	Slowness float64
 }
 
-// load returns the number of requests at the replica.
+// load returns the number of requests at the replica: the reported one, or that of this daemon alone if it is greater.
 func (r Replica) load() float64 { return float64(max(r.Load, r.InFlight)) }
 
+// slots returns the number of slots, at least 1.
 func (r Replica) slots() float64 { return float64(max(1, r.Slots)) }
 
 // speed returns the time of a request that does not wait, as a multiple of the expected time. The latency of the recent
@@ -93,7 +93,7 @@
 // queue returns how long a further request waits, as a multiple of the time of one.
 func queue(load, slots float64) float64 { return max(0, load+1-slots) / slots }
 
-// weight returns how much the report counts.
+// weight returns the weight of the report, which falls from 1 to 0 at MaxReportAge.
 func (r Replica) weight() float64 {
 	return max(0, 1-float64(max(0, r.ReportAge))/float64(MaxReportAge))
 }
@@ -109,7 +109,7 @@
 	isKnown  bool
 	// completion and utilisation are moving averages, completion as a multiple of the work.
 	completion, utilisation float64
-	// gain is the time that leaving for this data centre saves, with the price.
+	// gain is the time in nanoseconds that leaving for this data centre saves, less the price.
 	gain float64
 }
 
@@ -120,9 +120,9 @@
 const (
 	// AsCompared leaves the decision to the comparison of single replicas.
 	AsCompared Choice = iota
-	// Stay means the near replicas.
+	// Stay sends the request to a near replica.
 	Stay
-	// Leave means the returned data centre.
+	// Leave sends it to the returned data centre.
 	Leave
 )
 
@@ -132,17 +132,17 @@
 	groups               []*group
 	// work is the mean work of a request in nanoseconds, bytes the mean size of the bodies of a request and its answer.
 	work, bytes float64
-	// meanGain is the mean gain of the best far data centre as a fraction of the near completion time, paying the number of
-	// consecutive evaluations with enterGain.
-	meanGain float64
-	paying   int
+	// meanGain is the moving average of the gain of the best far data centre as a fraction of the near completion time,
+	// evaluationsWithGain the number of consecutive evaluations in which it and the near replicas met the conditions for the start.
+	meanGain            float64
+	evaluationsWithGain int
 	// isActive is set while share determines how many requests leave.
 	isActive bool
 	share    float64
-	// credit is the number of requests by which fewer have left than share demands.
+	// credit is the number of requests by which fewer have left than share demands, negative if more have left.
 	credit float64
-	// left and asked count the requests since the last evaluation; leftFraction is the mean fraction that the comparison of
-	// single replicas sends away.
+	// asked is the number of requests since the last evaluation, left the number of those that the comparison of single replicas sends
+	// away, and leftFraction the moving average of their ratio.
 	left, asked  int
 	leftFraction float64
 }
@@ -235,7 +235,7 @@
 	}
 	near, best := s.compare(c.price(s))
 	if near == nil || best == nil {
-		s.paying = 0
+		s.evaluationsWithGain = 0
 		if now.Sub(s.knownAt) >= MaxReportAge {
 			s.end()
 		}
@@ -246,32 +246,32 @@
 	if relative > 0 && best.gain < float64(minGain) {
 		relative = 0
 	}
-	s.meanGain += payingWeight * (max(-1, relative) - s.meanGain)
-	if s.isActive || s.begins(near, relative) {
-		s.move(near, best, relative)
+	s.meanGain += gainWeight * (max(-1, relative) - s.meanGain)
+	if s.isActive || s.tryBegin(near, relative) {
+		s.moveShare(near, best, relative)
 	}
 }
 
-// begins starts the control if the near replicas are crowded and leaving has saved enough for some evaluations. relative is
-// the fraction of the near completion time that it saves.
-func (s *service) begins(near *group, relative float64) bool {
+// tryBegin starts the control if the near replicas are crowded and leaving has saved enough for some evaluations, and reports
+// whether it did. relative is the fraction of the near completion time that leaving saves.
+func (s *service) tryBegin(near *group, relative float64) bool {
 	if s.meanGain < beginGain || relative < enterGain || near.utilisation < targetUtilisation {
-		s.paying = 0
+		s.evaluationsWithGain = 0
 		return false
 	}
-	if s.paying++; s.paying < beginEvaluations {
+	if s.evaluationsWithGain++; s.evaluationsWithGain < beginEvaluations {
 		return false
 	}
-	// What the comparison of single replicas sends away goes on leaving.
+	// The share starts at the fraction that the comparison of single replicas sends away.
 	s.isActive, s.share, s.credit = true, min(maxShare, s.leftFraction), 0
 	return true
 }
 
-// move makes a step of the share towards the one at which the near replicas are as busy as they should be, or ends the control.
+// moveShare moves the share by a step towards the one at which the near replicas have the target utilisation, or ends the control.
 // relative is the fraction of the near completion time that leaving saves.
-func (s *service) move(near, best *group, relative float64) {
+func (s *service) moveShare(near, best *group, relative float64) {
 	hasRoom := near.utilisation < targetUtilisation
-	toTarget := s.distance(near)
+	toTarget := s.distanceToTarget(near)
 	switch {
 	case hasRoom && relative < enterGain:
 		s.share += max(-maxStep, followFraction*toTarget)
@@ -289,17 +289,17 @@
 	}
 }
 
-// distance returns how much more should leave. While the near replicas have room, their utilisation is in proportion to what stays. A
-// queue is to be worked off within drainTime.
-func (s *service) distance(near *group) float64 {
+// distanceToTarget returns by how much the share should grow for the near replicas to reach the target utilisation. While they have room,
+// their utilisation is proportional to the share that stays. A queue is to be worked off within drainTime.
+func (s *service) distanceToTarget(near *group) float64 {
 	waiting := max(0, near.utilisation-1)
 	target := targetUtilisation - min(maxDrain, waiting*s.work/float64(drainTime))
 	return (1 - s.share) * (1 - target/max(0.01, min(1, near.utilisation)))
 }
 
-// end returns to the comparison of single replicas.
+// end ends the control: the comparison of single replicas decides again.
 func (s *service) end() {
-	s.isActive, s.share, s.credit, s.paying, s.meanGain = false, 0, 0, 0, 0
+	s.isActive, s.share, s.credit, s.evaluationsWithGain, s.meanGain = false, 0, 0, 0, 0
 }
 
 // price returns the time in nanoseconds that a request must save.
@@ -374,8 +374,8 @@
 	return g
 }
 
-// compare sets the gain of each far data centre for the price of a request, and returns the near one and the best of the others.
-// They are nil if not known.
+// compare sets the gain of each far data centre for the price of a request, and returns the near data centre and the far one with the
+// largest gain. They are nil if not known.
 func (s *service) compare(price float64) (near, best *group) {
 	for _, g := range s.groups {
 		if g.isNear && g.isKnown {
@@ -396,7 +396,8 @@
 }
 
 // Decide decides on a first attempt for which both near and far replicas may be used, given the lowest cost of each in
-// nanoseconds. dataCentre is set for Leave.
+// nanoseconds. dataCentre is set for Leave. While the control is active, it follows the comparison of the costs, with the price,
+// unless the number of requests that have left differs from the share by more than maxCredit.
 func (c *Controller) Decide(name string, near, far float64) (choice Choice, dataCentre string) {
 	s := c.service(name)
 	isFarCheaper := far < near
@@ -412,12 +413,13 @@
 		return AsCompared, ""
 	}
 	s.credit = min(maxCredit+1, s.credit+s.share)
+	// Too few requests have left if isShort, too many if isOver.
 	isShort, isOver := s.credit >= maxCredit, s.credit < 1-maxCredit
 	switch {
 	case leaves && isOver && near < maxHoldRatio*far, isFarCheaper && !leaves && !isShort:
 		return Stay, ""
 	case leaves && isOver:
-		// Waiting near would cost too much: the share follows with its steps.
+		// Staying near would cost too much. The share follows in later evaluations.
 		return AsCompared, ""
 	case !leaves && !isShort:
 		return AsCompared, ""
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -24,7 +24,7 @@
 	// meanOverloadRetryAfter is the mean Retry-After of a refusal for overload. The values are spread between half and
 	// one and a half times the mean, so that callers do not retry all at once.
 	meanOverloadRetryAfter = 300 * time.Millisecond
-	// minAdmissionRoom is the least wait at replicas that a query is taken to bear, however tight its target is.
+	// minAdmissionRoom is the least time that a query is assumed to have for waiting at replicas, however tight its target is.
 	minAdmissionRoom = 10 * time.Millisecond
 )
 
@@ -83,8 +83,8 @@
 // Saturated implements limit.ClassLoad.
 func (l runLoad) Saturated() bool { return l.gateway.isSaturated(l.route, l.now) }
 
-// WaitRatio implements limit.ClassLoad. A query needs the answers of enough shards only, so the wait is the one at the scarcest shard that it
-// needs.
+// WaitRatio implements limit.ClassLoad. A query needs only as many shards as its required coverage, so its wait is the longest at the
+// shards with the shortest waits that reach the coverage.
 func (l runLoad) WaitRatio(routeName string) float64 {
 	routes := l.view.Table.Config().Routes
 	index := slices.IndexFunc(routes, func(r routing.Route) bool { return r.Name == routeName && r.IsQuery() })
@@ -99,6 +99,7 @@
 	class := balancer.RequestClass{Kind: route.Name, TargetLatency: route.TargetLatency, Regions: l.regions}
 	budget := partialAfter(route.TargetLatency, 1)
 	ratios := make([]float64, len(route.Shards))
+	// longestShared is the largest ratio at a shard of both routes.
 	longestShared := 0.0
 	for i, t := range l.gateway.balancer.ExpectedTimes(route.Shards, class, l.now) {
 		ratios[i] = float64(t.Wait) / float64(max(minAdmissionRoom, budget-t.Work))
--- a/gateway/authenticate.go
+++ b/gateway/authenticate.go
@@ -7,9 +7,9 @@
 	"github.com/chivemill/chivemill/routing"
 )
 
-// authenticate sets the client account of a request from its key, and returns the account, nil if the request has none, and the regions
-// in which the request may be served: those that both the route and the account allow. The account of a delegated request was determined by the daemon that the
-// caller asked, under the same version of the configuration.
+// authenticate sets the client account of a request from its key. It returns the account, nil if the request has none, and the regions
+// in which the request may be served: those that both the route and the account allow. The account of a delegated request was
+// determined by the daemon that the caller asked, under the same version of the configuration.
 func authenticate(table *routing.Table, route *routing.Route, request *Request) (*account.Account, residency.Regions, *api.Error) {
 	accounts := table.Accounts()
 	if accounts == nil || route.Public {
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -20,7 +20,7 @@
 	return balancer.RequestClass{Kind: r.route.Name, TargetLatency: r.route.TargetLatency, Regions: r.regions}
 }
 
-// recordChoice counts an attempt that leaves the data centre, and one that is kept there.
+// recordChoice counts an attempt that leaves the data centre or is kept there, and remembers why it leaves for recordExchangedBytes.
 func (r *run) recordChoice(choice balancer.Choice) {
 	m := r.gateway.metrics
 	if choice.IsHeld {
@@ -38,7 +38,8 @@
 	r.egress[choice.ID] = choice.Egress
 }
 
-// recordExchangedBytes counts the bodies of a request that was sent to a replica and of its answer.
+// recordExchangedBytes records the size of the bodies of a request that was sent to a replica and of its answer with the balancer, and
+// counts it in the metrics if the request left the data centre.
 func (r *run) recordExchangedBytes(service, replica string, answer Answer) {
 	n := len(r.request.Body) + len(answer.Body)
 	if answer.Status != 0 {
@@ -69,6 +70,7 @@
 	}
 }
 
+// recordEgressBytes counts bytes that crossed the boundary of the data centre.
 func (m *instruments) recordEgressBytes(reason balancer.EgressReason, bytes int) {
 	m.egressBytes.Add(context.Background(), int64(bytes), m.label("reason", string(reason)))
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -103,7 +103,8 @@
 		metric.WithDescription("Hedges and retries that a service's budget refused."))
 	collect(err)
 	m.admission, err = meter.Int64Counter("chivemill_admission",
-		metric.WithDescription("Queries on whose admission this daemon decided, by priority and result: admitted, load, rank (in favour of a higher priority) or burst."))
+		metric.WithDescription("Queries on whose admission this daemon decided, by priority and result: "+
+			"admitted, load, rank (in favour of a higher priority) or burst."))
 	collect(err)
 	m.lossVerdicts, err = meter.Int64Counter("chivemill_lost_connection_verdicts",
 		metric.WithDescription("Requests that lost connections to replicas, by verdict: below_threshold, answered, recently_answered, unreachable, ambiguous, pending or quarantined."))
@@ -118,7 +119,8 @@
 		metric.WithDescription("Sets of shards passed to helpers by outcome: answered, refused, silent, abandoned or isolated."))
 	collect(err)
 	m.egress, err = meter.Int64Counter("chivemill_egress_requests",
-		metric.WithDescription("Requests that left the data centre, by reason: no_replica, evacuated, extra (hedges and retries), faster, share, delegated or relayed."))
+		metric.WithDescription("Requests that left the data centre, by reason: "+
+			"no_replica, evacuated, extra (hedges and retries), faster, share, delegated or relayed."))
 	collect(err)
 	m.egressBytes, err = meter.Int64Counter("chivemill_egress_bytes", metric.WithUnit("By"),
 		metric.WithDescription("Bytes of the bodies of requests that left the data centre and of their answers, by reason."))
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -25,7 +25,7 @@
 // acquirePermit obtains the permit of a request that came directly from a caller. release must be called with the reply: it gives back
 // the permit if no replica has executed anything of the request. refusal is nil if there is a permit.
 func (g *Gateway) acquirePermit(ctx context.Context, request *Request, a *account.Account) (release func(Reply), refusal *api.Error) {
-	// The daemon that the caller asked has counted a delegated request.
+	// A delegated request has its permit from the daemon that received it from the caller.
 	if g.opts.Quotas == nil || request.DelegatedBy != "" || a == nil || !a.HasQuota() {
 		return func(Reply) {}, nil
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -34,7 +34,7 @@
 	// answer cannot be part of it.
 	hedgeConnectTime = 55 * time.Millisecond
 	// minHedgeDelayFactor times the expected time of an attempt, plus minHedgeRoundTrip, is the shortest delay. Most attempts
-	// are answered by then, so that few second attempts are spent on replicas that are well.
+	// are answered by then, so that few second attempts are sent for replicas that work normally.
 	minHedgeDelayFactor = 1.4
 	minHedgeRoundTrip   = 6 * time.Millisecond
 	// partialReserveFraction of the target latency is how long before the target a query ends with the shards that have
@@ -129,8 +129,9 @@
 	r.machine = scatter.NewStateMachine(&r.plan, r, deadline)
 }
 
-// hedgeDelay returns the delay before a second attempt, given the target latency and the expected time of an attempt. A second
-// attempt of a query starts early enough to be part of the partial answer, also if it needs a new connection to another region.
+// hedgeDelay returns the delay before a second attempt, given the target latency and the expected time of an attempt. Unless that
+// is shorter than the least delay, a second attempt starts early enough to be part of the partial answer, even if it needs a new
+// connection to another region.
 func hedgeDelay(target, expected time.Duration) time.Duration {
 	delay := min(time.Duration(maxHedgeDelayFraction*float64(target)), hedgeRoundTrip+time.Duration(hedgeDelayFactor*float64(expected)))
 	latest := partialAfter(target, 1) - hedgeConnectTime - expected
@@ -403,7 +404,7 @@
 		r.recordExchangedBytes(service, choice.ID, answer)
 	}
 	if err == nil && ctx.Err() != nil {
-		// Only the connection was kept for later requests.
+		// The attempt was only continued to keep its connection for later requests.
 		return nil, &backend.Error{Failure: backend.TimedOut, Cause: ctx.Err()}
 	}
 	if err == nil && r.route.IsQuery() {
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -29,8 +29,8 @@
 	// localRequestFraction is the fraction of a replica's request limit that belongs to the daemons in its data centre, which
 	// send most of its requests. The rest is for the other daemons, which need it when replicas near them fail.
 	localRequestFraction = 0.8
-	// warmupSettleTime is the time after this daemon first knew the number of daemons before it sends requests to cold replicas. When
-	// many daemons start at once, their number is not complete yet.
+	// warmupSettleTime is how long after this daemon first knows the number of daemons it sends no requests to cold replicas. The first
+	// number is too small if many daemons start at once.
 	warmupSettleTime = 3 * time.Second
 	// defaultConnections is a daemon's share when the configuration states no limit.
 	defaultConnections = 8
@@ -41,7 +41,7 @@
 	// limits holds the number of connections that a replica of each service accepts from all daemons, 0 if not
 	// configured.
 	limits map[string]int
-	// warmups holds the services whose cold replicas may only receive a limited rate.
+	// warmups holds the services whose replicas may only receive a limited rate of requests while they are cold, by name.
 	warmups map[string]routing.Service
 	// daemons is the number of daemons, assumed unless daemonsKnown is set.
 	daemons      int
@@ -58,8 +58,10 @@
 }
 
 func newShares(view topology.View, self delegation.Self) *shares {
-	s := &shares{limits: make(map[string]int), warmups: make(map[string]routing.Service), helperCounts: make(map[string]int), isHelper: make(map[string]bool),
-		dataCentre: self.DataCentre, centres: view.DataCentres}
+	s := &shares{
+		limits: make(map[string]int), warmups: make(map[string]routing.Service), helperCounts: make(map[string]int),
+		isHelper: make(map[string]bool), dataCentre: self.DataCentre, centres: view.DataCentres,
+	}
 	s.isCentreHelper = isHelperAt(s.centres[s.dataCentre], self.Address)
 	if view.Table != nil {
 		for _, route := range view.Table.Config().Routes {
--- a/internal/reception/budget.go
+++ b/internal/reception/budget.go
@@ -12,26 +12,26 @@
 )
 
 const (
-	// tinyBytes is the size up to which a reservation always has room: it takes less than its connection, whose number is limited. An
-	// ordinary request is thus received whatever others hold.
+	// tinyBytes is the size up to which a reservation always has room, so that an ordinary request is received whatever others hold. The
+	// total is bounded because the number of connections is, and each takes more than that itself.
 	tinyBytes = 4 << 10
 	// smallBytes is the size up to which a reservation counts as small. Small and large ones have separate shares, so that large bodies
 	// can't prevent ordinary requests from being received.
 	smallBytes = 64 << 10
 	// smallShare is the share of the budget for small reservations.
 	smallShare = 1.0 / 3
-	// minHold is how long a reservation is safe from eviction. Without it, callers that send faster than the budget turns over would
-	// evict each other before any body is complete.
+	// minHold is how long a reservation cannot be evicted. Without it, callers that send faster than the budget is released would evict
+	// each other before any body is complete.
 	minHold = 200 * time.Millisecond
 	// maxEvictingShare limits the memory of evicted reservations that their goroutines have not released yet, as a share of the budget.
-	// It is used in addition to the budget.
+	// This memory is used in addition to the budget.
 	maxEvictingShare = 1.0 / 4
 )
 
 // ErrNoMemory means that the budget has no room and no reservation may be evicted yet.
 var ErrNoMemory = errors.New("the memory for requests that are being received is in use")
 
-// ErrEvicted means that a reservation lost its memory to others.
+// ErrEvicted means that a reservation was evicted to make room for others.
 var ErrEvicted = errors.New("the request held memory for too long while it was received")
 
 // Budget limits the memory of requests from their reception until they have been answered. A reservation that does not fit evicts
@@ -44,7 +44,8 @@
 	// used is the sum of the reservations of a class without evicted ones, evicting the sum of the evicted ones that are not released.
 	used     [classes]int64
 	evicting int64
-	holders  map[*Reservation]struct{}
+	// reservations holds those that have grown and have not been released.
+	reservations map[*Reservation]struct{}
 }
 
 // class is the size class of a reservation.
@@ -54,6 +55,7 @@
 	tiny class = iota
 	small
 	large
+	// classes is the number of classes.
 	classes
 )
 
@@ -71,7 +73,10 @@
 // NewBudget returns a budget of maxBytes.
 func NewBudget(maxBytes int64) *Budget {
 	smallMax := int64(smallShare * float64(maxBytes))
-	return &Budget{maxBytes: [classes]int64{tiny: math.MaxInt64, small: smallMax, large: maxBytes - smallMax}, holders: make(map[*Reservation]struct{})}
+	return &Budget{
+		maxBytes:     [classes]int64{tiny: math.MaxInt64, small: smallMax, large: maxBytes - smallMax},
+		reservations: make(map[*Reservation]struct{}),
+	}
 }
 
 // Held returns the sum of the reservations in bytes.
@@ -113,7 +118,8 @@
 	return err
 }
 
-// grow returns the reservations that it has evicted. The caller holds the lock.
+// grow implements Grow and returns the reservations that it has evicted, whose reception the caller has to abort. The caller holds the
+// lock.
 func (b *Budget) grow(r *Reservation, bytes int64, now time.Time) (victims []*Reservation, err error) {
 	if r.isEvicted {
 		return nil, ErrEvicted
@@ -126,7 +132,7 @@
 	if from == to {
 		others -= r.bytes
 	}
-	// A class that nobody else uses has room for one reservation of any size, so that the largest legal body is received in calm.
+	// A class without other reservations has room for one of any size, so that the largest legal body can be received.
 	if missing := others + r.bytes + bytes - b.maxBytes[to]; missing > 0 && others > 0 {
 		victims = b.victims(r, to, min(missing, others), now)
 		if victims == nil {
@@ -143,21 +149,21 @@
 	b.used[from] -= r.bytes
 	r.bytes += bytes
 	b.used[to] += r.bytes
-	b.holders[r] = struct{}{}
+	b.reservations[r] = struct{}{}
 	return victims, nil
 }
 
-// victims returns the reservations of a class to evict for the missing bytes, or nil if there are not enough. r itself is among them if
-// it has held most.
+// victims returns the reservations of a class to evict for the missing bytes, or nil if there are not enough. r itself is the last of them
+// if the eviction order reaches it. The caller holds the lock.
 func (b *Budget) victims(r *Reservation, c class, missing int64, now time.Time) []*Reservation {
 	if float64(b.evicting) > maxEvictingShare*float64(b.maxBytes[small]+b.maxBytes[large]) {
 		return nil
 	}
-	// held is the memory times the time for which it has been held.
+	// held is the size of a reservation times the time for which it has been held.
 	held := func(r *Reservation) float64 { return float64(r.bytes) * now.Sub(r.since).Seconds() }
 	heldByAddress := make(map[string]float64)
 	var candidates []*Reservation
-	for h := range b.holders {
+	for h := range b.reservations {
 		if !h.isComplete && !h.isEvicted && (classOf(h.bytes) == c || h == r) && now.Sub(h.since) >= minHold {
 			candidates = append(candidates, h)
 			heldByAddress[h.address] += held(h)
@@ -179,6 +185,7 @@
 	return nil
 }
 
+// evict marks a reservation as evicted. The caller holds the lock.
 func (b *Budget) evict(r *Reservation) {
 	r.isEvicted = true
 	b.used[classOf(r.bytes)] -= r.bytes
@@ -192,6 +199,7 @@
 	r.budget.shrink(r, bytes)
 }
 
+// shrink implements Shrink. The caller holds the lock.
 func (b *Budget) shrink(r *Reservation, bytes int64) {
 	if r.isEvicted {
 		b.evicting -= bytes
@@ -203,7 +211,7 @@
 	b.used[classOf(r.bytes)] += r.bytes
 }
 
-// Complete ends the reception: the reservation can't grow or be evicted any more. It reports false if it was evicted before.
+// Complete ends the reception: the reservation cannot grow or be evicted any more. It returns false if it was evicted before.
 func (r *Reservation) Complete() bool {
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
@@ -224,5 +232,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.shrink(r, r.bytes)
-	delete(b.holders, r)
+	delete(b.reservations, r)
 }
--- a/internal/reception/budget_test.go
+++ b/internal/reception/budget_test.go
@@ -185,7 +185,7 @@
 			for c, used := range b.used {
 				var sum int64
 				count := 0
-				for h := range b.holders {
+				for h := range b.reservations {
 					if classOf(h.bytes) == class(c) && !h.isEvicted && h.bytes > 0 {
 						sum += h.bytes
 						count++
--- a/internal/reception/connections.go
+++ b/internal/reception/connections.go
@@ -6,9 +6,10 @@
 )
 
 // Connections limits the number of open connections. A new one beyond the limit closes another that is idle or whose request is
-// incomplete: that for which the time in this state times the number of such connections of its address is largest. It is safe for
+// incomplete: the one for which the time in this state times the number of such connections of its address is largest. It is safe for
 // concurrent use.
 type Connections struct {
+	// max is the largest number of open connections.
 	max int
 
 	mu    sync.Mutex
@@ -82,7 +83,7 @@
 	return victim
 }
 
-// Run marks that a complete request runs on the connection. It reports false if the connection has been closed to make room: the request
+// Run marks that a complete request runs on the connection. It returns false if the connection has been closed to make room: the request
 // must not run then.
 func (c *Connection) Run() bool {
 	c.table.mu.Lock()
--- a/internal/reception/handler.go
+++ b/internal/reception/handler.go
@@ -7,7 +7,7 @@
 	"strconv"
 )
 
-// BufferedBody is a request body that has been received. It need not be copied to be decoded.
+// BufferedBody is a request body that has been received. It can be decoded without a copy.
 type BufferedBody struct {
 	bytes.Reader
 	data []byte
@@ -19,8 +19,8 @@
 // Close implements io.Closer.
 func (*BufferedBody) Close() error { return nil }
 
-// Handler returns a handler that receives the body of each request, of up to limit bytes, before it calls next. A refusal has a client
-// error as its status, which daemons of all versions take as "not executed".
+// Handler returns a handler that receives the body of each request, of up to limit bytes, before it calls next. A refusal has a 4xx
+// status, which daemons of all versions interpret as "not executed".
 func (rc *Receiver) Handler(limit int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := rc.Receive(w, r, limit)
--- a/internal/reception/receiver.go
+++ b/internal/reception/receiver.go
@@ -14,24 +14,24 @@
 )
 
 const (
-	// BodyTimeout is the time from the end of a header to the end of the body. A caller that keeps to the operator's idle timeout of
-	// 15 s between two requests is not slower within one.
+	// BodyTimeout is the longest time from the end of a header to the end of the body, as long as the operator's idle timeout between two
+	// requests.
 	BodyTimeout = 15 * time.Second
 	// drainTimeout is how long the rest of a refused body is read and dropped, so that the caller can read the response.
 	drainTimeout = 100 * time.Millisecond
 	// firstSegmentBytes and maxSegmentBytes are the sizes of the first and the largest segments of a body without a length.
 	firstSegmentBytes = 4 << 10
 	maxSegmentBytes   = 64 << 10
-	// framingStep is the step in which the framing of chunks is charged. The start of a body may be read with the header, so that the
-	// first bytes of framing are not seen.
+	// framingStep is the step in which the framing of chunks is charged. The first bytes of framing may be missing, because the start of a
+	// body may be read with the header.
 	framingStep = 4 << 10
-	// framingRate is the number of bytes of framing that all bodies together may have per second, framingBurst that of a moment. Bodies in
-	// one-byte chunks take much processor time: without this limit, 70 of them delayed another request by 2.9 s on a busy machine. The burst is the framing of the largest legal body, so that a
-	// single one is not delayed. maxFramingDelay is how long a body waits for its part.
+	// framingRate is the number of bytes of framing that all bodies together may have per second, framingBurst the number at once. Bodies
+	// in one-byte chunks take much processor time: without this limit, 70 of them delay other requests by seconds. The burst is the framing
+	// of the largest legal body, so that a single one is not delayed. maxFramingDelay is the longest time that a body may wait for its part.
 	framingRate     = 1 << 20
 	framingBurst    = 2 << 20
 	maxFramingDelay = 100 * time.Millisecond
-	// minRetryAfter and retryAfterSpread give the advised wait after a refusal: by then the present reservations can be evicted.
+	// minRetryAfter and retryAfterSpread determine the advised wait after a refusal: by then the present reservations can be evicted.
 	minRetryAfter    = minHold
 	retryAfterSpread = 300 * time.Millisecond
 )
@@ -49,7 +49,7 @@
 
 // Reasons of the limits on reception.
 const (
-	// BodyRefused: no memory for a body. BodyEvicted: an incomplete body lost its memory to others. BodyTimedOut: it took too long.
+	// BodyRefused: no memory for a body. BodyEvicted: an incomplete body was evicted. BodyTimedOut: it took too long.
 	// ChunksRefused: too many bodies in small chunks.
 	BodyRefused   Reason = "body_refused"
 	BodyEvicted   Reason = "body_evicted"
@@ -81,7 +81,7 @@
 type Conn interface {
 	// ReceivedBytes returns the number of bytes received since the header of the current request.
 	ReceivedBytes() int64
-	// Run marks that the request has been received and runs. It reports false if the connection has been closed: the request must not
+	// Run marks that the request has been received and runs. It returns false if the connection has been closed: the request must not
 	// run then.
 	Run() bool
 }
@@ -109,9 +109,9 @@
 	Release func()
 }
 
-// Receive reads the body of a request. A body longer than limit gives ErrTooLarge, one that can't be received for lack of memory
-// ErrNoMemory or ErrEvicted, one that is late ErrTimeout, one in small chunks beside too many others ErrChunks; other errors are those of the connection. After an error, the response must
-// close the connection, which Receive has requested in its header.
+// Receive reads the body of a request. A body longer than limit gives ErrTooLarge, one that cannot be received for lack of memory
+// ErrNoMemory or ErrEvicted, one that is late ErrTimeout, one in small chunks beside too many others ErrChunks; other errors are those of
+// the connection. After an error, the response must close the connection, which Receive has requested in its header.
 func (rc *Receiver) Receive(w http.ResponseWriter, r *http.Request, limit int64) (Body, error) {
 	conn := rc.connOf(r)
 	if r.ContentLength == 0 {
@@ -124,7 +124,7 @@
 	control := http.NewResponseController(w)
 	// A response writer without deadlines is one of a test: bodies then have no deadline.
 	setDeadline := func(t time.Time) { _ = control.SetReadDeadline(t) }
-	in := &reception{
+	in := &bodyReader{
 		receiver: rc, conn: conn, request: r, limit: limit,
 		reservation: rc.budget.NewReservation(AddressOf(r.RemoteAddr), now, func() { setDeadline(now) }),
 	}
@@ -144,17 +144,22 @@
 		end = end.Add(drainTimeout)
 	}
 	setDeadline(end)
+	rc.observeFailure(err, AddressOf(r.RemoteAddr))
+	return Body{}, err
+}
+
+// observeFailure tells the observer of a body that was not received because of a limit. Other errors are not observed.
+func (rc *Receiver) observeFailure(err error, address string) {
 	switch {
 	case errors.Is(err, ErrNoMemory):
-		rc.observe(BodyRefused, AddressOf(r.RemoteAddr))
+		rc.observe(BodyRefused, address)
 	case errors.Is(err, ErrEvicted):
-		rc.observe(BodyEvicted, AddressOf(r.RemoteAddr))
+		rc.observe(BodyEvicted, address)
 	case errors.Is(err, ErrTimeout):
-		rc.observe(BodyTimedOut, AddressOf(r.RemoteAddr))
+		rc.observe(BodyTimedOut, address)
 	case errors.Is(err, ErrChunks):
-		rc.observe(ChunksRefused, AddressOf(r.RemoteAddr))
+		rc.observe(ChunksRefused, address)
 	}
-	return Body{}, err
 }
 
 // AddressOf returns the IP address of an address with a port.
@@ -166,8 +171,8 @@
 	return host
 }
 
-// reception is a body that is being received.
-type reception struct {
+// bodyReader reads the body of one request.
+type bodyReader struct {
 	receiver    *Receiver
 	conn        Conn
 	request     *http.Request
@@ -177,8 +182,9 @@
 	framing int64
 }
 
-// cause returns the cause of a failed read, which was interrupted by a deadline in the case of an eviction.
-func (in *reception) cause(err error) error {
+// cause returns the error of a body that was not received. err is the error of the read, nil if the reservation or the connection was lost
+// after it. An eviction interrupts the read by a deadline.
+func (in *bodyReader) cause(err error) error {
 	switch {
 	case err == nil || in.reservation.IsEvicted():
 		return ErrEvicted
@@ -189,7 +195,8 @@
 	}
 }
 
-func (in *reception) read() ([]byte, error) {
+// read reads the body. One without a length is read in segments, which are then joined.
+func (in *bodyReader) read() ([]byte, error) {
 	if in.request.ContentLength > in.limit {
 		return nil, ErrTooLarge
 	}
@@ -205,6 +212,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return in.join(segments, total)
+}
+
+// join returns the body of total bytes in one slice, and shrinks the reservation to it.
+func (in *bodyReader) join(segments [][]byte, total int64) ([]byte, error) {
 	if len(segments) == 1 {
 		in.reservation.Shrink(in.framing)
 		return segments[0], nil
@@ -222,8 +234,9 @@
 	return data, nil
 }
 
-// readSegments reads a body without a length. Segments are not copied to grow, so that what is counted is what is used.
-func (in *reception) readSegments() (segments [][]byte, total int64, err error) {
+// readSegments reads a body without a length. Each segment is reserved before it is allocated and never reallocated, so that the
+// reservation is what is used.
+func (in *bodyReader) readSegments() (segments [][]byte, total int64, err error) {
 	size := int64(firstSegmentBytes)
 	for {
 		// One byte more than the limit shows that the body is too large.
@@ -255,13 +268,13 @@
 }
 
 // reserve reserves memory for bytes of the body.
-func (in *reception) reserve(bytes int64) error {
+func (in *bodyReader) reserve(bytes int64) error {
 	return in.reservation.Grow(bytes*in.receiver.copies, time.Now())
 }
 
-// chargeFraming charges what was received on the connection beyond the body, and waits until it may be decoded. It takes no memory, but a
-// caller that sends its body in tiny chunks occupies the daemon for longer, and loses its memory first.
-func (in *reception) chargeFraming(total int64) error {
+// chargeFraming charges what was received on the connection beyond the body, and waits until it may be decoded. Framing takes no memory.
+// It is reserved nevertheless, so that a body in tiny chunks, which takes more processor time, is evicted before others.
+func (in *bodyReader) chargeFraming(total int64) error {
 	excess := in.conn.ReceivedBytes() - total
 	if excess < in.framing+framingStep {
 		return nil
--- a/limit/priority.go
+++ b/limit/priority.go
@@ -11,38 +11,39 @@
 	// demandHalfLife is the half-life of the counts by which classes and accounts are compared. It is longer than throttleHalfLife,
 	// because a daemon decides on a few queries a second only.
 	demandHalfLife = 5 * time.Second
-	// burstHalfLife is the half-life of the count in which a burst shows, short so that queues do not fill before.
+	// burstHalfLife is the half-life of the count by which a burst is detected, short so that it is detected before queues fill.
 	burstHalfLife = 1500 * time.Millisecond
 	// usualHalfLife is the half-life of the count that a burst is compared with.
 	usualHalfLife = 2 * time.Minute
 	// meanShedHalfLife is the half-life of the weight of a shed fraction in the mean that applies during a burst of another class.
 	meanShedHalfLife = 10 * time.Second
-	// minDemand is the number of recent queries from which a class counts as present.
+	// minDemand is the decaying count of queries from which a class is considered in decisions on others.
 	minDemand = 0.5
 	// shedFrom and shedFull are the expected waits of a higher rank, as fractions of the wait with which it just reaches its target,
 	// at which lower ranks begin to be shed and are shed down to their floor. Shedding begins early, because the queues grow for
-	// another answer's time before a report shows it. With 0.5 and 1.5, short queries in time fell from 0.83 to 0.78 in
-	// gateway.TestShortQueriesBehindLongOnes with replicas at a third of their speed.
+	// another answer's time before a report shows it. With 0.5 and 1.5, fewer short queries behind long ones are in time.
 	shedFrom, shedFull = 0.3, 1.3
 	// floorShare is the least admitted share of a class, as a fraction of the share that all classes are served. The requirement is a
 	// quarter; the rest allows for admitted queries that are late.
 	floorShare = 0.35
 	// minSuccess bounds the increase of the floor of a class whose admitted queries are late or fail.
 	minSuccess = 0.5
-	// yieldHold is how long lower ranks stay at their floor after a query of a higher rank was refused for load.
-	yieldHold = 500 * time.Millisecond
+	// floorHold is how long lower ranks stay at their floor after a query of a higher rank was refused for load.
+	floorHold = 500 * time.Millisecond
 	// minBurstHistory is how long a class must have been known before its demand can count as a burst.
 	minBurstHistory = 10 * time.Second
-	// maxBurst is how long a burst lasts at most; a demand that has stayed for longer is the usual one.
+	// maxBurst is how long a burst lasts at most; a demand that has stayed for longer becomes the usual one.
 	maxBurst = 30 * time.Second
-	// burstDemandFactor times its usual demand is what a class must ask for to be in a burst. Refused callers that return raise the
-	// demand of a class too, by less than this factor unless three fifths of its queries are refused.
+	// burstDemandFactor times the usual demand of a class is the demand from which it is in a burst. Retries of refused queries raise
+	// the demand of a class too, but by less than this factor unless three fifths of its queries are refused.
 	burstDemandFactor = 2.5
 	// burstShedFactor times its mean is the largest shed fraction of a class during a burst of another one. It is above 1 because the
-	// fraction varies with the queues: with 1, its mean fell.
+	// fraction varies with the queues: with 1, its mean would fall.
 	burstShedFactor = 1.5
-	// minCommonGrowth is the growth of the demand of all other classes above which it raises the bound for a burst.
+	// minCommonGrowth is the growth of the demand of all other classes from which it raises the bound for a burst.
 	minCommonGrowth = 1.5
+	// minAccountDemand is the decaying count of queries below which an account is forgotten.
+	minAccountDemand = 0.01
 	// heavyFactor is how many times the mean demand of the other accounts of its rank makes an account a heavy one.
 	heavyFactor = 2
 	// heavyFloor is the least admitted share of a heavy account, as a fraction of the share admitted of all accounts of the rank.
@@ -59,7 +60,7 @@
 	RefusedLoad Refusal = "load"
 	// RefusedRank means that a higher rank has to wait too long at shards that it shares with the query.
 	RefusedRank Refusal = "rank"
-	// RefusedBurst means that the class asks for several times its usual demand while a shard is saturated.
+	// RefusedBurst means that the demand of the class is several times its usual one while a shard is saturated or the class waits.
 	RefusedBurst Refusal = "burst"
 )
 
@@ -69,8 +70,8 @@
 	Rank  int
 }
 
-// ClassLoad tells a PriorityThrottle about the replicas for one query, by their reports of the last second. Its methods must not call
-// the throttle.
+// ClassLoad gives a PriorityThrottle the load of the replicas for one query, by their reports of the last second. Its methods must not
+// call the throttle.
 type ClassLoad interface {
 	// Saturated reports whether a shard of the query is saturated.
 	Saturated() bool
@@ -125,27 +126,36 @@
 
 func (d *demand) decay(now time.Time) {
 	if age := now.Sub(d.at); age > 0 {
-		d.count *= math.Exp2(-float64(age) / float64(demandHalfLife))
+		d.count *= remainingWeight(age, demandHalfLife)
 		d.at = now
 	}
 }
 
-// classState is the state of a class. asked, done and served are exponentially decaying counts of its queries; recent and usual are such
-// counts of those asked, with the half-lives for bursts.
+// remainingWeight returns the weight of a query after a time, relative to its initial one.
+func remainingWeight(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
+
+// classState is the state of a class.
 type classState struct {
 	Class
-	throttle                           *Throttle
-	asked, done, served, recent, usual float64
-	since, decayedAt                   time.Time
-	// burstSince is the begin of the burst that the class is in, zero if it is in none.
+	throttle *Throttle
+	// offered, completed and served are exponentially decaying counts of the queries that asked for admission, that ended after they were
+	// admitted, and that were answered in time.
+	offered, completed, served float64
+	// recent and usual count the offered queries with burstHalfLife and usualHalfLife. In usual, those of a burst have less weight.
+	recent, usual float64
+	// since is when the class became known, decayedAt the time to which the counts have decayed.
+	since, decayedAt time.Time
+	// burstSince is the beginning of the burst that the class is in, zero if it is in none.
 	burstSince time.Time
-	// expectedBefore is the result of expected at that time.
-	expectedBefore float64
+	// expectedBeforeBurst is the result of expectedRecent at that time.
+	expectedBeforeBurst float64
 	// meanShed is the moving average of the fraction refused in favour of higher ranks while no other class was in a burst.
 	meanShed   float64
 	meanShedAt time.Time
-	// yieldsUntil is the end of the time in which lower ranks stay at their floor in favour of the class.
-	yieldsUntil time.Time
+	// othersAtFloorUntil is the end of the time in which lower ranks stay at their floor in favour of the class.
+	othersAtFloorUntil time.Time
 }
 
 // shedding is the state of a rank of which queries are refused in favour of higher ranks.
@@ -161,6 +171,7 @@
 	}
 }
 
+// class returns the state of a class with its counts decayed to now.
 func (t *PriorityThrottle) class(c Class, now time.Time) *classState {
 	s := t.classes[c]
 	if s == nil {
@@ -174,23 +185,24 @@
 
 func (s *classState) decay(now time.Time) {
 	if age := now.Sub(s.decayedAt); age > 0 {
-		factor := math.Exp2(-float64(age) / float64(demandHalfLife))
-		s.asked *= factor
-		s.done *= factor
+		factor := remainingWeight(age, demandHalfLife)
+		s.offered *= factor
+		s.completed *= factor
 		s.served *= factor
-		s.recent *= math.Exp2(-float64(age) / float64(burstHalfLife))
-		s.usual *= math.Exp2(-float64(age) / float64(usualHalfLife))
+		s.recent *= remainingWeight(age, burstHalfLife)
+		s.usual *= remainingWeight(age, usualHalfLife)
 		s.decayedAt = now
 	}
 }
 
-// expected returns the value of recent at the usual demand of the class, which is taken from the queries before
-// those in recent, and during a burst from those before it.
-func (s *classState) expected(now time.Time) float64 {
+// expectedRecent returns the value of recent at the usual demand of the class. The usual demand is that of the queries before those in
+// recent, and during a burst that of the queries before the burst.
+func (s *classState) expectedRecent(now time.Time) float64 {
 	if !s.burstSince.IsZero() {
-		return s.expectedBefore
+		return s.expectedBeforeBurst
 	}
-	weight := 1 - math.Exp2(-float64(now.Sub(s.since))/float64(usualHalfLife))
+	weight := 1 - remainingWeight(now.Sub(s.since), usualHalfLife)
+	// earlier is the expected ratio of the queries in usual without those in recent to those in recent.
 	earlier := float64(usualHalfLife)/float64(burstHalfLife)*weight - 1
 	if earlier <= 1 {
 		return s.recent
@@ -204,7 +216,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.class(c, now)
-	s.asked++
+	s.offered++
 	s.recent++
 	t.updateUsual(s, now)
 	load = &cachedLoad{ClassLoad: load}
@@ -214,7 +226,9 @@
 		admitted = min(admitted, max(t.floor(s, now), admitted*(1-burst)))
 	}
 	draw = t.scaleForAccount(accountKey{account, c.Rank}, s, draw, admitted, load, now)
-	decision := Decision{Changes: t.endedShedding(now)}
+	decision := Decision{Changes: t.endShedding(now)}
+	// A draw below shed refuses the query for its rank, one from there to 1-admitted for a burst. The rest of the range, scaled to
+	// [0, 1), is the draw for the throttle of the class.
 	switch {
 	case draw < shed:
 		decision.Refusal = RefusedRank
@@ -223,8 +237,8 @@
 		decision.Refusal = RefusedBurst
 	case !s.throttle.Admit((draw-(1-admitted))/admitted, load.Saturated, now):
 		decision.Refusal = RefusedLoad
-		// From now on, lower ranks stay at their floor: a rank isn't refused while lower ones are admitted beyond theirs.
-		s.yieldsUntil = now.Add(yieldHold)
+		// No rank is refused for load while lower ones are admitted beyond their floor.
+		s.othersAtFloorUntil = now.Add(floorHold)
 		admitted *= 1 - s.throttle.refusedFraction(now)
 	}
 	if decision.Refusal != Admitted {
@@ -259,7 +273,7 @@
 		if o == s {
 			continue
 		}
-		if o.decay(now); o.asked < minDemand {
+		if o.decay(now); o.offered < minDemand {
 			continue
 		}
 		if !o.burstSince.IsZero() && t.hasBurstDemand(o, now) && load.WaitRatio(o.Route) > 0 {
@@ -269,7 +283,7 @@
 			continue
 		}
 		r := load.WaitRatio(o.Route)
-		if r > 0 && now.Before(o.yieldsUntil) {
+		if r > 0 && now.Before(o.othersAtFloorUntil) {
 			r = shedFull
 		}
 		ratio = max(ratio, r)
@@ -279,36 +293,37 @@
 		shed = excess * (1 - t.floor(s, now))
 	}
 	if otherBurst {
-		// The burst of another class must not leave this one worse off than it was before.
+		// The burst of another class must not increase the fraction of this one that is shed.
 		return min(shed, burstShedFactor*s.meanShed)
 	}
-	s.meanShed += (shed - s.meanShed) * (1 - math.Exp2(-float64(now.Sub(s.meanShedAt))/float64(meanShedHalfLife)))
+	s.meanShed += (shed - s.meanShed) * (1 - remainingWeight(now.Sub(s.meanShedAt), meanShedHalfLife))
 	s.meanShedAt = now
 	return shed
 }
 
 // floor returns the least admitted share of a class.
 func (t *PriorityThrottle) floor(s *classState, now time.Time) float64 {
-	var asked, served float64
+	var offered, served float64
 	for _, o := range t.order {
 		o.decay(now)
-		asked += o.asked
+		offered += o.offered
 		served += o.served
 	}
-	if asked == 0 {
+	if offered == 0 {
 		return 1
 	}
-	success := max(minSuccess, (s.served+1)/(s.done+1))
-	return min(1, floorShare*served/asked/success)
+	success := max(minSuccess, (s.served+1)/(s.completed+1))
+	return min(1, floorShare*served/offered/success)
 }
 
-// hasBurstDemand reports whether the demand of a class has grown far beyond its usual demand, and beyond the growth of the other classes: on a
-// daemon that becomes a helper, the demand of all classes grows at once.
+// hasBurstDemand reports whether the demand of a class has grown far beyond its usual demand, and beyond the growth of the other classes:
+// on a daemon that becomes a helper, the demand of all classes grows at once.
 func (t *PriorityThrottle) hasBurstDemand(s *classState, now time.Time) bool {
 	if now.Sub(s.since) < minBurstHistory {
 		return false
 	}
-	expected := burstDemandFactor * s.expected(now) * t.growthOfOthers(s, now)
+	expected := burstDemandFactor * s.expectedRecent(now) * t.growthOfOthers(s, now)
+	// The margin of two standard deviations and two queries keeps random variation from counting as a burst.
 	return expected > 0 && s.recent > expected+2*math.Sqrt(expected)+2
 }
 
@@ -319,14 +334,14 @@
 		s.burstSince = time.Time{}
 		s.usual++
 	case s.burstSince.IsZero():
-		s.expectedBefore = s.expected(now)
+		s.expectedBeforeBurst = s.expectedRecent(now)
 		s.burstSince = now
 	case now.Sub(s.burstSince) > maxBurst:
-		s.usual *= s.recent / s.expectedBefore
+		s.usual *= s.recent / s.expectedBeforeBurst
 		s.burstSince = time.Time{}
 	default:
-		// The usual demand stays as it was before the burst.
-		s.usual += s.expectedBefore / s.recent
+		// With this weight, the usual demand stays as it was before the burst.
+		s.usual += s.expectedBeforeBurst / s.recent
 	}
 }
 
@@ -337,7 +352,7 @@
 		if o != s {
 			o.decay(now)
 			recent += o.recent
-			expected += o.expected(now)
+			expected += o.expectedRecent(now)
 		}
 	}
 	if expected < minDemand {
@@ -355,61 +370,74 @@
 	if s.burstSince.IsZero() || load.WaitRatio(s.Route) < shedFrom && !load.Saturated() {
 		return 0
 	}
-	allowed := s.expected(now) * t.growthOfOthers(s, now)
+	allowed := s.expectedRecent(now) * t.growthOfOthers(s, now)
 	return 1 - max(t.floor(s, now), min(1, allowed/s.recent))
 }
 
 // scaleForAccount counts a query of the account and scales its draw, so that accounts which take much more than the others of the same
-// rank are refused first. The fraction refused of all queries stays the same; admitted is the one that is left to the class's throttle.
+// rank are refused first. The fraction refused of all queries stays the same; admitted is the fraction that is left to the class's
+// throttle.
 func (t *PriorityThrottle) scaleForAccount(key accountKey, s *classState, draw, admitted float64, load ClassLoad, now time.Time) float64 {
 	if key.account == "" {
 		return draw
 	}
-	own := t.accounts[key]
-	if own == nil {
-		own = &demand{at: now}
-		t.accounts[key] = own
+	own := t.countForAccount(key, now)
+	refusedForLoad := s.throttle.refusedFraction(now)
+	if admitted >= 1 && refusedForLoad == 0 {
+		return draw
+	}
+	demands, sum := t.accountDemands(key.rank, now)
+	if !hasHeavy(demands, sum) {
+		return draw
+	}
+	if refusedForLoad > 0 && load.Saturated() {
+		admitted *= 1 - refusedForLoad
 	}
-	own.decay(now)
-	own.count++
-	p := s.throttle.refusedFraction(now)
-	if admitted >= 1 && p == 0 {
+	if admitted >= 1 {
 		return draw
 	}
-	var demands []float64
-	sum := 0.0
+	refused := 1 - fairShare(own, fairLevel(demands, sum, admitted), admitted)
+	if refused <= 0 {
+		return 1
+	}
+	return min(1, draw*(1-admitted)/refused)
+}
+
+// countForAccount counts a query of an account and returns the account's demand.
+func (t *PriorityThrottle) countForAccount(key accountKey, now time.Time) float64 {
+	d := t.accounts[key]
+	if d == nil {
+		d = &demand{at: now}
+		t.accounts[key] = d
+	}
+	d.decay(now)
+	d.count++
+	return d.count
+}
+
+// accountDemands returns the demands of all accounts of a rank in ascending order and their sum, and forgets accounts without recent
+// queries.
+func (t *PriorityThrottle) accountDemands(rank int, now time.Time) (demands []float64, sum float64) {
 	for k, d := range t.accounts {
-		if k.rank != key.rank {
+		if k.rank != rank {
 			continue
 		}
-		if d.decay(now); d.count < 0.01 {
+		if d.decay(now); d.count < minAccountDemand {
 			delete(t.accounts, k)
 			continue
 		}
 		demands = append(demands, d.count)
 	}
+	// Adding in a fixed order makes the sum independent of map iteration order.
 	slices.Sort(demands)
 	for _, d := range demands {
 		sum += d
 	}
-	if !hasHeavy(demands, sum) {
-		return draw
-	}
-	if p > 0 && load.Saturated() {
-		admitted *= 1 - p
-	}
-	if admitted >= 1 {
-		return draw
-	}
-	refused := 1 - fairShare(own.count, fairLevel(demands, sum, admitted), admitted)
-	if refused <= 0 {
-		return 1
-	}
-	return min(1, draw*(1-admitted)/refused)
+	return demands, sum
 }
 
-// hasHeavy reports whether one of the accounts takes much more than the others. The margin of a few standard deviations keeps the
-// chance of the draw apart from it, since a daemon sees few queries of each account.
+// hasHeavy reports whether one of the accounts takes much more than the others. The margin of a few standard deviations keeps random
+// variation from counting as such, since a daemon sees few queries of each account.
 func hasHeavy(demands []float64, sum float64) bool {
 	if len(demands) < 2 {
 		return false
@@ -423,7 +451,8 @@
 	return false
 }
 
-// fairLevel returns the demand up to which accounts are admitted as a whole if the fraction admitted of their sum may run.
+// fairLevel returns the demand up to which accounts are admitted as a whole if the fraction admitted of their sum may run. It finds the
+// level by bisection.
 func fairLevel(demands []float64, sum, admitted float64) float64 {
 	low, high := 0.0, sum
 	for range 30 {
@@ -441,7 +470,7 @@
 	return high
 }
 
-// fairShare returns the share of an account's queries that are admitted.
+// fairShare returns the share of an account's queries that are admitted, for the account's count of queries and the fair level.
 func fairShare(count, level, admitted float64) float64 {
 	return max(heavyFloor*admitted, min(1, level/count))
 }
@@ -459,8 +488,8 @@
 	return changes
 }
 
-// endedShedding ends the shedding of ranks without a recent refusal.
-func (t *PriorityThrottle) endedShedding(now time.Time) (changes []SheddingChange) {
+// endShedding ends the shedding of ranks without a recent refusal.
+func (t *PriorityThrottle) endShedding(now time.Time) (changes []SheddingChange) {
 	for rank, s := range t.shedding {
 		if now.Sub(s.lastAt) >= sheddingEnd {
 			delete(t.shedding, rank)
@@ -475,7 +504,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.class(c, now)
-	s.done++
+	s.completed++
 	if served {
 		s.served++
 	}
--- a/limit/rateshare.go
+++ b/limit/rateshare.go
@@ -10,8 +10,8 @@
 	// permitLifetime is how long a permit of a RateShare can be used after it has become due. It lets a daemon send a short
 	// burst, and keeps daemons that were idle from sending what they did not use all at once.
 	permitLifetime = time.Second
-	// ShortPermitLifetime is the lifetime for a rate that is bounded in each single second: with permitLifetime, a second could get
-	// the permits of two.
+	// ShortPermitLifetime is the lifetime for a rate that is bounded in each single second: with permitLifetime, the permits of two
+	// seconds could be used in one.
 	ShortPermitLifetime = 250 * time.Millisecond
 	// shortDeviations is how many standard deviations of the number of permits in a second RateWithin leaves free. With 4, about one
 	// second in 30,000 exceeds the bound if the daemons draw their first permits independently.
@@ -27,9 +27,9 @@
 }
 
 // RateShare paces the requests of one daemon to its part of a rate that several daemons share. A permit becomes due in
-// regular intervals and expires after permitLifetime or the one that SetLifetime sets. The first one is due at a random time within the first interval:
-// parts far below one request a second, as in a large fleet, then add up to the shared rate at any time. It is not safe for
-// concurrent use. A zero RateShare has no permits.
+// regular intervals and expires after permitLifetime or the time that SetLifetime sets. The first one is due at a random time
+// within the first interval: parts far below one request a second, as in a large fleet, then add up to the shared rate at any
+// time. It is not safe for concurrent use. A zero RateShare has no permits.
 type RateShare struct {
 	// interval is the time between two permits, next the time at which the next unused one is due.
 	interval time.Duration
--- a/limit/throttle.go
+++ b/limit/throttle.go
@@ -40,16 +40,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decay(now)
-	if draw < t.refusal() && saturated() {
+	if draw < t.refusalProbability() && saturated() {
 		t.offered++
 		return false
 	}
 	return true
 }
 
-// refusal returns the fraction of the queries that are refused while the pool is saturated; there is none below 0. The caller holds
-// the lock.
-func (t *Throttle) refusal() float64 {
+// refusalProbability returns the fraction of the queries that are refused while the pool is saturated; a negative one means none. The
+// caller holds the lock.
+func (t *Throttle) refusalProbability() float64 {
 	return (t.offered - throttleFactor*t.served) / (t.offered + throttlePrior)
 }
 
@@ -58,7 +58,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decay(now)
-	return max(0, t.refusal())
+	return max(0, t.refusalProbability())
 }
 
 // Done records the outcome of an admitted query. A query counts only from this point on, because one in flight has
--- a/quota/client.go
+++ b/quota/client.go
@@ -8,22 +8,22 @@
 )
 
 const (
-	// askTimeout is how long a client waits for a sign of the pool of its own data centre, and remoteAskTimeout for one of another
-	// data centre, which may be in another region.
+	// askTimeout is how long a client waits for the first answer of the pool of its own data centre, remoteAskTimeout for that of
+	// another data centre's pool, which may be in another region.
 	askTimeout       = 20 * time.Millisecond
 	remoteAskTimeout = 35 * time.Millisecond
 	// maxWait is how long a request waits for its permit.
 	maxWait = 80 * time.Millisecond
-	// maxMisses is the number of asks in a row without an answer after which a pool is not asked for suspension. With 2, requests of a
-	// data centre whose reader is slow or lost wait twice before they ask elsewhere, which queries with a tight target cannot bear.
+	// maxMisses is the number of asks in a row without an answer after which a pool is not asked for the duration of suspension. With 2,
+	// requests of a data centre whose reader is slow or lost time out twice before they ask elsewhere, too late for tight target latencies.
 	maxMisses  = 1
 	suspension = 500 * time.Millisecond
 	// unavailablePause is how long a daemon that holds no pool is not asked: a new reader is elected within seconds.
 	unavailablePause = 100 * time.Millisecond
 	// maxExtra limits the permits in one ask that no request waits for.
 	maxExtra = 20
-	// refusalQuiet is how long no request of an account has to be refused until the account counts as within its quota again.
-	refusalQuiet = 5 * time.Second
+	// refusalsEnd is how long after its last refused request an account counts as within its quota again.
+	refusalsEnd = 5 * time.Second
 )
 
 // Reason tells why a request was admitted or refused.
@@ -112,38 +112,42 @@
 	since  time.Time
 }
 
-// Refusals is a series of refused requests of an account.
+// Refusals is a series of refused requests of an account. It ends after refusalsEnd without a refused request.
 type Refusals struct {
-	Account  string
-	Quota    Quota
-	Reason   Reason
-	Since    time.Time
-	last     time.Time
-	Refused  int
-	Admitted int
-	// Ended is set if no request was refused for some seconds.
+	Account string
+	Quota   Quota
+	Reason  Reason
+	Since   time.Time
+	last    time.Time
+	// Refused and Admitted are the numbers of requests since the series began, 0 at its beginning.
+	Refused, Admitted int
+	// Ended is set if the series is over.
 	Ended bool
 }
 
+// ask is an ask that was sent to a pool.
 type ask struct {
-	seq            uint64
-	account        *clientAccount
-	need, extra    int
-	sent           time.Time
-	host           string
-	tried          []string
-	timeout        time.Duration
+	seq         uint64
+	account     *clientAccount
+	need, extra int
+	sent        time.Time
+	host        string
+	// tried lists the pools that have been asked for the same requests, including this one.
+	tried   []string
+	timeout time.Duration
+	// pending is set once the pool has answered that the ask waits for tokens, ended once it has timed out.
 	pending, ended bool
 }
 
 // NewClient returns a client of a daemon; seq is the number before that of its first ask.
-func NewClient(bounds Bounds, node string, seq uint64, send func(host string, m Message), complete func(Ticket, Decision), counts *Counts) *Client {
+func NewClient(bounds Bounds, node string, seq uint64, send func(host string, m Message), complete func(Ticket, Decision),
+	counts *Counts) *Client {
 	return &Client{bounds: bounds, node: node, send: send, complete: complete, fleet: &Fleet{}, health: make(map[string]*targetHealth),
 		accounts: make(map[string]*clientAccount), asks: make(map[uint64]*ask), seq: seq, counts: counts}
 }
 
-// SetFleet sets the data centres. reader is the host of the own data centre's pool, empty if unknown; it takes precedence over what the
-// fleet says.
+// SetFleet sets the data centres. reader is the host of the own data centre's pool, empty if unknown; it takes precedence over the reader
+// that the fleet states.
 func (c *Client) SetFleet(f *Fleet, reader string) {
 	c.fleet, c.targets, c.isLocal = f, nil, reader != ""
 	if c.isLocal {
@@ -188,7 +192,7 @@
 	return a
 }
 
-// Cancel removes a request that no longer waits. The permit that was asked for it goes to another one.
+// Cancel removes a request that no longer waits. The permit that was asked for it can be used for another one.
 func (c *Client) Cancel(name string, t Ticket) {
 	a := c.account(name)
 	for i, w := range a.waiting {
@@ -287,11 +291,7 @@
 // target returns the next pool to ask that is not in tried.
 func (c *Client) target(tried []string, now time.Time) (host string, ok bool) {
 	for _, host := range c.targets {
-		isTried := false
-		for _, t := range tried {
-			isTried = isTried || t == host
-		}
-		if h := c.health[host]; !isTried && (h == nil || !now.Before(h.pausedUntil)) {
+		if h := c.health[host]; !slices.Contains(tried, host) && (h == nil || !now.Before(h.pausedUntil)) {
 			return host, true
 		}
 	}
@@ -310,12 +310,12 @@
 		return
 	}
 	delete(c.asks, g.Seq)
-	c.end(x)
+	c.removeInFlight(x)
 	a := x.account
 	if g.Status == Unavailable {
 		c.health[x.host] = &targetHealth{pausedUntil: now.Add(unavailablePause)}
 		if !x.ended {
-			c.cover(a, x.tried, now)
+			c.askOrDecideLocally(a, x.tried, now)
 		}
 		return
 	}
@@ -333,12 +333,12 @@
 			c.completeFirst(a, c.refuse(a, OverQuota, now))
 		}
 	}
-	c.cover(a, nil, now)
+	c.askOrDecideLocally(a, nil, now)
 }
 
-// cover asks for the permits of waiting requests that no ask in flight covers, and decides about them locally if there is no pool to ask.
-// tried lists the pools that were asked before.
-func (c *Client) cover(a *clientAccount, tried []string, now time.Time) {
+// askOrDecideLocally asks for the permits of waiting requests that no ask in flight covers, and decides about them locally if there is no
+// pool to ask. tried lists the pools that were asked before.
+func (c *Client) askOrDecideLocally(a *clientAccount, tried []string, now time.Time) {
 	if c.askForWaiting(a, tried, now) {
 		return
 	}
@@ -376,8 +376,8 @@
 	c.complete(t, d)
 }
 
-// end removes an ask from those in flight.
-func (c *Client) end(x *ask) {
+// removeInFlight removes an ask from those in flight.
+func (c *Client) removeInFlight(x *ask) {
 	for i, y := range c.inFlight {
 		if x == y {
 			c.inFlight = append(c.inFlight[:i:i], c.inFlight[i+1:]...)
@@ -386,14 +386,30 @@
 	}
 }
 
-// Tick gives up the asks whose time is up.
+// Tick processes what is due: asks and requests that have waited for too long, and series of refused requests that have ended.
 func (c *Client) Tick(now time.Time) {
+	c.timeOutAsks(now)
+	for _, x := range c.inFlight {
+		for a := x.account; len(a.waiting) > 0 && now.Sub(a.waiting[0].since) >= maxWait; {
+			c.completeFirst(a, c.decideLocally(a, now))
+		}
+	}
+	for seq, x := range c.asks {
+		if now.Sub(x.sent) >= advanceLifetime {
+			delete(c.asks, seq)
+		}
+	}
+	c.endRefusals(now)
+}
+
+// timeOutAsks ends the asks whose deadline has passed, and asks other pools instead.
+func (c *Client) timeOutAsks(now time.Time) {
 	for _, x := range append([]*ask(nil), c.inFlight...) {
 		if now.Before(x.deadline()) {
 			continue
 		}
 		x.ended = true
-		c.end(x)
+		c.removeInFlight(x)
 		if !x.pending {
 			h := c.health[x.host]
 			if h == nil {
@@ -404,21 +420,15 @@
 				h.pausedUntil = now.Add(suspension)
 			}
 		}
-		c.cover(x.account, x.tried, now)
-	}
-	for _, x := range c.inFlight {
-		for a := x.account; len(a.waiting) > 0 && now.Sub(a.waiting[0].since) >= maxWait; {
-			c.completeFirst(a, c.decideLocally(a, now))
-		}
-	}
-	for seq, x := range c.asks {
-		if now.Sub(x.sent) >= advanceLifetime {
-			delete(c.asks, seq)
-		}
+		c.askOrDecideLocally(x.account, x.tried, now)
 	}
+}
+
+// endRefusals ends the series of refused requests that have had none for refusalsEnd.
+func (c *Client) endRefusals(now time.Time) {
 	c.refusing = slices.DeleteFunc(c.refusing, func(a *clientAccount) bool {
 		r := a.refusal
-		if now.Sub(r.last) < refusalQuiet {
+		if now.Sub(r.last) < refusalsEnd {
 			return false
 		}
 		r.Ended = true
@@ -445,7 +455,7 @@
 		}
 	}
 	for _, a := range c.refusing {
-		next = earliest(next, a.refusal.last.Add(refusalQuiet))
+		next = earliest(next, a.refusal.last.Add(refusalsEnd))
 	}
 	return next
 }
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -22,7 +22,7 @@
 const (
 	// maxDatagramBytes limits a received datagram.
 	maxDatagramBytes = 16 << 10
-	// roleInterval is the time between two checks who holds the reader role, while an account has a quota.
+	// roleInterval is the time between two checks of who holds the reader role, while an account has a quota.
 	roleInterval = 200 * time.Millisecond
 	// socketRetryPause is the pause after the socket failed to open or to be read.
 	socketRetryPause = time.Second
@@ -60,20 +60,21 @@
 	node *Node
 	// conn is nil while the socket is closed.
 	conn *net.UDPConn
-	// waiting holds the requests that wait for decisions. early holds decisions that were made before their requests waited.
+	// waiting holds the requests that wait for decisions. early holds decisions that the node made while Acquire was still being called,
+	// which happens if the pool is on this daemon.
 	waiting map[Ticket]chan Decision
 	early   map[Ticket]Decision
 	timer   *time.Timer
 	// timerAt is when the timer fires, zero if it is not set.
 	timerAt time.Time
-	// known is what the node was updated with last.
-	known     knowledge
+	// applied identifies the last update of the node.
+	applied   nodeUpdate
 	decisions map[Reason]int64
 	datagrams struct{ sent, sentBytes, received int64 }
 }
 
-// knowledge identifies what a node knows of the fleet.
-type knowledge struct {
+// nodeUpdate identifies the configuration and the state of the fleet that a node was updated with.
+type nodeUpdate struct {
 	version     int64
 	dataCentres uint64
 	reader      string
@@ -120,20 +121,8 @@
 		return Permit{}, 0, true
 	}
 	now := time.Now()
-	e.mu.Lock()
-	d, ticket, decided := e.node.Acquire(a.Name, Of(a), now)
-	if !decided {
-		if d, decided = e.early[ticket]; decided {
-			delete(e.early, ticket)
-		}
-	}
-	var decision chan Decision
-	if !decided {
-		decision = make(chan Decision, 1)
-		e.waiting[ticket] = decision
-	}
-	e.unlockAndSend(now)
-	if !decided {
+	d, ticket, decision := e.beginAcquire(a, now)
+	if decision != nil {
 		select {
 		case d = <-decision:
 		case <-ctx.Done():
@@ -148,6 +137,24 @@
 	return Permit{exchange: e, account: a.Name, decision: d}, 0, true
 }
 
+// beginAcquire asks the node for a decision about a request. If there is none yet, it returns the channel that will receive it, otherwise
+// a nil channel.
+func (e *Exchange) beginAcquire(a *account.Account, now time.Time) (d Decision, ticket Ticket, decision chan Decision) {
+	e.mu.Lock()
+	defer e.unlockAndSend(now)
+	d, ticket, decided := e.node.Acquire(a.Name, Of(a), now)
+	if decided {
+		return d, ticket, nil
+	}
+	if d, decided = e.early[ticket]; decided {
+		delete(e.early, ticket)
+		return d, ticket, nil
+	}
+	decision = make(chan Decision, 1)
+	e.waiting[ticket] = decision
+	return d, ticket, decision
+}
+
 // cancel ends the wait of a request whose caller has left or whose time is up.
 func (e *Exchange) cancel(name string, t Ticket, decision chan Decision) Decision {
 	now := time.Now()
@@ -209,7 +216,7 @@
 	}
 }
 
-// sendTo sends a message. Datagrams may be lost, so that an error is only logged.
+// sendTo sends a message. An error is only logged, since the protocol tolerates lost datagrams.
 func (e *Exchange) sendTo(conn *net.UDPConn, o Envelope) {
 	host, err := netip.ParseAddr(o.Host)
 	if err != nil || conn == nil {
@@ -231,7 +238,7 @@
 	}
 }
 
-// logRefusals logs that an account begins or ends to be refused.
+// logRefusals logs the beginning or the end of a series of refused requests.
 func (e *Exchange) logRefusals(r Refusals) {
 	fields := []zap.Field{zap.String("account", r.Account), zap.Float64("per_second", r.Quota.RatePerS), zap.Float64("burst", r.Quota.Burst),
 		zap.String("reason", string(r.Reason))}
@@ -344,13 +351,13 @@
 		hasQuotas = hasQuotas || a.HasQuota()
 	}
 	reader, isReader := e.reader.CentreReader()
-	latest := knowledge{version: view.Table.Version(), dataCentres: view.DataCentresHash, reader: reader, isReader: isReader}
+	latest := nodeUpdate{version: view.Table.Version(), dataCentres: view.DataCentresHash, reader: reader, isReader: isReader}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if latest == e.known {
+	if latest == e.applied {
 		return hasQuotas
 	}
-	e.known = latest
+	e.applied = latest
 	e.node.Update(e.fleet(view), quotas, hostOf(reader), isReader, time.Now())
 	return hasQuotas
 }
--- a/quota/exchange_test.go
+++ b/quota/exchange_test.go
@@ -66,7 +66,7 @@
 	for _, e := range all {
 		for begin := time.Now(); ; time.Sleep(time.Millisecond) {
 			e.mu.Lock()
-			isReady := e.conn != nil && e.known.version > 0
+			isReady := e.conn != nil && e.applied.version > 0
 			e.mu.Unlock()
 			if isReady {
 				break
--- a/quota/message.go
+++ b/quota/message.go
@@ -116,6 +116,7 @@
 // roundDown rounds a number of tokens down to thousandths, which keeps messages short.
 func roundDown(tokens float64) float64 { return math.Floor(tokens*1000) / 1000 }
 
+// milliseconds returns a duration in milliseconds, rounded up.
 func milliseconds(d time.Duration) int64 {
 	return int64(math.Ceil(float64(d) / float64(time.Millisecond)))
 }
--- a/quota/metrics.go
+++ b/quota/metrics.go
@@ -20,7 +20,8 @@
 	var errs []error
 	var err error
 	m.wait, err = meter.Float64Histogram("chivemill_quota_wait", metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(waitBounds...),
-		metric.WithDescription("Time for which requests of accounts with a quota waited for their permits; those that got one at once are not counted."))
+		metric.WithDescription("Time for which requests of accounts with a quota waited for their permits; "+
+			"those that got one at once are not counted."))
 	errs = append(errs, err)
 	_, err = meter.Int64ObservableCounter("chivemill_quota_requests",
 		metric.WithDescription("Requests of accounts with a quota, by result (admitted, refused) and reason."),
@@ -43,12 +44,18 @@
 			}))
 		errs = append(errs, err)
 	}
-	counter("chivemill_quota_permits_asked", "Permits that this daemon asked pools for.", func() float64 { return float64(e.node.counts.PermitsAsked) })
-	counter("chivemill_quota_tokens_given", "Tokens that this daemon's pool gave to the pools of other data centres.", func() float64 { return e.node.counts.TokensGiven })
-	counter("chivemill_quota_tokens_taken", "Tokens that this daemon's pool got from the pools of other data centres.", func() float64 { return e.node.counts.TokensTaken })
-	counter("chivemill_quota_datagrams_sent", "Datagrams of the exchange of permits that this daemon sent.", func() float64 { return float64(e.datagrams.sent) })
-	counter("chivemill_quota_datagrams_sent_bytes", "Bytes of these datagrams, without the headers of IP and UDP.", func() float64 { return float64(e.datagrams.sentBytes) })
-	counter("chivemill_quota_datagrams_received", "Datagrams of the exchange of permits that this daemon received.", func() float64 { return float64(e.datagrams.received) })
+	counter("chivemill_quota_permits_asked", "Permits that this daemon asked pools for.",
+		func() float64 { return float64(e.node.counts.PermitsAsked) })
+	counter("chivemill_quota_tokens_given", "Tokens that this daemon's pool gave to the pools of other data centres.",
+		func() float64 { return e.node.counts.TokensGiven })
+	counter("chivemill_quota_tokens_taken", "Tokens that this daemon's pool got from the pools of other data centres.",
+		func() float64 { return e.node.counts.TokensTaken })
+	counter("chivemill_quota_datagrams_sent", "Datagrams of the exchange of permits that this daemon sent.",
+		func() float64 { return float64(e.datagrams.sent) })
+	counter("chivemill_quota_datagrams_sent_bytes", "Bytes of these datagrams, without the headers of IP and UDP.",
+		func() float64 { return float64(e.datagrams.sentBytes) })
+	counter("chivemill_quota_datagrams_received", "Datagrams of the exchange of permits that this daemon received.",
+		func() float64 { return float64(e.datagrams.received) })
 	return m, errors.Join(errs...)
 }
 
--- a/quota/node.go
+++ b/quota/node.go
@@ -36,7 +36,7 @@
 	return n
 }
 
-// Update sets what the node knows of the fleet: the data centres, the quotas of all accounts, the host of the own data centre's reader, and
+// Update sets the state of the fleet: the data centres, the quotas of all accounts, the host of the own data centre's reader, and
 // whether this daemon is that reader.
 func (n *Node) Update(f *Fleet, quotas map[string]Quota, reader string, isReader bool, now time.Time) {
 	n.quotas = quotas
@@ -45,7 +45,7 @@
 	n.client.SetFleet(f, reader)
 }
 
-// Acquire decides about a request, or returns a ticket.
+// Acquire decides about a request, or returns its ticket. The callback complete may already have got the decision when Acquire returns.
 func (n *Node) Acquire(account string, q Quota, now time.Time) (d Decision, t Ticket, decided bool) {
 	d, t, decided = n.client.Acquire(account, q, now)
 	n.deliverOwn(now)
@@ -81,6 +81,7 @@
 	return out
 }
 
+// post queues a message, and merges it with others to the same host.
 func (n *Node) post(host string, m Message) {
 	if host == n.host {
 		n.own = append(n.own, m)
@@ -96,6 +97,7 @@
 	n.outgoing = append(n.outgoing, Envelope{Host: host, Message: m})
 }
 
+// deliverOwn processes the messages from this node to itself, including those that it sends meanwhile.
 func (n *Node) deliverOwn(now time.Time) {
 	for len(n.own) > 0 {
 		m := n.own[0]
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// pullTimeout is how long a pool waits for other pools: a round trip between regions takes 24 ms.
+	// pullTimeout is how long a pool waits for the answers to its pulls. It must exceed a round trip between regions, which is 24 ms.
 	pullTimeout = 40 * time.Millisecond
 	// pullInterval is the shortest time between two pulls for an account while others are in flight, which lets requests that arrive
 	// together share one.
@@ -19,27 +19,27 @@
 	maxEmptyPause = 50 * time.Millisecond
 	// silentPause is how long a pool does not pull from one that did not answer.
 	silentPause = time.Second
-	// aheadLevel is the time for which a pool with more demand than its own refill rate wants tokens in stock; below it, it pulls
-	// tokens before requests wait for them. A giving pool keeps that much for its own demand.
-	aheadLevel    = 60 * time.Millisecond
-	aheadInterval = 20 * time.Millisecond
+	// reservePeriod is the time for which a pool keeps tokens for its own demand: it gives other pools no more than the rest, and pulls
+	// tokens if it has fewer and its demand exceeds its own refill rate. pullAheadInterval is the shortest time between two such pulls.
+	reservePeriod     = 60 * time.Millisecond
+	pullAheadInterval = 20 * time.Millisecond
 	// maxPending is how long an ask waits for tokens of other pools, enough for two rounds of pulls between regions.
 	maxPending = 60 * time.Millisecond
 	// maxRefillWait is how long an ask waits for tokens that are due soon. Without it, demand close to the quota is refused for the time
-	// of a denial although the tokens are only some milliseconds late.
-	maxRefillWait  = 25 * time.Millisecond
-	refillInterval = 5 * time.Millisecond
+	// of a denial although the tokens are only some milliseconds late. serveInterval is the time between two checks for such tokens.
+	maxRefillWait = 25 * time.Millisecond
+	serveInterval = 5 * time.Millisecond
 	// overAsk is the factor by which a pool asks the others for more than it needs, because what it knows of their levels is old. What
 	// exceeds the need and the capacity is lost after advanceLifetime.
 	overAsk = 1.2
-	// For startTime after it starts, a pool refills with Fleet.startShare, which is startFraction of its share if the number of data
+	// For startPeriod after it starts, a pool refills with Fleet.startShare, which is startFraction of its share if the number of data
 	// centres is not known.
-	startTime     = 4 * time.Second
+	startPeriod   = 4 * time.Second
 	startFraction = 0.5
 	// maxNeed limits the permits in one ask.
 	maxNeed = 1000
 	// minHold and maxHold bound the time for which a client refuses requests after a denial without asking again. holdPerClient raises it
-	// with the number of clients that were denied lately: each account over its quota causes at most 500 asks a second at a reader.
+	// with the number of clients that were denied lately, so that an account over its quota causes at most 500 asks a second at a reader.
 	minHold       = 10 * time.Millisecond
 	maxHold       = 250 * time.Millisecond
 	holdPerClient = 2 * time.Millisecond
@@ -53,14 +53,15 @@
 	quotas func(account string) (Quota, bool)
 	send   func(host string, m Message)
 	fleet  *Fleet
-	share  float64
-	held   bool
-	// startedAt is when the pool started.
+	// share is the own data centre's share in the fleet.
+	share float64
+	// held is set while this daemon holds the reader role. startedAt is when that last changed.
+	held      bool
 	startedAt time.Time
 	// buckets holds the state of each account with a quota, active those with pulls in flight.
 	buckets map[string]*bucket
 	active  []*bucket
-	// waiting are those with pending asks, which are served every refillInterval while no pulls are in flight. nextServe is when that is due.
+	// waiting are those with pending asks, which are served every serveInterval. nextServe is when that is due.
 	waiting   []*bucket
 	nextServe time.Time
 	// pulls holds the pulls that may still be answered, silentUntil the hosts that did not answer.
@@ -74,8 +75,8 @@
 type bucket struct {
 	account string
 	quota   Quota
-	// level is the number of own tokens, refilled up to updated. borrowed are tokens of other pools, used first; when their time
-	// ends, they go to the level as far as its capacity allows.
+	// level is the number of own tokens, refilled up to updated. borrowed are tokens of other pools, which are used first; when they
+	// expire, they are added to the level as far as its capacity allows.
 	level    float64
 	updated  time.Time
 	borrowed lots
@@ -90,41 +91,46 @@
 	// isWaiting is set while the bucket is in the list of those with pending asks.
 	isWaiting bool
 	// rounds are the rounds of pulls in flight, pulling the sum of what they need.
-	rounds    []*round
-	pulling   float64
-	nextPull  time.Time
-	nextAhead time.Time
-	// centres holds what other pools told of their buckets.
-	centres map[string]*remote
+	rounds  []*round
+	pulling float64
+	// nextPull is when the next pull for waiting asks may be sent, nextPullAhead the next one before any ask waits.
+	nextPull, nextPullAhead time.Time
+	// reports holds the latest reports of other pools on their buckets, by data centre.
+	reports map[string]*remoteReport
 }
 
 // pendingAsk is an ask that waits for tokens of other pools.
 type pendingAsk struct {
-	host     string
-	ask      Ask
-	at       time.Time
+	host string
+	ask  Ask
+	at   time.Time
+	// notified is set once a Pending grant has been sent to the client.
 	notified bool
 }
 
 // round is a set of pulls that were sent together.
 type round struct {
-	at      time.Time
-	need    float64
-	got     float64
+	at time.Time
+	// need is the number of tokens for waiting requests, got the number received for any purpose.
+	need, got float64
+	// waiting is the number of pulls without an answer.
 	waiting int
 }
 
+// pull is a pull that was sent to another pool.
 type pull struct {
 	bucket *bucket
 	round  *round
 	centre string
 	host   string
-	limit  float64
-	ended  bool
+	// limit is the number of tokens that were asked for.
+	limit float64
+	// ended is set once the pull has timed out. Its answer may still be used.
+	ended bool
 }
 
-// remote is what another pool told of its bucket at a time.
-type remote struct {
+// remoteReport is what another pool reported of its bucket at a time.
+type remoteReport struct {
 	left, demand, refused float64
 	at                    time.Time
 }
@@ -136,7 +142,7 @@
 		silentUntil: make(map[string]time.Time), seq: seq, counts: counts}
 }
 
-// SetFleet sets the data centres, of which the pool's own determines its share.
+// SetFleet sets the data centres.
 func (p *Pool) SetFleet(f *Fleet) { p.fleet, p.share = f, f.share(f.Own) }
 
 // SetHeld sets whether this daemon holds the reader role of its data centre. A pool starts with at most one token for each account, so
@@ -157,12 +163,12 @@
 	}
 	b := p.buckets[account]
 	if b == nil {
-		b = &bucket{account: account, level: 1, updated: p.startedAt, centres: make(map[string]*remote), deniedAt: make(map[string]time.Time)}
+		b = &bucket{account: account, level: 1, updated: p.startedAt, reports: make(map[string]*remoteReport), deniedAt: make(map[string]time.Time)}
 		p.buckets[account] = b
 	}
 	b.quota = q
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
-		starting := max(0, min(elapsed, p.startedAt.Add(startTime).Sub(b.updated)))
+		starting := max(0, min(elapsed, p.startedAt.Add(startPeriod).Sub(b.updated)))
 		b.level += q.RatePerS * (p.fleet.startShare()*starting.Seconds() + p.share*(elapsed-starting).Seconds())
 		b.updated = now
 	}
@@ -171,8 +177,10 @@
 	return b
 }
 
+// available returns the number of tokens that can be used, with a tolerance for rounding errors.
 func (b *bucket) available() float64 { return b.level + b.borrowed.sum() + 1e-9 }
 
+// take removes tokens, of which there must be enough: borrowed ones first.
 func (b *bucket) take(tokens float64) {
 	taken, _ := b.borrowed.take(tokens)
 	b.level = max(0, b.level-(tokens-taken))
@@ -200,6 +208,25 @@
 
 // serve answers the pending asks of a bucket in order as far as it has tokens, and pulls tokens for the others or denies them.
 func (p *Pool) serve(b *bucket, now time.Time) {
+	p.grantPending(b, now)
+	if len(b.pending) == 0 {
+		b.pending = nil
+		p.pullAhead(b, now)
+		return
+	}
+	p.pullForPending(b, now)
+	for len(b.pending) > 0 && !p.mayWait(b, now) {
+		p.deny(b, now)
+	}
+	if len(b.pending) > 0 && !b.isWaiting {
+		b.isWaiting = true
+		p.waiting = append(p.waiting, b)
+	}
+	p.notifyPending(b)
+}
+
+// grantPending grants the pending asks in order as far as the bucket has tokens.
+func (p *Pool) grantPending(b *bucket, now time.Time) {
 	for len(b.pending) > 0 && b.available() >= float64(b.pending[0].ask.Need) {
 		next := b.pending[0]
 		b.pending = b.pending[1:]
@@ -207,11 +234,10 @@
 		extra := p.takeExtra(b, next.ask.Extra, now)
 		p.send(next.host, Message{Grants: []Grant{{Seq: next.ask.Seq, Status: Granted, Permits: next.ask.Need + extra}}})
 	}
-	if len(b.pending) == 0 {
-		b.pending = nil
-		p.pullAhead(b, now)
-		return
-	}
+}
+
+// pullForPending pulls the tokens that the pending asks need and that are not yet being pulled.
+func (p *Pool) pullForPending(b *bucket, now time.Time) {
 	need := -b.available() - b.pulling
 	for _, w := range b.pending {
 		need += float64(w.ask.Need)
@@ -222,13 +248,10 @@
 			b.nextPull = now.Add(pullInterval)
 		}
 	}
-	for len(b.pending) > 0 && !p.mayWait(b, now) {
-		p.deny(b, now)
-	}
-	if len(b.pending) > 0 && !b.isWaiting {
-		b.isWaiting = true
-		p.waiting = append(p.waiting, b)
-	}
+}
+
+// notifyPending tells the clients whose asks wait that they do.
+func (p *Pool) notifyPending(b *bucket) {
 	for i := range b.pending {
 		if w := &b.pending[i]; !w.notified {
 			w.notified = true
@@ -250,7 +273,7 @@
 // takeExtra takes whole tokens that a client can use soon, as far as the room for grants in advance and own tokens allow.
 func (p *Pool) takeExtra(b *bucket, wanted int, now time.Time) int {
 	room := p.fleet.advanceRoom(b.quota, p.bounds, p.fleet.Own)/2 - b.advanced.sum()
-	keep := b.demand.get(now) * aheadLevel.Seconds()
+	keep := b.demand.get(now) * reservePeriod.Seconds()
 	extra := math.Floor(max(0, min(float64(wanted), room, b.level-keep)))
 	b.level -= extra
 	b.advanced.add(extra, now.Add(advanceLifetime))
@@ -267,9 +290,9 @@
 	firstToken := seconds(max(0, 1-b.available()) / s.own)
 	retry := firstToken + seconds((b.refused.get(s.own, now)+s.refused)/s.total)
 	b.refused.add(first.ask.Need-permits, s.own, now)
-	// A single token may take longer than the limit: an earlier retry would be in vain.
+	// A single token may take longer than maxRetryAfter: an earlier retry would be refused again.
 	retry = min(retry, max(maxRetryAfter, firstToken))
-	// The client spaces the requests that it refuses by itself so that those of all clients together come back at the refill rate.
+	// The client spaces the retries of the requests that it refuses so that those of all clients together arrive at the refill rate.
 	b.deniedAt[first.host] = now
 	maps.DeleteFunc(b.deniedAt, func(_ string, at time.Time) bool { return now.Sub(at) > deniedRetention })
 	interval := seconds(float64(len(b.deniedAt)) / s.total)
@@ -293,7 +316,7 @@
 			continue
 		}
 		refill := b.quota.RatePerS * p.fleet.share(c.Name)
-		if r := b.centres[c.Name]; r != nil {
+		if r := b.reports[c.Name]; r != nil {
 			if refused := r.refused - refill*now.Sub(r.at).Seconds(); refused > 0 {
 				s.refused += refused
 				s.total += refill
@@ -306,8 +329,9 @@
 	return s
 }
 
+// remoteDemand estimates the rate of requests at another pool.
 func (b *bucket) remoteDemand(centre string, now time.Time) float64 {
-	r := b.centres[centre]
+	r := b.reports[centre]
 	if r == nil {
 		return 0
 	}
@@ -319,7 +343,7 @@
 func (p *Pool) remoteLevel(b *bucket, centre string, now time.Time) float64 {
 	share := p.fleet.share(centre)
 	limit := p.fleet.capacity(b.quota, p.bounds, centre)
-	r := b.centres[centre]
+	r := b.reports[centre]
 	if r == nil {
 		return limit
 	}
@@ -346,10 +370,10 @@
 // pullAhead pulls tokens before requests have to wait for them, if the demand exceeds the pool's own refill rate.
 func (p *Pool) pullAhead(b *bucket, now time.Time) {
 	demand := b.demand.get(now)
-	if demand <= b.quota.RatePerS*p.share || b.available() >= demand*aheadLevel.Seconds() || len(b.rounds) > 0 || now.Before(b.nextAhead) {
+	if demand <= b.quota.RatePerS*p.share || b.available() >= demand*reservePeriod.Seconds() || len(b.rounds) > 0 || now.Before(b.nextPullAhead) {
 		return
 	}
-	b.nextAhead = now.Add(aheadInterval)
+	b.nextPullAhead = now.Add(pullAheadInterval)
 	p.pull(b, 0, demand*lookahead.Seconds()-b.available(), now)
 }
 
@@ -396,7 +420,7 @@
 	give := Give{Seq: m.Seq}
 	if b := p.bucketFor(m.Account, now); b != nil && b.quota.RatePerS > 0 {
 		demand := b.demand.get(now)
-		spare := b.level - demand*aheadLevel.Seconds()
+		spare := b.level - demand*reservePeriod.Seconds()
 		for _, w := range b.pending {
 			spare -= float64(w.ask.Need)
 		}
@@ -425,7 +449,7 @@
 	if b == nil || b != answered.bucket {
 		return
 	}
-	b.centres[answered.centre] = &remote{left: max(0, g.Left), demand: max(0, g.Demand), refused: max(0, g.Refused), at: now}
+	b.reports[answered.centre] = &remoteReport{left: max(0, g.Left), demand: max(0, g.Demand), refused: max(0, g.Refused), at: now}
 	r := answered.round
 	if tokens := max(0, min(g.Tokens, answered.limit)); now.Before(r.at.Add(advanceLifetime)) {
 		b.borrowed.add(tokens, r.at.Add(advanceLifetime))
@@ -469,7 +493,7 @@
 	if now.Before(p.nextServe) {
 		return
 	}
-	p.nextServe = now.Add(refillInterval)
+	p.nextServe = now.Add(serveInterval)
 	waiting := p.waiting
 	p.waiting = nil
 	for _, b := range waiting {
@@ -499,7 +523,7 @@
 		if age >= pullTimeout && !x.ended {
 			x.ended = true
 			p.silentUntil[x.host] = now.Add(silentPause)
-			x.bucket.centres[x.centre] = &remote{at: now}
+			x.bucket.reports[x.centre] = &remoteReport{at: now}
 		}
 		if age >= advanceLifetime {
 			delete(p.pulls, seq)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -35,8 +35,8 @@
 const (
 	// localRoomFraction is the part of the room for requests that are admitted without a pool, advanceRoomFraction that for
 	// permits and tokens that are granted before a request needs them, and capacityRoomFraction that for capacities of pools beyond
-	// the burst. Two readers in one data centre and views of the fleet that differ use what the local allowances leave unused: the
-	// daemons that use them reach no reader.
+	// the burst. Excess grants by two readers in one data centre, or with different views of the fleet, are covered by the local
+	// allowances, which daemons that reach a reader do not use.
 	localRoomFraction    = 0.5
 	advanceRoomFraction  = 0.25
 	capacityRoomFraction = 0.25
@@ -67,6 +67,7 @@
 	Configured int
 }
 
+// daemons returns the number of daemons in all data centres.
 func (f *Fleet) daemons() int {
 	n := 0
 	for _, c := range f.Centres {
@@ -85,7 +86,7 @@
 	return 0
 }
 
-// startShare returns the share with which the own pool refills for startTime after it starts. Its view may lack data centres then, and
+// startShare returns the share with which the own pool refills for startPeriod after it starts. Its view may lack data centres then, and
 // other pools may not know of it yet. An equal part of the configured data centres is no more than the share in a complete view of
 // equal data centres, so pools that start at the same time do not grant more than the rate together.
 func (f *Fleet) startShare() float64 {
@@ -141,6 +142,7 @@
 	until  time.Time
 }
 
+// add adds an amount that can be used until a time.
 func (l *lots) add(amount float64, until time.Time) {
 	if amount <= 0 {
 		return
@@ -177,7 +179,7 @@
 	return sum
 }
 
-// take removes up to an amount, what expires first before the rest, and returns what it removed with the latest expiry of it.
+// take removes up to an amount, in the order of expiry, and returns the amount removed and when the last part of it would have expired.
 func (l *lots) take(amount float64) (taken float64, until time.Time) {
 	for taken < amount && len(*l) > 0 {
 		first := &(*l)[0]
--- a/quota/rate.go
+++ b/quota/rate.go
@@ -14,10 +14,12 @@
 	at    time.Time
 }
 
+// add counts events.
 func (r *rate) add(events float64, now time.Time) {
 	r.value, r.at = r.get(now)+events/rateTimeConstant.Seconds(), now
 }
 
+// get returns the current average.
 func (r *rate) get(now time.Time) float64 {
 	elapsed := now.Sub(r.at)
 	if elapsed <= 0 || r.value == 0 {
@@ -37,10 +39,12 @@
 // them are not repeated, so a long queue says little.
 const maxRetryAfter = 5 * time.Second
 
+// get returns the number of requests that are still expected to come back if perSecond of them are served.
 func (q *retryQueue) get(perSecond float64, now time.Time) float64 {
 	return max(0, q.length-perSecond*now.Sub(q.at).Seconds())
 }
 
+// add counts n refused requests.
 func (q *retryQueue) add(n int, perSecond float64, now time.Time) {
 	q.at, q.length = now, min(q.get(perSecond, now)+float64(n), perSecond*maxRetryAfter.Seconds())
 }
