--- a/gateway/linger_test.go
+++ b/gateway/linger_test.go
@@ -75,3 +75,23 @@
 		must.SliceEmpty(t, f.sentTo())
 	})
 }
+
+// TestUnneededAttemptIsNoEvidence guards sound requests against quarantine: a replica that crashes because of another request, after the
+// shard of a sound one has been answered, must not count as a loss of the sound one.
+func TestUnneededAttemptIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, f := newGateway(t)
+		for _, replica := range []string{"s0-0", "s1-0", "s2-0", "s3-0"} {
+			f.responses[replica] = func(context.Context) (Answer, error) {
+				// The second attempt is answered before the connection is lost.
+				time.Sleep(hedgeDelay(300*time.Millisecond, 30*time.Millisecond) + 30*time.Millisecond)
+				return Answer{}, failWith(backend.ConnectionLost)
+			}
+		}
+		for range 5 {
+			must.Nil(t, g.Serve(context.Background(), newRequest("/q/1")).Err)
+			time.Sleep(time.Second)
+		}
+		must.SliceEmpty(t, g.Notices())
+	})
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -399,6 +399,10 @@
 		r.recordWithheld(a, begin)
 		return nil, &backend.Error{Failure: backend.NotSent, Cause: errCallerLeft}
 	}
+	if ctx.Err() != nil && err != nil && backend.FailureOf(err) != backend.NotSent {
+		// What happens to an attempt after its answer is no longer needed says nothing about the request.
+		err = &backend.Error{Failure: backend.TimedOut, Cause: ctx.Err()}
+	}
 	r.gateway.recordResponse(err)
 	if dispatched {
 		r.recordExchangedBytes(service, choice.ID, answer)
--- a/quota/answers_test.go
+++ b/quota/answers_test.go
@@ -112,3 +112,24 @@
 	p.HandleAsk("client", Ask{Seq: 99, Account: tenant, Extra: maxExtra}, now)
 	must.Greater(t, room, granted+given, must.Sprint("what has expired counts no longer"))
 }
+
+// TestReturnedPermitEnds guards the bound on the sum against a permit that is returned again and again: it can be used for
+// returnedLifetime after it was asked for, however often its requests were not sent.
+func TestReturnedPermitEnds(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var asks []Ask
+	var admitted Decision
+	c := NewClient(deployedBounds, "n", 7, func(_ string, m Message) { asks = append(asks, m.Asks...) },
+		func(_ Ticket, d Decision) { admitted = d }, &Counts{})
+	c.SetFleet(testFleet("a"), "a")
+	_, _, decided := c.Acquire(tenant, large, start)
+	must.False(t, decided)
+	c.HandleGrant(Grant{Seq: asks[0].Seq, Status: Granted, Permits: 1}, start)
+	now := start
+	for admitted.Admitted && now.Before(start.Add(time.Second)) {
+		c.Return(tenant, admitted, now)
+		now = now.Add(100 * time.Millisecond)
+		admitted, _, _ = c.Acquire(tenant, large, now)
+	}
+	must.Eq(t, returnedLifetime, now.Sub(start))
+}
--- a/quota/client.go
+++ b/quota/client.go
@@ -89,9 +89,10 @@
 type clientAccount struct {
 	name  string
 	quota Quota
-	// permits are those that can be used; waiting are the requests without one, in order of arrival.
-	permits lots
-	waiting []waiter
+	// permits are those that can be used, returned those of requests that were not sent; waiting are the requests without one, in order of
+	// arrival.
+	permits, returned lots
+	waiting           []waiter
 	// demand is the rate of requests.
 	demand rate
 	// deniedUntil is the end of a denial. The next refused request may come back at retryAt, each further one after interval.
@@ -166,9 +167,8 @@
 	a := c.account(name)
 	a.quota = q
 	a.demand.add(1, now)
-	a.permits.expire(now)
-	if taken, until := a.permits.take(1); taken >= 1 {
-		return c.admit(a, PermitHeld, until.Add(returnedLifetime-advanceLifetime)), 0, true
+	if until, ok := a.takePermit(now); ok {
+		return c.admit(a, PermitHeld, until), 0, true
 	}
 	if now.Before(a.deniedUntil) {
 		a.unreported++
@@ -212,7 +212,7 @@
 		}
 		return
 	}
-	a.permits.add(1, d.until)
+	a.returned.add(1, d.until)
 	c.serve(a, now)
 }
 
@@ -360,14 +360,27 @@
 
 // serve gives permits to waiting requests.
 func (c *Client) serve(a *clientAccount, now time.Time) {
-	a.permits.expire(now)
 	for len(a.waiting) > 0 {
-		taken, until := a.permits.take(1)
-		if taken < 1 {
+		until, ok := a.takePermit(now)
+		if !ok {
 			return
 		}
-		c.completeFirst(a, c.admit(a, PermitGranted, until.Add(returnedLifetime-advanceLifetime)))
+		c.completeFirst(a, c.admit(a, PermitGranted, until))
+	}
+}
+
+// takePermit takes a permit that can be used, and returns until when it can be used again if it is returned. That time does not change
+// when the permit is returned repeatedly: the bound on the sum counts on permits that end returnedLifetime after they were asked for.
+func (a *clientAccount) takePermit(now time.Time) (until time.Time, ok bool) {
+	a.returned.expire(now)
+	if taken, until := a.returned.take(1); taken >= 1 {
+		return until, true
+	}
+	a.permits.expire(now)
+	if taken, until := a.permits.take(1); taken >= 1 {
+		return until.Add(returnedLifetime - advanceLifetime), true
 	}
+	return time.Time{}, false
 }
 
 func (c *Client) completeFirst(a *clientAccount, d Decision) {
