--- a/review/third/review3-spliced-failure/main.go
+++ b/review/third/review3-spliced-failure/main.go
@@ -1,13 +1,16 @@
-// Command review3-spliced-failure plays searches and lookups, which may be repeated, against replicas of which some fail part of their
-// requests and some send a broken-off second copy of some of their answers. It exits with 1 if a client got an answer that breaks the rule
-// MIXED, 0 if none did, and 2 if it could not run.
+// Command review3-spliced-failure plays lookups of past orders, which may be repeated, against sound replicas that answer 404 for an order
+// that does not exist. Some send a broken-off second copy of some of their answers. It exits with 1 if a client got an answer that breaks the
+// rule MIXED, 0 if none did, and 2 if it could not run.
 package main
 
 import (
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
+	"path"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,19 +19,20 @@
 )
 
 const (
-	shards    = 10
-	perShard  = 3
-	topK      = 50
-	least     = 0.75
-	perSecond = 80
-	// Of windowLength of each windowInterval, garbledShare of the replicas send an extra copy after garbledAnswers of their answers, and
-	// failingShare of them fail failingRequests.
+	// replicas have slots each; a lookup takes meanWork. One lookup in missingEvery is for an order that does not exist.
+	replicas     = 10
+	slots        = 2
+	queue        = 8
+	meanWork     = 100 * time.Millisecond
+	perSecond    = 150
+	missingEvery = 4
+	deadline     = 6 * time.Second
+	// The disruption: for windowLength of each windowInterval, garbledReplicas of the replicas, a share of 0.6, send an extra copy after
+	// garbledAnswers of their answers.
 	windowInterval  = 6 * time.Second
 	windowLength    = 5 * time.Second
-	garbledShare    = 0.5
-	garbledAnswers  = 0.04
-	failingShare    = 0.14
-	failingRequests = 0.4
+	garbledReplicas = 6
+	garbledAnswers  = 0.03
 	firstWindow     = 3 * time.Second
 )
 
@@ -37,7 +41,7 @@
 func main() {
 	output := flag.String("record", "record.txt", "`FILE` for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "play the disruption")
-	length := flag.Duration("for", 80*time.Second, "`TIME` of traffic")
+	length := flag.Duration("for", 100*time.Second, "`TIME` of traffic")
 	flag.Parse()
 	code, err := run(*output, *trouble, *length)
 	if err != nil {
@@ -47,9 +51,12 @@
 	os.Exit(code)
 }
 
-// isIn reports whether the n-th of count replicas is among a share of them that changes with each window.
-func isIn(n, window, count int, share float64) bool {
-	return (n+window)%count < int(share*float64(count))
+// status returns the status of a sound replica's answer to a lookup.
+func status(req *http.Request) int {
+	if n, err := strconv.Atoi(path.Base(req.URL.Path)); err == nil && n%missingEvery == 0 {
+		return http.StatusNotFound
+	}
+	return http.StatusOK
 }
 
 func run(output string, trouble bool, length time.Duration) (int, error) {
@@ -61,32 +68,13 @@
 	defer fleet.Close()
 	fleet.CloseOnSignal()
 	var begin atomic.Int64
-	window := func() (n int, open bool) {
-		if begin.Load() == 0 || !trouble {
-			return 0, false
-		}
-		since := time.Since(time.Unix(0, begin.Load())) - firstWindow
-		return int(since / windowInterval), since > 0 && since%windowInterval < windowLength
-	}
-	var services []string
-	for i := range shards {
-		services = append(services, fmt.Sprintf("loja-web~%d", i))
-	}
-	count := (shards + 1) * perShard
-	for n := range count {
-		service, work, records := "bancada", 60*time.Millisecond, 180
-		if n < shards*perShard {
-			service, work, records = services[n/perShard], 12*time.Millisecond, 60
-		}
-		r, err := rig.NewReplica(fleet.Host(100+n), rig.ReplicaOptions{ID: fmt.Sprintf("i-%04x", 0x7f00+n), Service: service, Zone: zones[n%3],
-			Slots: 5, Queue: 30, MeanWork: work, Records: records, Record: record, OnReply: ledger.OnReply,
-			Fails: func() bool {
-				w, open := window()
-				return open && isIn(n, 7*w, count, failingShare) && rand.Float64() < failingRequests
-			},
+	for n := range replicas {
+		r, err := rig.NewReplica(fleet.Host(100+n), rig.ReplicaOptions{ID: fmt.Sprintf("i-%04x", 0x7f00+n), Service: "bancada", Zone: zones[n%3],
+			Slots: slots, Queue: queue, MeanWork: meanWork, Records: 20, Record: record, OnReply: ledger.OnReply, Status: status,
 			Spoil: func(r *rig.Replica, reply rig.Reply, sound []byte) rig.Sent {
-				w, open := window()
-				if !open || !isIn(n, 7*w, count, garbledShare) || rand.Float64() >= garbledAnswers {
+				since := time.Since(time.Unix(0, begin.Load())) - firstWindow
+				isOpen := trouble && begin.Load() != 0 && since > 0 && since%windowInterval < windowLength
+				if !isOpen || (n+int(since/windowInterval))%replicas >= garbledReplicas || rand.Float64() >= garbledAnswers {
 					return rig.Sent{Now: sound}
 				}
 				// The second copy breaks off at any byte of its head.
@@ -103,17 +91,10 @@
 			return 2, err
 		}
 	}
-	routes := []map[string]any{
-		{"Name": "r-search", "Host": "shop.example", "PathPrefix": "/search/", "RouteType": "safe", "TimeoutMs": 1500, "TargetLatencyMs": 300,
-			"Priority": 1, "Gather": services, "MaxAttempts": 2, "TopK": topK, "MinCoverage": least},
-		{"Name": "r-lookup", "Host": "shop.example", "PathPrefix": "/orders/", "RouteType": "safe", "TimeoutMs": 6000, "TargetLatencyMs": 1000,
-			"Priority": 2, "Service": "bancada", "MaxAttempts": 2},
-	}
-	var configured []map[string]any
-	for _, s := range append([]string{"bancada"}, services...) {
-		configured = append(configured, map[string]any{"Name": s, "HealthPath": "/health", "MaxConnections": 41, "Protocol": "h1", "Tls": false})
-	}
-	if err := fleet.WriteConfig(routes, configured); err != nil {
+	err = fleet.WriteConfig([]map[string]any{{"Name": "r-lookup", "Host": "shop.example", "PathPrefix": "/orders/", "RouteType": "safe",
+		"TimeoutMs": 6000, "TargetLatencyMs": 1000, "Priority": 2, "Service": "bancada", "MaxAttempts": 2}},
+		[]map[string]any{{"Name": "bancada", "HealthPath": "/health", "MaxConnections": 100, "Protocol": "h1", "Tls": false}})
+	if err != nil {
 		return 2, err
 	}
 	for range zones {
@@ -123,15 +104,15 @@
 	}
 	time.Sleep(5 * time.Second)
 	begin.Store(time.Now().UnixNano())
-	broken := send(fleet, record, ledger, services, length)
+	broken := send(fleet, record, ledger, length)
 	if err := record.WriteFile(output); err != nil {
 		return 2, err
 	}
 	return summarize(record, broken), nil
 }
 
-// send sends searches and lookups in turn to the daemons and returns the number of answers that break MIXED.
-func send(fleet *rig.Fleet, record *rig.Record, ledger *rig.Ledger, services []string, length time.Duration) int {
+// send sends lookups to the daemons in turn and returns the number of answers that break MIXED.
+func send(fleet *rig.Fleet, record *rig.Record, ledger *rig.Ledger, length time.Duration) int {
 	client := &rig.Client{Host: "shop.example", Record: record}
 	ticker := time.NewTicker(time.Second / perSecond)
 	defer ticker.Stop()
@@ -141,14 +122,9 @@
 	for n := 0; time.Now().Before(end); n++ {
 		<-ticker.C
 		wg.Go(func() {
-			daemon, id := fleet.Daemons[(n/2)%len(fleet.Daemons)], rig.NewID("b", n)
-			var fault string
-			if n%2 == 0 {
-				fault = ledger.CheckGather(id, client.Send(daemon, "GET", fmt.Sprintf("/search/%d", n), id, nil, 1500*time.Millisecond), services, topK, least)
-			} else {
-				fault = ledger.CheckSingle(id, client.Send(daemon, "GET", fmt.Sprintf("/orders/%d", n), id, nil, 6*time.Second))
-			}
-			if fault != "" {
+			id := rig.NewID("b", n)
+			answer := client.Send(fleet.Daemons[n%len(fleet.Daemons)], "GET", fmt.Sprintf("/orders/%d", rand.IntN(100_000)), id, nil, deadline)
+			if fault := ledger.CheckSingle(id, answer); answer.Err == nil && fault != "" {
 				broken.Add(1)
 				fmt.Printf("MIXED: request %s: %s\n", id, fault)
 				record.Add(rig.Event{What: "mixed", Request: id, Note: fault})
--- a/review/third/rig/fleet.go
+++ b/review/third/rig/fleet.go
@@ -60,7 +60,7 @@
 		return nil, err
 	}
 	f := &Fleet{Store: standin.NewStore(), dir: dir, MemoryMB: 284, MaxFds: 4100, CPUShare: 0.4}
-	f.server = httptest.NewServer(f.Store)
+	f.server = httptest.NewServer(pagedStore{f.Store})
 	for range 50 {
 		f.network = fmt.Sprintf("127.%d.%d", 30+rand.IntN(200), rand.IntN(250))
 		if err = f.reservePorts(); err == nil {
