--- a/review/third/review3-large-bodies/main.go
+++ b/review/third/review3-large-bodies/main.go
@@ -108,8 +108,8 @@
 	fmt.Printf("ordinary searches served %d, not served %d; connections of uncontrolled clients %d\n", served, failed, opened.Load())
 	code := 0
 	for i, d := range fleet.Daemons {
-		fmt.Printf("%s: largest memory %d MiB of %d MiB\n", d.Name, largest[i]>>20, fleet.MemoryMB)
-		if largest[i] > int64(fleet.MemoryMB)<<20 {
+		fmt.Printf("%s: largest memory %d MiB of %d MiB\n", d.Name, largest[i]>>20, rig.MemoryMB)
+		if largest[i] > rig.MemoryMB<<20 {
 			fmt.Printf("MEMORY: %s took more than its machine has\n", d.Name)
 			code = 1
 		}
--- a/review/third/rig/client.go
+++ b/review/third/rig/client.go
@@ -19,9 +19,7 @@
 
 // Client sends requests as the platform's clients do, each on a new connection.
 type Client struct {
-	Host string
-	// Key is the key of a tenant, empty for none.
-	Key    string
+	Host   string
 	Record *Record
 }
 
@@ -38,9 +36,6 @@
 	req.Host = c.Host
 	req.Header.Set("Chivemill-Request-Id", id)
 	req.Header.Set("Chivemill-Time-Budget", fmt.Sprint(deadline.Milliseconds()))
-	if c.Key != "" {
-		req.Header.Set("Api-Key", c.Key)
-	}
 	c.Record.Add(Event{What: "sent", Request: id, Who: d.Name, Note: method + " " + path})
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
--- a/review/third/rig/fleet.go
+++ b/review/third/rig/fleet.go
@@ -17,8 +17,12 @@
 	"github.com/chivemill/chivemill/platform/standin"
 )
 
-// metricsPort is the port of the deploy file's metrics.
-const metricsPort = 9464
+const (
+	// metricsPort is the port of the deploy file's metrics.
+	metricsPort = 9464
+	// MemoryMB is the memory of each machine.
+	MemoryMB = 284
+)
 
 // zones are the zones of the small deployment, each in a region of its own.
 var zones = []string{"braga-a", "coimbra-a", "lisboa-a"}
@@ -32,13 +36,6 @@
 	ports   [4]int
 	Daemons []*Daemon
 	version int
-	// StoreProxies lets each daemon that is started from now on reach the store through a proxy of its own.
-	StoreProxies bool
-	// Tenants are the tenants of the configuration; without any, requests need no key.
-	Tenants []map[string]any
-	// MemoryMB, MaxFds and CPUShare are the limits of each daemon that is started from now on.
-	MemoryMB, MaxFds int
-	CPUShare         float64
 }
 
 // Daemon is one process of the deploy file's role.
@@ -47,8 +44,6 @@
 	file             string
 	Cmd              *exec.Cmd
 	exited           chan struct{}
-	// Store is the daemon's proxy, nil if it has none.
-	Store *Proxy
 	// Callers and Ready are the addresses of the settings.
 	Callers, Ready string
 }
@@ -59,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Store: standin.NewStore(), dir: dir, MemoryMB: 284, MaxFds: 4100, CPUShare: 0.4}
+	f := &Fleet{Store: standin.NewStore(), dir: dir}
 	f.server = httptest.NewServer(pagedStore{f.Store})
 	for range 50 {
 		f.network = fmt.Sprintf("127.%d.%d", 30+rand.IntN(200), rand.IntN(250))
@@ -103,12 +98,8 @@
 // WriteConfig writes the next version of the operator's configuration.
 func (f *Fleet) WriteConfig(routes []map[string]any, services []map[string]any) error {
 	f.version += 3
-	config := map[string]any{"Version": f.version, "Routes": routes, "Services": services,
-		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
-	if len(f.Tenants) > 0 {
-		config["Tenants"] = f.Tenants
-	}
-	return f.Store.Put("op/config", config)
+	return f.Store.Put("op/config", map[string]any{"Version": f.version, "Routes": routes, "Services": services,
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
 }
 
 // PutReplica writes the entry of a replica.
@@ -122,14 +113,6 @@
 	d := &Daemon{Name: fmt.Sprintf("edge-%d", n), Host: f.Host(n), Zone: zones[(n-1)%len(zones)]}
 	d.Callers, d.Ready = fmt.Sprintf("%s:%d", d.Host, f.ports[0]), fmt.Sprintf("%s:%d", d.Host, f.ports[1])
 	d.file = filepath.Join(f.dir, d.Name+".toml")
-	store := f.server.Listener.Addr().String()
-	if f.StoreProxies {
-		proxy, err := NewProxy(d.Host, store)
-		if err != nil {
-			return nil, err
-		}
-		d.Store, store = proxy, proxy.Address()
-	}
 	text := fmt.Sprintf(`NodeName = "%s"
 Role = "edge"
 MachineClass = "edge"
@@ -152,10 +135,10 @@
 Ready = "%s"
 Control = "%s:%d"
 [Limits]
-CpuShare = %v
+CpuShare = 0.4
 Cores = 1
 MemoryMb = %d
-MaxFds = %d
+MaxFds = 4100
 LinkMbps = 1000.0
 [Bounds]
 SeedLagS = 3
@@ -173,9 +156,6 @@
 BudgetWindowS = 10
 RetryBudgetSlack = 54
 RecoveryS = 12
-QuotaWindowS = 5
-QuotaOverage = 0.1
-QuotaSlack = 20
 [platform]
 Address = "%s"
 form = "kv"
@@ -185,7 +165,7 @@
 ValueBytes = 1048576
 MinTtlMs = 1000
 `, d.Name, d.Host, d.Zone, map[string]string{"braga-a": "norte", "coimbra-a": "centro", "lisboa-a": "lisboa"}[d.Zone], f.ports[3], f.ports[3]+15,
-		f.Host(1), f.ports[2], d.Callers, d.Ready, d.Host, f.ports[2], f.CPUShare, f.MemoryMB, f.MaxFds, store)
+		f.Host(1), f.ports[2], d.Callers, d.Ready, d.Host, f.ports[2], MemoryMB, f.server.Listener.Addr())
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -271,9 +251,6 @@
 	for _, d := range f.Daemons {
 		_ = d.Cmd.Process.Kill()
 		<-d.exited
-		if d.Store != nil {
-			d.Store.Close()
-		}
 	}
 	if f.server != nil {
 		f.server.CloseClientConnections()
--- a/review/third/rig/replica.go
+++ b/review/third/rig/replica.go
@@ -40,8 +40,6 @@
 	Status func(req *http.Request) int
 	// Spoil changes what is written for a reply. It may be nil.
 	Spoil func(r *Replica, reply Reply, sound []byte) Sent
-	// Endless, if it returns true, takes over the connection of a request that has run: it writes until the daemon closes. It may be nil.
-	Endless func(r *Replica, reply Reply, conn net.Conn) bool
 	// OnReply is called with each reply that the replica means to give, before it is written. It may be nil.
 	OnReply func(r *Replica, reply Reply)
 	Record  *Record
@@ -129,9 +127,6 @@
 		if r.OnReply != nil {
 			r.OnReply(r, reply)
 		}
-		if r.Endless != nil && r.Endless(r, reply, conn) {
-			return
-		}
 		sent := Sent{Now: r.Bytes(reply)}
 		if r.Spoil != nil {
 			sent = r.Spoil(r, reply, sent.Now)
